--- /dev/null
+++ b/packages/admin/src/context.ts
@@ -0,0 +1,14 @@
+import type { Clock } from '@poppypond/core';
+import type { ConfigurationReader, ConfigurationWriter, TableStore } from '@poppypond/state';
+import type { Log } from '@poppypond/telemetry';
+import type { AdminSettings } from './settings.js';
+
+/** What the handlers of the admin program share. */
+export interface AdminContext {
+  readonly settings: AdminSettings;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly table: TableStore;
+  readonly reader: ConfigurationReader;
+  readonly writer: ConfigurationWriter;
+}
--- /dev/null
+++ b/packages/backend/src/attempt.ts
@@ -0,0 +1,198 @@
+import type { Milliseconds } from '@poppypond/core';
+import { parseJson } from '@poppypond/core';
+import { openHttp } from '@poppypond/web';
+import { createParser } from 'eventsource-parser';
+import type { EventSourceMessage } from 'eventsource-parser';
+import type { IncomingMessage } from 'node:http';
+import { z } from 'zod';
+
+/** One attempt of a request on one engine. */
+export interface AttemptCall {
+  readonly engineUrl: string;
+  readonly requestId: string;
+  /** Rises with each attempt of a request; frames of older attempts are dropped. */
+  readonly attempt: number;
+  readonly owner: string;
+  readonly dispatch: number;
+  readonly priority: number;
+  readonly timeRemainingMs: Milliseconds;
+  /** Index of the first token that is wanted. */
+  readonly resumeOffset: number;
+  readonly maxTokens: number;
+  /** The caller's body as it came, or that of one part. */
+  readonly body: Buffer | string;
+  /** Whether the engine may let the request wait for memory. */
+  readonly mayWaitInEngine: boolean;
+  readonly reservationId?: string;
+  readonly isPrefillOnly?: boolean;
+  /** `URL#RESERVATION` of the KV caches before this prompt. */
+  readonly imports?: readonly string[];
+}
+
+/** What the engine said when it took the attempt. */
+export interface AttemptAccepted {
+  readonly reservation: string;
+  readonly cachedTokens: number;
+  readonly promptTokens: number;
+}
+
+/** Called while an attempt runs. */
+export interface AttemptListener {
+  onAccepted?(accepted: AttemptAccepted): void;
+  /** Tokens come in order, each index once. */
+  onToken(index: number, text: string): void;
+}
+
+/**
+ * How an attempt ended. `refused` and `not_sent` confirm that nothing was run;
+ * after `cut` the engine may have run any part.
+ */
+export type AttemptEnd =
+  | { readonly kind: 'done'; readonly promptTokens: number }
+  | { readonly kind: 'refused'; readonly reason: string }
+  | { readonly kind: 'not_sent'; readonly detail: string }
+  | { readonly kind: 'cut'; readonly detail: string }
+  | { readonly kind: 'time_limit' }
+  | { readonly kind: 'cancelled' };
+
+const acceptedSchema = z.object({
+  reservation: z.string(),
+  cachedTokens: z.number(),
+  promptTokens: z.number(),
+});
+const doneSchema = z.object({
+  end: z.enum(['done', 'cancelled', 'time_limit']),
+  promptTokens: z.number(),
+});
+const refusedSchema = z.object({ refused: z.string() });
+
+const OK = 200;
+
+function headersOf(call: AttemptCall): Readonly<Record<string, string>> {
+  return {
+    'content-type': 'application/json',
+    'x-request': call.requestId,
+    'x-attempt': String(call.attempt),
+    'x-owner': call.owner,
+    'x-dispatch': String(call.dispatch),
+    'x-priority': String(call.priority),
+    'x-time-remaining-ms': String(Math.max(1, Math.floor(call.timeRemainingMs))),
+    'x-resume-offset': String(call.resumeOffset),
+    'x-max-tokens': String(call.maxTokens),
+    'x-wait': call.mayWaitInEngine ? '1' : '0',
+    'x-prefill-only': call.isPrefillOnly ? '1' : '0',
+    ...(call.reservationId === undefined ? {} : { 'x-reservation': call.reservationId }),
+    ...(call.imports?.length ? { 'x-imports': call.imports.join(',') } : {}),
+  };
+}
+
+/** Reads the frames of one attempt: drops those of others, takes each index once, in order. */
+class FrameReader {
+  #next: number;
+  end: AttemptEnd | undefined;
+  readonly #idPrefix: string;
+
+  constructor(
+    readonly call: AttemptCall,
+    readonly listener: AttemptListener,
+  ) {
+    this.#next = call.resumeOffset;
+    this.#idPrefix = `${String(call.attempt)}:`;
+  }
+
+  readonly read = ({ event, id, data }: EventSourceMessage): void => {
+    if (this.end) return;
+    if (event === 'accepted') return this.#accept(data);
+    if (!id?.startsWith(this.#idPrefix)) return;
+    if (event === 'done') return this.#finish(data);
+    const index = Number(id.slice(this.#idPrefix.length));
+    if (index < this.#next) return;
+    if (index > this.#next) {
+      this.end = { kind: 'cut', detail: `token ${String(this.#next)} is missing` };
+      return;
+    }
+    this.#next += 1;
+    this.listener.onToken(index, data);
+  };
+
+  #accept(data: string): void {
+    const accepted = acceptedSchema.safeParse(parseJson(data));
+    if (accepted.success) this.listener.onAccepted?.(accepted.data);
+  }
+
+  #finish(data: string): void {
+    const done = doneSchema.safeParse(parseJson(data));
+    if (!done.success) this.end = { kind: 'cut', detail: 'malformed end' };
+    else if (done.data.end === 'done' && this.#isWhole()) {
+      this.end = { kind: 'done', promptTokens: done.data.promptTokens };
+    } else if (done.data.end === 'time_limit') this.end = { kind: 'time_limit' };
+    else this.end = { kind: 'cut', detail: `ended early (${done.data.end})` };
+  }
+
+  #isWhole(): boolean {
+    return this.call.isPrefillOnly === true || this.#next === this.call.maxTokens;
+  }
+}
+
+async function readText(response: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of response) if (Buffer.isBuffer(chunk)) chunks.push(chunk);
+  } catch {
+    return '';
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** A refusal counts only when it was read whole: then the engine has confirmed it. */
+async function readRefusal(response: IncomingMessage): Promise<AttemptEnd> {
+  const refused = refusedSchema.safeParse(parseJson(await readText(response)));
+  if (refused.success) return { kind: 'refused', reason: refused.data.refused };
+  return { kind: 'cut', detail: `status ${String(response.statusCode)}` };
+}
+
+function readStream(
+  response: IncomingMessage,
+  reader: FrameReader,
+  signal: AbortSignal,
+): Promise<AttemptEnd> {
+  return new Promise((resolve) => {
+    const parser = createParser({ onEvent: reader.read });
+    response.setEncoding('utf8');
+    response.on('data', (chunk: string) => {
+      parser.feed(chunk);
+      if (reader.end?.kind === 'cut') response.destroy();
+    });
+    response.once('error', () => undefined);
+    response.once('close', () => {
+      if (reader.end) resolve(reader.end);
+      else if (signal.aborted) resolve({ kind: 'cancelled' });
+      else resolve({ kind: 'cut', detail: 'the stream ended early' });
+    });
+  });
+}
+
+/** Runs one attempt. Aborting `signal` cancels it on the engine too, by closing the stream. */
+export async function runAttempt(
+  call: AttemptCall,
+  listener: AttemptListener,
+  signal: AbortSignal,
+): Promise<AttemptEnd> {
+  if (signal.aborted) return { kind: 'cancelled' };
+  const opened = await openHttp({
+    method: 'POST',
+    url: `${call.engineUrl}/generate`,
+    headers: headersOf(call),
+    body: call.body,
+    timeoutMs: call.timeRemainingMs,
+    signal,
+  });
+  if (opened.isErr) {
+    const { reason, mayHaveArrived, detail } = opened.error;
+    if (!mayHaveArrived) return { kind: 'not_sent', detail };
+    if (reason === 'cancelled') return { kind: 'cancelled' };
+    return reason === 'timeout' ? { kind: 'time_limit' } : { kind: 'cut', detail };
+  }
+  if (opened.value.statusCode !== OK) return readRefusal(opened.value);
+  return readStream(opened.value, new FrameReader(call, listener), signal);
+}
--- /dev/null
+++ b/packages/backend/src/service-call.ts
@@ -0,0 +1,49 @@
+import type { Milliseconds } from '@poppypond/core';
+import { callHttp } from '@poppypond/web';
+
+/** A call to a plain service. */
+export interface ServiceCall {
+  readonly method: string;
+  readonly url: string;
+  readonly requestId: string;
+  readonly contentType: string;
+  readonly body: Buffer;
+  readonly timeoutMs: Milliseconds;
+  readonly signal: AbortSignal;
+}
+
+/** How a call to a plain service ended; the three outcomes are never blurred. */
+export type ServiceEnd =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: string;
+    }
+  | { readonly kind: 'not_run'; readonly detail: string }
+  | { readonly kind: 'unknown'; readonly detail: string };
+
+/** By this header a service confirms that it refused a call without running it. */
+const NOT_RUN_HEADER = 'x-not-run';
+
+/** Calls a plain service once. */
+export async function callService(call: ServiceCall): Promise<ServiceEnd> {
+  const reply = await callHttp({
+    method: call.method,
+    url: call.url,
+    headers: { 'content-type': call.contentType, 'x-request': call.requestId },
+    body: call.body,
+    timeoutMs: call.timeoutMs,
+    signal: call.signal,
+  });
+  if (reply.isErr) {
+    const { mayHaveArrived, detail } = reply.error;
+    return { kind: mayHaveArrived ? 'unknown' : 'not_run', detail };
+  }
+  const { status, headers, body } = reply.value;
+  if (headers[NOT_RUN_HEADER] !== undefined) {
+    return { kind: 'not_run', detail: `refused with status ${String(status)}` };
+  }
+  const contentType = headers['content-type'] ?? 'application/octet-stream';
+  return { kind: 'answered', status, contentType, body };
+}
--- /dev/null
+++ b/packages/cli/src/commands.ts
@@ -0,0 +1,196 @@
+import { readFileSync } from 'node:fs';
+import { parseJson } from '@poppypond/core';
+import { Command, Option } from 'clipanion';
+import { z } from 'zod';
+import { ApiCommand } from './api-command.js';
+import { formatApply, formatAudit, formatExplain, formatObjects, formatStatus } from './format.js';
+import { applyReply, auditReply, explainReply, objectsReply, statusReply } from './replies.js';
+
+const fileSchema = z.union([z.array(z.unknown()), z.object({ objects: z.array(z.unknown()) })]);
+
+/** The objects in a file of JSON; undefined if it is not a list of objects. */
+function readObjects(file: string): readonly unknown[] | undefined {
+  const parsed = fileSchema.safeParse(parseJson(readFileSync(file, 'utf8')));
+  if (!parsed.success) return undefined;
+  return Array.isArray(parsed.data) ? parsed.data : parsed.data.objects;
+}
+
+function query(values: Readonly<Record<string, string | undefined>>): string {
+  const search = new URLSearchParams();
+  for (const [key, value] of Object.entries(values)) {
+    if (value !== undefined) search.set(key, value);
+  }
+  return search.toString();
+}
+
+class GetCommand extends ApiCommand {
+  static override paths = [['get']];
+  static override usage = Command.Usage({
+    description: 'List objects.',
+    examples: [['Rules of one team', 'poppypond get rule --selector team=assistant']],
+  });
+
+  readonly kind = Option.String({ required: false });
+  readonly selector = Option.String('--selector', {
+    description: 'only objects with these labels',
+  });
+
+  override async execute(): Promise<number> {
+    const path = `/v1/objects?${query({ kind: this.kind, selector: this.selector })}`;
+    return this.show(await this.call('GET', path), objectsReply, formatObjects);
+  }
+}
+
+class ApplyCommand extends ApiCommand {
+  static override paths = [['apply']];
+  static override usage = Command.Usage({
+    description: 'Create or change the objects in a file, all or none.',
+    examples: [['Apply and wait for every host', 'poppypond apply rules.json --why "more" --wait']],
+  });
+
+  readonly file = Option.String();
+  readonly why = Option.String('--why', { description: 'the reason, for the audit trail' });
+  readonly changeId = Option.String('--change-id', {
+    description: 'sent again with the same id, a change has one effect',
+  });
+  readonly expect = Option.Array('--expect', [], {
+    description: 'KIND/NAME=REVISION that the object must have; 0: must be new',
+  });
+  readonly dryRun = Option.Boolean('--dry-run', false, { description: 'change nothing' });
+  readonly wait = Option.Boolean('--wait', false, {
+    description: 'return when every live host has the change in force',
+  });
+
+  override async execute(): Promise<number> {
+    const objects = readObjects(this.file);
+    if (!objects) return this.usage(`${this.file}: not a JSON list of objects`);
+    if (this.why === undefined && !this.dryRun) return this.usage('--why: say why');
+    const expected = this.expect.map((text) => text.split('='));
+    const reply = await this.call('POST', '/v1/apply', {
+      why: this.why ?? 'dry run',
+      ...(this.changeId === undefined ? {} : { changeId: this.changeId }),
+      dryRun: this.dryRun,
+      objects,
+      expected: Object.fromEntries(expected.map(([id, revision]) => [id, Number(revision)])),
+    });
+    const code = this.show(reply, applyReply, formatApply);
+    if (code !== 0 || !this.wait || reply.isErr) return code;
+    const { revision } = applyReply.parse(reply.value);
+    const waited = await this.call('GET', `/v1/wait/${String(revision)}`);
+    return waited.isErr ? this.fail(waited.error) : 0;
+  }
+}
+
+class DiffCommand extends ApiCommand {
+  static override paths = [['diff']];
+  static override usage = Command.Usage({
+    description: 'Show what applying a file would change.',
+  });
+
+  readonly file = Option.String();
+
+  override async execute(): Promise<number> {
+    const objects = readObjects(this.file);
+    if (!objects) return this.usage(`${this.file}: not a JSON list of objects`);
+    const body = { why: 'diff', dryRun: true, objects };
+    return this.show(await this.call('POST', '/v1/apply', body), applyReply, formatApply);
+  }
+}
+
+class DeleteCommand extends ApiCommand {
+  static override paths = [['delete']];
+  static override usage = Command.Usage({ description: 'Delete an object.' });
+
+  readonly id = Option.String({ name: 'KIND/NAME' });
+  readonly why = Option.String('--why', { description: 'the reason, for the audit trail' });
+
+  override async execute(): Promise<number> {
+    if (this.why === undefined) return this.usage('--why: say why');
+    const path = `/v1/objects/${this.id}?${query({ why: this.why })}`;
+    return this.show(await this.call('DELETE', path), applyReply, formatApply);
+  }
+}
+
+class AuditCommand extends ApiCommand {
+  static override paths = [['audit']];
+  static override usage = Command.Usage({
+    description: 'Show who changed what, when and why.',
+  });
+
+  readonly object = Option.String('--object', { description: 'KIND/NAME' });
+  readonly operator = Option.String('--operator', { description: 'name of the operator' });
+  readonly selector = Option.String('--selector', {
+    description: 'only objects with these labels',
+  });
+  readonly from = Option.String('--from', { description: 'ISO time' });
+  readonly to = Option.String('--to', { description: 'ISO time' });
+
+  override async execute(): Promise<number> {
+    const path = `/v1/audit?${query({
+      object: this.object,
+      operator: this.operator,
+      selector: this.selector,
+      from: toMilliseconds(this.from),
+      to: toMilliseconds(this.to),
+    })}`;
+    return this.show(await this.call('GET', path), auditReply, formatAudit);
+  }
+}
+
+function toMilliseconds(time: string | undefined): string | undefined {
+  return time === undefined ? undefined : String(Date.parse(time));
+}
+
+class StatusCommand extends ApiCommand {
+  static override paths = [['status']];
+  static override usage = Command.Usage({
+    description: 'Show the hosts and the revision in force on each.',
+  });
+
+  override async execute(): Promise<number> {
+    return this.show(await this.call('GET', '/v1/status'), statusReply, formatStatus);
+  }
+}
+
+class ExplainCommand extends ApiCommand {
+  static override paths = [['explain']];
+  static override usage = Command.Usage({
+    description: 'Say why something was decided, by request or by label.',
+    examples: [
+      ['One request', 'poppypond explain regina-1.mabc.0123456789ab'],
+      [
+        'All of a workspace',
+        'poppypond explain --selector workspace=farms --from 2026-12-02T10:00Z',
+      ],
+    ],
+  });
+
+  readonly request = Option.String({ required: false });
+  readonly selector = Option.String('--selector', { description: 'labels of the requests' });
+  readonly from = Option.String('--from', { description: 'ISO time' });
+  readonly to = Option.String('--to', { description: 'ISO time' });
+
+  override async execute(): Promise<number> {
+    if (this.request === undefined && this.selector === undefined) {
+      return this.usage('explain: give a request or --selector');
+    }
+    const { selector, request } = this;
+    const range = { from: toMilliseconds(this.from), to: toMilliseconds(this.to) };
+    const path =
+      request === undefined
+        ? `/v1/explain?${query({ selector, ...range })}`
+        : `/v1/explain/${encodeURIComponent(request)}`;
+    return this.show(await this.call('GET', path), explainReply, formatExplain);
+  }
+}
+
+/** The commands of `poppypond`. */
+export const operatorCommands = [
+  GetCommand,
+  ApplyCommand,
+  DiffCommand,
+  DeleteCommand,
+  AuditCommand,
+  StatusCommand,
+  ExplainCommand,
+];
--- /dev/null
+++ b/packages/core/src/clock.ts
@@ -0,0 +1,53 @@
+/** A duration or an instant in milliseconds. Instants are comparable only within one clock. */
+export type Milliseconds = number;
+
+/** Stops a scheduled callback; calling it again has no effect. */
+export type CancelTimer = () => void;
+
+/**
+ * The one source of time. `monotonicMs` never goes back and is used for every limit;
+ * `wallMs` is Unix time and is used only for records that people read and for rows
+ * whose age another host must judge.
+ */
+export interface Clock {
+  monotonicMs(): Milliseconds;
+  wallMs(): Milliseconds;
+  /** Calls `callback` once after `delayMs`. A pending timer doesn't keep the process alive. */
+  after(delayMs: Milliseconds, callback: () => void): CancelTimer;
+  /** Calls `callback` every `periodMs` until cancelled. */
+  every(periodMs: Milliseconds, callback: () => void): CancelTimer;
+}
+
+/** The operating system's clock. */
+export class SystemClock implements Clock {
+  monotonicMs(): Milliseconds {
+    return performance.now();
+  }
+
+  wallMs(): Milliseconds {
+    return Date.now();
+  }
+
+  after(delayMs: Milliseconds, callback: () => void): CancelTimer {
+    const timer = setTimeout(callback, delayMs);
+    timer.unref();
+    return () => {
+      clearTimeout(timer);
+    };
+  }
+
+  every(periodMs: Milliseconds, callback: () => void): CancelTimer {
+    const timer = setInterval(callback, periodMs);
+    timer.unref();
+    return () => {
+      clearInterval(timer);
+    };
+  }
+}
+
+/** Resolves after `delayMs` of `clock`. */
+export function delay(clock: Clock, delayMs: Milliseconds): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(delayMs, resolve);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/completions/completion-run.ts
@@ -0,0 +1,301 @@
+import { runAttempt } from '@poppypond/backend';
+import type { AttemptEnd } from '@poppypond/backend';
+import { fault, outcomeOf, ownerText } from '@poppypond/core';
+import type { Fault } from '@poppypond/core';
+import { requestCost } from '@poppypond/policy';
+import type { Charge, PlacementJob } from '@poppypond/policy';
+import { match, P } from 'ts-pattern';
+import type { GatewayContext } from '../context.js';
+import type { Placed } from '../engines/dispatcher.js';
+import type { DecisionRecorder } from '../explain/decision-recorder.js';
+import { runGroup } from '../groups/group-run.js';
+import type { Answer } from './answer.js';
+import type { AdmittedRequest } from './completion-request.js';
+
+/** How an attempt leaves the request. */
+type Next = 'finished' | 'again' | Fault;
+
+/** The engine refused for want of memory: nothing is wrong with it, and it wasn't run. */
+const NO_MEMORY = 'no_memory';
+
+/**
+ * One admitted request: waits, is placed, streams, is retried, and ends exactly once,
+ * within its time limit.
+ */
+export class CompletionRun {
+  #nextToken: number;
+  #hasRun = false;
+  #isEnded = false;
+  #attempt = 0;
+  #actualPromptTokens: number | undefined;
+  readonly #avoid = new Set<string>();
+  readonly #abort = new AbortController();
+
+  constructor(
+    readonly context: GatewayContext,
+    readonly request: AdmittedRequest,
+    readonly answer: Answer,
+    readonly recorder: DecisionRecorder,
+  ) {
+    this.#nextToken = request.headers.resume?.offset ?? 0;
+  }
+
+  /** Index of the next token that the caller is owed. */
+  get nextToken(): number {
+    return this.#nextToken;
+  }
+
+  get signal(): AbortSignal {
+    return this.#abort.signal;
+  }
+
+  get remainingMs(): number {
+    return this.request.deadlineMs - this.context.clock.monotonicMs();
+  }
+
+  /** A new attempt number; frames of older attempts no longer count. */
+  nextAttempt(): number {
+    this.#attempt += 1;
+    return this.#attempt;
+  }
+
+  onStartedOnEngine(): void {
+    this.#hasRun = true;
+  }
+
+  /** The caller closed the connection. */
+  onCallerGone(): void {
+    this.#end(fault(this.#hasRun ? 'cancelled_running' : 'cancelled_waiting', ''));
+    this.#abort.abort();
+  }
+
+  async run(charge: Charge): Promise<void> {
+    const { clock } = this.context;
+    const cancelTimer = clock.after(Math.max(0, this.remainingMs), () => {
+      this.#end(fault(this.#hasRun ? 'time_limit' : 'wait_expired', '', this.#ruleField()));
+      this.#abort.abort();
+    });
+    this.context.retries.onFirstAttempt();
+    const result = this.request.needsGroup ? await runGroup(this) : await this.#runOnEngines();
+    cancelTimer();
+    if (result === 'finished') this.#finish();
+    else this.#end(result);
+    this.#settle(charge);
+  }
+
+  async #runOnEngines(): Promise<'finished' | Fault> {
+    for (;;) {
+      const placed = await this.context.dispatcher.place({
+        job: this.#job(),
+        pools: this.request.pools,
+        model: this.request.body.model,
+        workspace: this.request.caller.workspace,
+        weight: this.#weight(),
+        rule: this.request.rule,
+        maxQueuedTokens: this.request.resolution.rule.object.spec.maxQueuedTokens,
+        maxWaitMs: Math.min(this.request.resolution.rule.object.spec.maxWaitMs, this.remainingMs),
+        avoid: this.#avoid,
+        signal: this.signal,
+      });
+      if (placed.isErr) return placed.error;
+      this.#recordPlaced(placed.value);
+      const end = await this.#runAttempt(placed.value);
+      const next = this.#afterAttempt(placed.value, end);
+      if (next !== 'again') return next;
+    }
+  }
+
+  #job(): PlacementJob {
+    const { request, context } = this;
+    return {
+      promptTokens: request.promptTokens + this.#nextToken,
+      outputTokens: request.body.maxTokens - this.#nextToken,
+      priority: request.priority,
+      lane: request.lane,
+      zone: context.settings.zone,
+      cachedTokens: (engineId) =>
+        context.engines.find(engineId)?.prefixes.cachedTokens(request.prefix) ?? 0,
+    };
+  }
+
+  #weight(): number {
+    const { configuration } = this.context;
+    return (
+      configuration.current.get('workspace', this.request.caller.workspace)?.object.spec.weight ?? 1
+    );
+  }
+
+  async #runAttempt(placed: Placed): Promise<AttemptEnd> {
+    const { context, request } = this;
+    const { engine, dispatch } = placed;
+    let isFirst = true;
+    const end = await runAttempt(
+      {
+        engineUrl: engine.url,
+        requestId: request.id,
+        attempt: this.nextAttempt(),
+        owner: ownerText(context.owner),
+        dispatch,
+        priority: request.priority,
+        timeRemainingMs: this.remainingMs,
+        resumeOffset: this.#nextToken,
+        maxTokens: request.body.maxTokens,
+        body: request.bytes,
+        mayWaitInEngine: context.predictedStart?.settings.useLateBinding !== true,
+      },
+      {
+        onAccepted: ({ promptTokens }) => {
+          this.onStartedOnEngine();
+          this.#actualPromptTokens = promptTokens;
+        },
+        onToken: (index, text) => {
+          if (isFirst) engine.load.onFirstToken(dispatch, context.clock.monotonicMs());
+          isFirst = false;
+          this.onToken(index, text);
+        },
+      },
+      this.signal,
+    );
+    engine.load.onEnd(dispatch);
+    return end;
+  }
+
+  /** Passes a token to the caller; tokens it has, or that come after the end, are dropped. */
+  onToken(index: number, text: string): void {
+    if (this.#isEnded || index !== this.#nextToken) return;
+    const { arrivedAtMs, lane } = this.request;
+    if (index === (this.request.headers.resume?.offset ?? 0)) {
+      const elapsedMs = this.context.clock.monotonicMs() - arrivedAtMs;
+      this.context.metrics.timing('requests.first_token', elapsedMs, { lane });
+    }
+    this.#nextToken += 1;
+    this.answer.token(index, text);
+  }
+
+  #afterAttempt({ engine }: Placed, end: AttemptEnd): Next {
+    const { health } = engine;
+    return match(end)
+      .returnType<Next>()
+      .with({ kind: 'done' }, () => {
+        health.onSuccess();
+        return 'finished';
+      })
+      .with({ kind: 'cancelled' }, () => {
+        health.onNeutralEnd();
+        return fault('cancelled_running', '');
+      })
+      .with({ kind: 'time_limit' }, () => {
+        health.onNeutralEnd();
+        return fault('time_limit', '', this.#ruleField());
+      })
+      .with({ kind: 'refused', reason: NO_MEMORY }, () => {
+        health.onNeutralEnd();
+        this.#avoid.add(engine.name);
+        return 'again';
+      })
+      .with({ kind: 'refused', reason: P.string }, ({ reason }) => {
+        this.#onEngineFailure(engine);
+        return this.#tryAgain(engine.name, reason);
+      })
+      .with({ kind: P.union('not_sent', 'cut') }, ({ kind, detail }) => {
+        if (kind === 'cut') this.#hasRun = true;
+        this.#onEngineFailure(engine);
+        return this.#tryAgain(engine.name, detail);
+      })
+      .exhaustive();
+  }
+
+  #onEngineFailure({ health, name }: Placed['engine']): void {
+    if (!health.onFailure(this.context.clock.monotonicMs())) return;
+    this.context.log.warn('backend_set_aside', { server: name });
+    this.context.metrics.count('backend.set_aside', 1, { server: name });
+  }
+
+  #tryAgain(engine: string, why: string): Next {
+    this.#avoid.add(engine);
+    const state = { engine, why, token: this.#nextToken };
+    if (!this.context.retries.tryTake()) {
+      this.recorder.record({ kind: 'retry', choice: 'none', state });
+      return fault('retries_spent', why, { ...this.#ruleField(), retryAfterMs: RETRY_AFTER_MS });
+    }
+    this.recorder.record({ kind: 'retry', choice: 'again', state });
+    this.context.metrics.count('attempts.retried', 1);
+    return 'again';
+  }
+
+  /** Notes that a part of a group failed. */
+  recordGroupFailure(engine: string, end: AttemptEnd): void {
+    const why = 'detail' in end ? end.detail : end.kind;
+    this.recorder.record({ kind: 'retry', choice: end.kind, state: { engine, why } });
+    this.context.metrics.count('attempts.retried', 1);
+  }
+
+  #ruleField(): { readonly rule: string } {
+    return { rule: this.request.rule };
+  }
+
+  #recordPlaced(placed: Placed): void {
+    this.recorder.record({
+      kind: 'place',
+      choice: placed.engine.name,
+      state: {
+        lane: this.request.lane,
+        cutOffTokens: this.context.lanes.cutOffText,
+        promptTokens: this.request.promptTokens,
+        cachedTokens: placed.cachedTokens,
+        priority: this.request.priority,
+        waitedMs: Math.round(placed.waitedMs),
+        predictedStartMs: Math.round(placed.predictedStartMs),
+        remainingMs: Math.round(this.remainingMs),
+        reportAgeMs: Math.round(this.context.clock.monotonicMs() - placed.engine.load.reportAtMs),
+      },
+      passedOver: placed.passedOver.map((passed) => ({ ...passed })),
+    });
+  }
+
+  #finish(): void {
+    if (this.#isEnded) return;
+    this.#isEnded = true;
+    const { promptTokens, body } = this.request;
+    this.answer.finish({
+      promptTokens: this.#actualPromptTokens ?? promptTokens,
+      outputTokens: body.maxTokens,
+    });
+    this.#recordEnd('ok');
+  }
+
+  /** Ends with a fault. Once an engine has run any part, it is never called not run. */
+  #end(given: Fault): void {
+    if (this.#isEnded) return;
+    this.#isEnded = true;
+    const isBlurred = this.#hasRun && outcomeOf(given.code) === 'not_run';
+    const end = isBlurred
+      ? fault('incomplete', `${given.code}: ${given.detail}`, this.#ruleField())
+      : given;
+    this.answer.fail(end);
+    this.#recordEnd(end.code, end.detail);
+  }
+
+  #recordEnd(code: string, detail = ''): void {
+    this.context.metrics.count('requests.done', 1, { code });
+    const elapsedMs = Math.round(this.context.clock.monotonicMs() - this.request.arrivedAtMs);
+    this.recorder.record({
+      kind: 'finish',
+      choice: code,
+      state: { attempts: this.#attempt, tokens: this.#nextToken, elapsedMs, detail },
+    });
+  }
+
+  #settle(charge: Charge): void {
+    const { context, request } = this;
+    const offset = request.headers.resume?.offset ?? 0;
+    const prompt = this.#actualPromptTokens ?? (this.#hasRun ? request.promptTokens : 0);
+    const actual = requestCost(prompt, this.#nextToken - offset);
+    context.budgets.settle(charge, actual, context.clock.monotonicMs());
+    if (this.#actualPromptTokens === undefined) return;
+    const { estimatedTokens } = request.body;
+    context.correction.observe(request.className, estimatedTokens, this.#actualPromptTokens);
+  }
+}
+
+const RETRY_AFTER_MS = 1000;
--- /dev/null
+++ b/packages/gateway/src/configuration/configuration-sync.ts
@@ -0,0 +1,96 @@
+import type { CancelTimer, Milliseconds } from '@poppypond/core';
+import { Configuration, objectId, objectSchema } from '@poppypond/objects';
+import type { PeerMesh } from '@poppypond/peer';
+import { ConfigurationReader } from '@poppypond/state';
+import type { ConfigurationHolder, TableStore } from '@poppypond/state';
+import { z } from 'zod';
+import type { GatewayContext } from '../context.js';
+
+const CHANGES = 'configuration-changes';
+const ASK = 'configuration-ask';
+const WHOLE = 'configuration-whole';
+
+const changesSchema = z.object({
+  after: z.int().nonnegative(),
+  changes: z.array(z.object({ id: z.string(), revision: z.int(), after: objectSchema.nullable() })),
+});
+const askSchema = z.object({ have: z.int().nonnegative() });
+const wholeSchema = z.object({
+  revision: z.int(),
+  objects: z.array(z.object({ revision: z.int(), object: objectSchema })),
+});
+
+const JITTER_SHARE = 0.3;
+
+/**
+ * Brings accepted configuration changes into force on this host: it reads the table's head and
+ * takes changes from peers. Only what the table has accepted is ever passed on.
+ */
+export class ConfigurationSync {
+  readonly #reader: ConfigurationReader;
+  #cancelTimer: CancelTimer | undefined;
+
+  readonly holder: ConfigurationHolder;
+
+  constructor(
+    readonly context: Pick<GatewayContext, 'clock' | 'configuration' | 'log' | 'settings'>,
+    table: TableStore,
+    readonly mesh: PeerMesh,
+  ) {
+    const { configuration: holder, clock, log } = context;
+    this.holder = holder;
+    this.#reader = new ConfigurationReader(holder, table, clock);
+    mesh.on(CHANGES, changesSchema, (from, { after, changes }) => {
+      const result = holder.advance(after, changes);
+      if (result === 'advanced') mesh.broadcast(CHANGES, { after, changes }, from.host);
+      if (result === 'gap') mesh.send(from.host, ASK, { have: holder.current.revision });
+    });
+    mesh.on(ASK, askSchema, (from, { have }) => {
+      if (holder.current.revision > have) mesh.send(from.host, WHOLE, this.#whole());
+    });
+    mesh.on(WHOLE, wholeSchema, (_from, { revision, objects }) => {
+      const stored = objects.map((item) => [objectId(item.object), item] as const);
+      holder.replace(new Configuration(revision, new Map(stored)));
+    });
+    mesh.onJoined = (member) => {
+      mesh.send(member.host, ASK, { have: holder.current.revision });
+    };
+    holder.onChange((configuration) => {
+      log.info('configuration_in_force', { revision: configuration.revision });
+    });
+  }
+
+  /** Monotonic time of the last answer from the table. */
+  get storeContactAtMs(): Milliseconds | undefined {
+    return this.#reader.contactAtMs;
+  }
+
+  async start(): Promise<void> {
+    await this.poll();
+    this.#schedule();
+  }
+
+  stop(): void {
+    this.#cancelTimer?.();
+  }
+
+  /** Reads what is new and passes it on. */
+  async poll(): Promise<void> {
+    const read = await this.#reader.poll();
+    if (read) this.mesh.broadcast(CHANGES, read);
+  }
+
+  #whole(): z.infer<typeof wholeSchema> {
+    const { revision } = this.holder.current;
+    return { revision, objects: this.holder.current.all().map((stored) => ({ ...stored })) };
+  }
+
+  #schedule(): void {
+    const delayMs = this.context.settings.configPollMs * (1 - JITTER_SHARE * Math.random());
+    this.#cancelTimer = this.context.clock.after(delayMs, () => {
+      void this.poll().then(() => {
+        this.#schedule();
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/engines/engine-directory.ts
@@ -0,0 +1,119 @@
+import type { Clock, Milliseconds, Owner } from '@poppypond/core';
+import { rendezvousOrder } from '@poppypond/hashing';
+import type { Configuration, Versioned } from '@poppypond/objects';
+import type { EngineState } from '@poppypond/policy';
+import { WatchedEngine } from './watched-engine.js';
+
+/** Settings of the directory. */
+export interface EngineDirectorySettings {
+  readonly host: string;
+  readonly prefillTokensPerMs: number;
+  readonly maxEnginesWatched: number;
+  readonly engineReportMaxAgeMs: Milliseconds;
+}
+
+/** An engine that may be given work now. */
+export interface OpenEngine {
+  readonly watched: WatchedEngine;
+  readonly state: EngineState;
+}
+
+/** The engines that this host uses, kept in step with the configuration. */
+export class EngineDirectory {
+  readonly #engines = new Map<string, WatchedEngine>();
+  #poolOrder = new Map<string, readonly string[]>();
+  /** Servers that the host list or a peer calls leaving. */
+  #leaving: ReadonlySet<string> = new Set();
+  /** Called when an engine may have become able to take work. */
+  onChange: () => void = () => undefined;
+
+  constructor(
+    readonly settings: EngineDirectorySettings,
+    readonly owner: Owner,
+    readonly clock: Clock,
+  ) {}
+
+  /** Starts watching what is new, stops watching what is gone or has moved. */
+  sync(configuration: Configuration): void {
+    const wanted = this.#chooseEngines(configuration);
+    for (const [name, watched] of this.#engines) {
+      const server = wanted.get(name);
+      if (server?.object.spec.url === watched.url) continue;
+      watched.stop();
+      this.#engines.delete(name);
+    }
+    for (const [name, server] of wanted) {
+      if (this.#engines.has(name)) continue;
+      const watched = new WatchedEngine(
+        server,
+        this.settings.prefillTokensPerMs,
+        this.owner,
+        this.clock,
+        () => {
+          this.onChange();
+        },
+      );
+      this.#engines.set(name, watched);
+    }
+  }
+
+  #chooseEngines(configuration: Configuration): Map<string, Versioned<'backend-server'>> {
+    const wanted = new Map<string, Versioned<'backend-server'>>();
+    const poolOrder = new Map<string, readonly string[]>();
+    for (const { object: pool } of configuration.list('pool')) {
+      const engines = configuration
+        .poolMembers(pool.name)
+        .filter((server) => server.object.spec.kind === 'engine');
+      const mine = rendezvousOrder(this.settings.host, engines, (server) => server.object.name);
+      const chosen = mine.slice(0, this.settings.maxEnginesWatched);
+      for (const server of chosen) wanted.set(server.object.name, server);
+      const ordered = rendezvousOrder(pool.name, chosen, (server) => server.object.name);
+      poolOrder.set(
+        pool.name,
+        ordered.map((server) => server.object.name),
+      );
+    }
+    this.#poolOrder = poolOrder;
+    return wanted;
+  }
+
+  setLeaving(names: ReadonlySet<string>): void {
+    this.#leaving = names;
+  }
+
+  find(name: string): WatchedEngine | undefined {
+    return this.#engines.get(name);
+  }
+
+  all(): readonly WatchedEngine[] {
+    return [...this.#engines.values()];
+  }
+
+  /** Engines that say themselves that they are leaving. */
+  leavingByOwnWord(): readonly string[] {
+    return this.all()
+      .filter((watched) => watched.load.report?.isLeaving === true)
+      .map((watched) => watched.name);
+  }
+
+  /** Engines of these pools that hold the model and take work, in each pool's order. */
+  open(pools: readonly string[], model: string): readonly OpenEngine[] {
+    const now = this.clock.monotonicMs();
+    const found = new Map<string, OpenEngine>();
+    for (const pool of pools) {
+      for (const name of this.#poolOrder.get(pool) ?? []) {
+        const watched = this.#engines.get(name);
+        if (!watched || found.has(name) || this.#leaving.has(name)) continue;
+        if (!watched.takesWork(this.settings.engineReportMaxAgeMs)) continue;
+        if (!(model in (watched.load.report?.models ?? {}))) continue;
+        found.set(name, { watched, state: watched.load.state(now) });
+      }
+    }
+    return [...found.values()];
+  }
+
+  stop(): void {
+    for (const watched of this.#engines.values()) watched.stop();
+    this.#engines.clear();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/engines/lane-tuner.ts
@@ -0,0 +1,59 @@
+import type { Clock } from '@poppypond/core';
+import { chooseLaneSplit, laneOf, ONE_LANE, SizeHistogram } from '@poppypond/policy';
+import type { Lane, LaneSplit, PredictedStartPlacement } from '@poppypond/policy';
+import type { EngineDirectory } from './engine-directory.js';
+
+const PERIOD_MS = 1000;
+/** What remains of an observation after a period; half of it is gone after about a minute. */
+const FADE = 0.988;
+const USE_SMOOTHING = 0.1;
+
+/** Learns request sizes and the engines' use, and sets the lanes from them. */
+export class LaneTuner {
+  readonly #sizes = new SizeHistogram();
+  #use = 0;
+  #split: LaneSplit = ONE_LANE;
+
+  constructor(
+    readonly directory: EngineDirectory,
+    readonly placement: PredictedStartPlacement | undefined,
+    clock: Clock,
+  ) {
+    clock.every(PERIOD_MS, () => {
+      this.#tune(clock.monotonicMs());
+    });
+  }
+
+  get split(): LaneSplit {
+    return this.#split;
+  }
+
+  /** The cut-off for records; `none` while there is one lane. */
+  get cutOffText(): string {
+    const { cutOffTokens } = this.#split;
+    return Number.isFinite(cutOffTokens) ? cutOffTokens.toFixed(0) : 'none';
+  }
+
+  get use(): number {
+    return this.#use;
+  }
+
+  observe(workTokens: number): void {
+    this.#sizes.observe(workTokens);
+  }
+
+  laneOf(workTokens: number): Lane {
+    return laneOf(workTokens, this.#split);
+  }
+
+  #tune(nowMs: number): void {
+    const states = this.directory.all().map((engine) => engine.load.state(nowMs));
+    const busy = states.filter((state) => state.prefillTokens > 0).length;
+    const use = states.length === 0 ? 0 : busy / states.length;
+    this.#use += USE_SMOOTHING * (use - this.#use);
+    this.#sizes.fade(FADE);
+    if (!this.placement?.settings.useLanes) return;
+    this.#split = chooseLaneSplit(this.#sizes.buckets(), this.#use);
+    this.placement.split = this.#split;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/engines/watched-engine.ts
@@ -0,0 +1,80 @@
+import { LineFeed } from '@poppypond/backend';
+import { ownerText } from '@poppypond/core';
+import type { Clock, Milliseconds, Owner } from '@poppypond/core';
+import type { Versioned } from '@poppypond/objects';
+import { EngineLoad, PrefixIndex, ServerHealth } from '@poppypond/policy';
+import { cacheLineSchema, loadReportSchema } from './report-schema.js';
+
+/** One engine as this host sees it: reports, own dispatches, health and cache hints. */
+export class WatchedEngine {
+  readonly load: EngineLoad;
+  readonly health = new ServerHealth();
+  readonly prefixes = new PrefixIndex();
+  readonly #loadFeed: LineFeed;
+  readonly #cacheFeed: LineFeed;
+
+  constructor(
+    readonly server: Versioned<'backend-server'>,
+    prefillTokensPerMs: number,
+    owner: Owner,
+    readonly clock: Clock,
+    onReport: () => void,
+  ) {
+    const { name, spec } = server.object;
+    this.load = new EngineLoad(name, spec.zone, prefillTokensPerMs);
+    const query = new URLSearchParams({ owner: ownerText(owner) }).toString();
+    this.#loadFeed = new LineFeed(
+      `${spec.url}/load/stream?${query}`,
+      {
+        onLine: (line) => {
+          const report = loadReportSchema.safeParse(line);
+          if (!report.success) return;
+          this.load.onReport(report.data, clock.monotonicMs());
+          onReport();
+        },
+        onClosed: () => undefined,
+      },
+      clock,
+    );
+    this.#cacheFeed = new LineFeed(
+      `${spec.url}/cache/stream`,
+      {
+        onLine: (line) => {
+          const parsed = cacheLineSchema.safeParse(line);
+          if (parsed.success && !this.prefixes.apply(parsed.data)) this.#cacheFeed.restart();
+        },
+        onClosed: () => {
+          this.prefixes.drop();
+        },
+      },
+      clock,
+    );
+    this.#loadFeed.start();
+    this.#cacheFeed.start();
+  }
+
+  get name(): string {
+    return this.server.object.name;
+  }
+
+  get url(): string {
+    return this.server.object.spec.url;
+  }
+
+  /** Whether it may be given new work. */
+  takesWork(maxReportAgeMs: Milliseconds): boolean {
+    const now = this.clock.monotonicMs();
+    const { report } = this.load;
+    return (
+      report !== undefined &&
+      !report.isLeaving &&
+      now - this.load.reportAtMs <= maxReportAgeMs &&
+      this.health.canTake(now)
+    );
+  }
+
+  stop(): void {
+    this.#loadFeed.stop();
+    this.#cacheFeed.stop();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/explain/decision-recorder.ts
@@ -0,0 +1,37 @@
+import type { Clock, Labels } from '@poppypond/core';
+import type { Decision, DecisionLog } from '@poppypond/state';
+
+/** The parts of a decision that differ from one to the next of a request. */
+export interface DecisionPart {
+  readonly kind: Decision['kind'];
+  readonly choice: string;
+  readonly state?: Decision['state'];
+  readonly passedOver?: Decision['passedOver'];
+}
+
+/** Records the decisions about one request. */
+export class DecisionRecorder {
+  rule: string | undefined;
+
+  constructor(
+    readonly log: DecisionLog,
+    readonly clock: Clock,
+    readonly requestId: string,
+    readonly revision: number,
+    public labels: Labels,
+  ) {}
+
+  record(part: DecisionPart): void {
+    this.log.record({
+      host: this.log.host,
+      wallMs: this.clock.wallMs(),
+      requestId: this.requestId,
+      labels: this.labels,
+      ...(this.rule === undefined ? {} : { rule: this.rule }),
+      revision: this.revision,
+      state: {},
+      passedOver: [],
+      ...part,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,209 @@
+import { newOwner } from '@poppypond/core';
+import type { Clock, Owner } from '@poppypond/core';
+import {
+  Budgets,
+  DEFAULT_PREDICTED_START,
+  LeastRequestsPlacement,
+  LeastTokensPlacement,
+  ONE_LANE,
+  PredictedStartPlacement,
+  RetryAllowance,
+  RoundRobinPlacement,
+  TokenCorrection,
+} from '@poppypond/policy';
+import type { Placement, RandomSource } from '@poppypond/policy';
+import { PeerMesh } from '@poppypond/peer';
+import {
+  AtMostOnceLedger,
+  ConfigurationHolder,
+  DecisionLog,
+  PlatformConnection,
+  PlatformHosts,
+  PlatformObjects,
+  PlatformTable,
+} from '@poppypond/state';
+import type { Log, Metrics } from '@poppypond/telemetry';
+import { listen, Router } from '@poppypond/web';
+import type { ListeningServer } from '@poppypond/web';
+import { match } from 'ts-pattern';
+import { addCompletionRoutes } from './completions/app.js';
+import { ConfigurationSync } from './configuration/configuration-sync.js';
+import type { GatewayContext } from './context.js';
+import { Dispatcher } from './engines/dispatcher.js';
+import { EngineDirectory } from './engines/engine-directory.js';
+import { LaneTuner } from './engines/lane-tuner.js';
+import { ReservationKeeper } from './engines/reservation-keeper.js';
+import { addExplainRoutes } from './explain/app.js';
+import { startDecisionCopies } from './explain/decision-copies.js';
+import { LeavingWatch } from './hosts/leaving-watch.js';
+import { Lifecycle } from './lifecycle/lifecycle.js';
+import { createRandom } from './random.js';
+import { addServiceRoutes } from './services/app.js';
+import { ServiceDirectory } from './services/service-directory.js';
+import type { GatewaySettings } from './settings.js';
+import { addClaimRoutes } from './status/claims-app.js';
+import { addStatusRoutes } from './status/app.js';
+
+/** A gateway that serves. */
+export interface RunningGateway {
+  readonly url: string;
+  readonly peerUrl: string;
+  readonly context: GatewayContext;
+  /** Leaves the balancer, finishes what is in progress, saves what is unsaved. */
+  stop(): Promise<void>;
+}
+
+const OUTCOME_WAIT_MS = 100;
+const MAX_OUTCOME_WAITS = 100;
+
+function choosePlacement(settings: GatewaySettings): Placement {
+  return match(settings.placement)
+    .with('round-robin', () => new RoundRobinPlacement())
+    .with('least-requests', () => new LeastRequestsPlacement())
+    .with('least-tokens', () => new LeastTokensPlacement())
+    .with('predicted-start', () => {
+      const chosen = { ...DEFAULT_PREDICTED_START, ...settings };
+      return new PredictedStartPlacement(chosen, ONE_LANE);
+    })
+    .exhaustive();
+}
+
+interface Platform {
+  readonly connection: PlatformConnection;
+  readonly table: PlatformTable;
+  readonly objects: PlatformObjects;
+  readonly hosts: PlatformHosts;
+}
+
+function connectPlatform(settings: GatewaySettings): Platform {
+  const connection = new PlatformConnection(settings.platformUrl, settings.storeTimeoutMs);
+  return {
+    connection,
+    table: new PlatformTable(connection),
+    objects: new PlatformObjects(connection),
+    hosts: new PlatformHosts(connection),
+  };
+}
+
+interface Surroundings {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly owner: Owner;
+  readonly mesh: PeerMesh;
+}
+
+function createContext(
+  settings: GatewaySettings,
+  platform: Platform,
+  surroundings: Surroundings,
+): GatewayContext {
+  const { clock, log, metrics, owner, mesh } = surroundings;
+  const random: RandomSource = createRandom(settings.seed);
+  const engines = new EngineDirectory(settings, owner, clock);
+  const placement = choosePlacement(settings);
+  const predictedStart = placement instanceof PredictedStartPlacement ? placement : undefined;
+  const dispatcher = new Dispatcher(engines, placement, random, clock);
+  return {
+    settings,
+    clock,
+    log,
+    metrics,
+    owner,
+    random,
+    configuration: new ConfigurationHolder(),
+    engines,
+    services: new ServiceDirectory(random, clock),
+    dispatcher,
+    lanes: new LaneTuner(engines, predictedStart, clock),
+    predictedStart,
+    reservations: new ReservationKeeper(owner, clock),
+    budgets: new Budgets(() => 1),
+    correction: new TokenCorrection(),
+    retries: new RetryAllowance(settings.retryShare, settings.retryReserve),
+    decisions: new DecisionLog(settings.host, platform.objects, clock, settings.decisionRing),
+    ledger: new AtMostOnceLedger(platform.table, clock, owner),
+    lifecycle: new Lifecycle(clock),
+    hostCount: () => 1 + mesh.members().length,
+  };
+}
+
+function followConfiguration(context: GatewayContext): void {
+  context.engines.onChange = () => {
+    context.dispatcher.pump();
+  };
+  context.configuration.onChange((configuration) => {
+    context.engines.sync(configuration);
+    context.services.sync(configuration);
+    context.dispatcher.pump();
+  });
+}
+
+async function stopGateway(
+  context: GatewayContext,
+  servers: readonly ListeningServer[],
+  sync: ConfigurationSync,
+  mesh: PeerMesh,
+): Promise<void> {
+  context.log.info('stopping', { inProgress: context.lifecycle.inProgress });
+  await context.lifecycle.drain(context.settings.drainDelayMs);
+  for (let waits = 0; context.ledger.pendingOutcomes > 0 && waits < MAX_OUTCOME_WAITS; waits += 1) {
+    await new Promise<void>((resolve) => {
+      context.clock.after(OUTCOME_WAIT_MS, resolve);
+    });
+  }
+  await context.decisions.flush();
+  sync.stop();
+  mesh.stop();
+  context.engines.stop();
+  await Promise.all(servers.map((server) => server.close()));
+  context.metrics.close();
+  context.log.info('stopped');
+}
+
+/** Starts a gateway: it serves as soon as it has a configuration. */
+export async function startGateway(
+  settings: GatewaySettings,
+  clock: Clock,
+  log: Log,
+  metrics: Metrics,
+): Promise<RunningGateway> {
+  const platform = connectPlatform(settings);
+  const router = new Router((error) => {
+    log.error('handler_failed', { detail: error instanceof Error ? error.message : String(error) });
+  });
+  const server = await listen(router.handle, settings.listenAddress, settings.listenPort);
+  const peerServer = await listen(
+    (_request, response) => response.writeHead(404).end(),
+    settings.listenAddress,
+    settings.peerPort,
+  );
+  const peerUrl = peerServer.url.replace('http:', 'ws:');
+  const owner = newOwner(settings.host);
+  const self = { ...owner, zone: settings.zone, peerUrl, callerUrl: server.url };
+  const mesh = new PeerMesh({ ...settings, self, seeds: settings.peers }, clock, peerServer.server);
+  const context = createContext(settings, platform, { clock, log, metrics, owner, mesh });
+  const sync = new ConfigurationSync(context, platform.table, mesh);
+  followConfiguration(context);
+  new LeavingWatch(platform.hosts, mesh, context.engines, context.services, clock);
+  startDecisionCopies(mesh, context.decisions, clock);
+  clock.every(settings.decisionFlushMs, () => {
+    void context.decisions.flush();
+  });
+  addCompletionRoutes(router, context);
+  addServiceRoutes(router, context);
+  addExplainRoutes(router, context, mesh);
+  addClaimRoutes(router, context);
+  addStatusRoutes(router, { context, mesh, sync, connection: platform.connection });
+  mesh.start();
+  await sync.start();
+  context.lifecycle.onServing();
+  log.info('serving', { url: server.url, peerUrl });
+  const servers = [server, peerServer];
+  return {
+    url: server.url,
+    peerUrl,
+    context,
+    stop: () => stopGateway(context, servers, sync, mesh),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/hosts/leaving-watch.ts
@@ -0,0 +1,71 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { PeerMesh } from '@poppypond/peer';
+import type { PlatformHosts } from '@poppypond/state';
+import { z } from 'zod';
+import type { EngineDirectory } from '../engines/engine-directory.js';
+import type { ServiceDirectory } from '../services/service-directory.js';
+
+const LEAVING = 'servers-leaving';
+const POLL_MS = 1000;
+/** What a peer says counts for this long after it was last said. */
+const PEER_WORD_MS = 5000;
+
+const leavingSchema = z.object({ servers: z.array(z.string()) });
+
+/**
+ * Joins what is known about backend servers that are leaving: the platform's host list, which
+ * lags, the servers' own word, and what peers have heard. Own word is checked by the directories.
+ */
+export class LeavingWatch {
+  #listed: ReadonlySet<string> = new Set();
+  readonly #byPeers = new Map<string, Milliseconds>();
+  #told: ReadonlySet<string> = new Set();
+
+  constructor(
+    readonly hosts: PlatformHosts,
+    readonly mesh: PeerMesh,
+    readonly engines: EngineDirectory,
+    readonly services: ServiceDirectory,
+    readonly clock: Clock,
+  ) {
+    mesh.on(LEAVING, leavingSchema, (_from, { servers }) => {
+      for (const server of servers) this.#byPeers.set(server, clock.monotonicMs());
+      this.#apply();
+    });
+    clock.every(POLL_MS, () => {
+      void this.#poll();
+    });
+  }
+
+  async #poll(): Promise<void> {
+    const listed = await this.hosts.list();
+    if (listed.isOk) {
+      const leaving = [...listed.value].filter(([, state]) => state !== 'live');
+      this.#listed = new Set(leaving.map(([name]) => name));
+    }
+    this.#tell();
+    this.#apply();
+  }
+
+  /** Passes on what this host heard from servers themselves; repeated while it is so. */
+  #tell(): void {
+    const own = [...this.engines.leavingByOwnWord(), ...this.services.leavingByOwnWord()];
+    if (own.length > 0) this.mesh.broadcast(LEAVING, { servers: own });
+    this.#told = new Set(own);
+  }
+
+  /** Servers that this host itself heard to be leaving. */
+  get heardDirectly(): ReadonlySet<string> {
+    return this.#told;
+  }
+
+  #apply(): void {
+    const now = this.clock.monotonicMs();
+    for (const [server, atMs] of this.#byPeers) {
+      if (now - atMs > PEER_WORD_MS) this.#byPeers.delete(server);
+    }
+    const leaving = new Set([...this.#listed, ...this.#byPeers.keys()]);
+    this.engines.setLeaving(leaving);
+    this.services.setLeaving(leaving);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/services/service-directory.ts
@@ -0,0 +1,82 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Configuration, Versioned } from '@poppypond/objects';
+import { pickSome, ServerHealth } from '@poppypond/policy';
+import type { RandomSource } from '@poppypond/policy';
+import { callHttp } from '@poppypond/web';
+
+const PROBE_PERIOD_MS = 1000;
+const PROBE_TIMEOUT_MS = 1000;
+const CHOICES = 2;
+const OK = 200;
+
+/** One replica of a plain service as this host sees it. */
+export interface ServiceReplica {
+  readonly server: Versioned<'backend-server'>;
+  readonly health: ServerHealth;
+  outstanding: number;
+  isLeaving: boolean;
+}
+
+/** The replicas of plain services, kept in step with the configuration. */
+export class ServiceDirectory {
+  readonly #replicas = new Map<string, ServiceReplica>();
+  #leaving: ReadonlySet<string> = new Set();
+
+  constructor(
+    readonly random: RandomSource,
+    readonly clock: Clock,
+  ) {
+    clock.every(PROBE_PERIOD_MS, () => {
+      for (const replica of this.#replicas.values()) void this.#probe(replica);
+    });
+  }
+
+  sync(configuration: Configuration): void {
+    const servers = configuration
+      .list('backend-server')
+      .filter((server) => server.object.spec.kind === 'service');
+    const names = new Set(servers.map((server) => server.object.name));
+    for (const name of this.#replicas.keys()) if (!names.has(name)) this.#replicas.delete(name);
+    for (const server of servers) {
+      const { name, spec } = server.object;
+      if (this.#replicas.get(name)?.server.object.spec.url === spec.url) continue;
+      const health = new ServerHealth();
+      this.#replicas.set(name, { server, health, outstanding: 0, isLeaving: false });
+    }
+  }
+
+  setLeaving(names: ReadonlySet<string>): void {
+    this.#leaving = names;
+  }
+
+  /** Replicas that say themselves that they are leaving. */
+  leavingByOwnWord(): readonly string[] {
+    return [...this.#replicas.values()]
+      .filter((replica) => replica.isLeaving)
+      .map((replica) => replica.server.object.name);
+  }
+
+  /** The less busy of two replicas of a service in these pools that take work. */
+  choose(
+    service: string,
+    members: ReadonlySet<string>,
+    avoid: ReadonlySet<string>,
+  ): ServiceReplica | undefined {
+    const now = this.clock.monotonicMs();
+    const open = [...this.#replicas.values()].filter(({ server, health, isLeaving }) => {
+      const { name, spec } = server.object;
+      const isWanted = spec.service === service && members.has(name) && !avoid.has(name);
+      return isWanted && !isLeaving && !this.#leaving.has(name) && health.canTake(now);
+    });
+    const few = pickSome(open, CHOICES, this.random);
+    return [...few].sort((a, b) => a.outstanding - b.outstanding)[0];
+  }
+
+  /** Asks a replica for its own word on whether it is leaving. */
+  async #probe(replica: ServiceReplica): Promise<void> {
+    const url = new URL('/healthz', replica.server.object.spec.url).toString();
+    const timeoutMs: Milliseconds = PROBE_TIMEOUT_MS;
+    const reply = await callHttp({ method: 'GET', url, timeoutMs });
+    if (reply.isOk) replica.isLeaving = reply.value.status !== OK;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/status/app.ts
@@ -0,0 +1,106 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { sendJson } from '@poppypond/web';
+import type { Router } from '@poppypond/web';
+import type { PeerMesh } from '@poppypond/peer';
+import type { PlatformConnection } from '@poppypond/state';
+import type { ConfigurationSync } from '../configuration/configuration-sync.js';
+import type { GatewayContext } from '../context.js';
+
+const NANOSECONDS_PER_MS = 1e6;
+const LOOP_RESOLUTION_MS = 5;
+const METRICS_PERIOD_MS = 1000;
+
+/** What the status paths look at. */
+export interface StatusSources {
+  readonly context: GatewayContext;
+  readonly mesh: PeerMesh;
+  readonly sync: ConfigurationSync;
+  readonly connection: PlatformConnection;
+}
+
+/** Why this host is not ready; undefined when it is. */
+export function whyNotReady({ context, mesh, sync }: StatusSources): string | undefined {
+  if (context.lifecycle.state !== 'serving') return context.lifecycle.state;
+  if (context.configuration.current.revision === 0) return 'no_configuration';
+  const now = context.clock.monotonicMs();
+  const storeAge = now - (sync.storeContactAtMs ?? Number.NEGATIVE_INFINITY);
+  const isCutOff = storeAge > context.settings.notReadyAfterMs && mesh.linked().length === 0;
+  return isCutOff ? 'cut_off' : undefined;
+}
+
+function statusOf(sources: StatusSources, longestPauseMs: number) {
+  const { context, mesh, connection } = sources;
+  const now = context.clock.monotonicMs();
+  return {
+    host: context.settings.host,
+    zone: context.settings.zone,
+    incarnation: context.owner.incarnation,
+    state: context.lifecycle.state,
+    revision: context.configuration.current.revision,
+    inProgress: context.lifecycle.inProgress,
+    waiting: context.dispatcher.waitingCount,
+    waitingTokens: context.dispatcher.waitingTokens,
+    lanes: {
+      shortShare: context.lanes.split.shortShare,
+      cutOffTokens: Number.isFinite(context.lanes.split.cutOffTokens)
+        ? context.lanes.split.cutOffTokens
+        : null,
+      use: context.lanes.use,
+    },
+    peers: mesh.members().map(({ member, state }) => ({
+      host: member.host,
+      zone: member.zone,
+      state,
+      callerUrl: member.callerUrl,
+    })),
+    traffic: { ...mesh.traffic },
+    store: { ...connection.calls },
+    decisions: {
+      unsaved: context.decisions.unsavedCount,
+      saved: context.decisions.saved,
+      lost: context.decisions.lost,
+    },
+    pendingOutcomes: context.ledger.pendingOutcomes,
+    engines: context.engines.all().map((engine) => ({
+      name: engine.name,
+      health: engine.health.state(now),
+      reportAgeMs: Math.round(now - engine.load.reportAtMs),
+      prefillTokensPerMs: engine.load.state(now).prefillTokensPerMs,
+    })),
+    process: {
+      rssBytes: process.memoryUsage.rss(),
+      heapBytes: process.memoryUsage().heapUsed,
+      cpuMicroseconds: process.cpuUsage().user + process.cpuUsage().system,
+      longestPauseMs,
+    },
+  };
+}
+
+/** Registers `/healthz`, `/readyz` and `/status`, and sends gauges. */
+export function addStatusRoutes(router: Router, sources: StatusSources): void {
+  const { context, mesh } = sources;
+  const loop = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS });
+  loop.enable();
+  router
+    .on('GET', '/healthz', ({ response }) => {
+      sendJson(response, 200, { state: context.lifecycle.state });
+    })
+    .on('GET', '/readyz', ({ response }) => {
+      const why = whyNotReady(sources);
+      sendJson(response, why === undefined ? 200 : 503, {
+        ready: why === undefined,
+        why: why ?? '',
+      });
+    })
+    .on('GET', '/status', ({ response, query }) => {
+      const longestPauseMs = loop.max / NANOSECONDS_PER_MS;
+      if (query.get('reset') === '1') loop.reset();
+      sendJson(response, 200, statusOf(sources, longestPauseMs));
+    });
+  context.clock.every(METRICS_PERIOD_MS, () => {
+    context.metrics.gauge('requests.waiting', context.dispatcher.waitingCount);
+    context.metrics.gauge('requests.waiting_tokens', context.dispatcher.waitingTokens);
+    context.metrics.gauge('config.revision', context.configuration.current.revision);
+    context.metrics.gauge('peers.connected', mesh.linked().length);
+  });
+}
--- /dev/null
+++ b/packages/hashing/src/prefix-chain.ts
@@ -0,0 +1,63 @@
+import xxhash from 'xxhash-wasm';
+
+const { h64 } = await xxhash();
+
+/** Characters that count as one token where nothing better is known. */
+export const CHARACTERS_PER_TOKEN = 4;
+
+/** Tokens in one block of the prefix cache. */
+export const BLOCK_TOKENS = 1024;
+
+const BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN;
+
+/** The chain value before the first block. */
+export const CHAIN_START = 0n;
+
+/** An estimate of the tokens in `text`, by its length alone. */
+export function estimateTokens(text: string): number {
+  return Math.ceil(text.length / CHARACTERS_PER_TOKEN);
+}
+
+/**
+ * The chain values after each whole block of `text`, at most `maxBlocks` of them.
+ * Two prompts share their first n blocks exactly when they share the n-th value.
+ */
+export function chainBlocks(
+  text: string,
+  maxBlocks: number,
+  start: bigint = CHAIN_START,
+): readonly bigint[] {
+  const count = Math.min(maxBlocks, Math.floor(text.length / BLOCK_CHARACTERS));
+  const values: bigint[] = [];
+  let value = start;
+  for (let block = 0; block < count; block += 1) {
+    const from = block * BLOCK_CHARACTERS;
+    value = h64(text.slice(from, from + BLOCK_CHARACTERS), value);
+    values.push(value);
+  }
+  return values;
+}
+
+/** The chain value after all of `text`, its last part block included. */
+export function chainWhole(text: string, start: bigint = CHAIN_START): bigint {
+  const blocks = chainBlocks(text, Number.POSITIVE_INFINITY, start);
+  const rest = text.slice(blocks.length * BLOCK_CHARACTERS);
+  const value = blocks.at(-1) ?? start;
+  return rest.length > 0 ? h64(rest, value) : value;
+}
+
+/** A chain value as 16 hexadecimal digits. */
+export function chainText(value: bigint): string {
+  return value.toString(16).padStart(16, '0');
+}
+
+/** Cuts `text` into parts of at most `maxTokens` tokens, each but the last a whole number of blocks. */
+export function cutAtBlocks(text: string, maxTokens: number): readonly string[] {
+  const blocks = Math.max(1, Math.floor(maxTokens / BLOCK_TOKENS));
+  const characters = blocks * BLOCK_CHARACTERS;
+  const parts: string[] = [];
+  for (let from = 0; from < text.length; from += characters) {
+    parts.push(text.slice(from, from + characters));
+  }
+  return parts;
+}
--- /dev/null
+++ b/packages/launch/src/fleet.ts
@@ -0,0 +1,208 @@
+import { parseJson } from '@poppypond/core';
+import { keySha256, SAMPLE_OPERATOR_KEY, sampleObjects } from '@poppypond/load';
+import type { SampleObject, SampleServer } from '@poppypond/load';
+import { callHttp } from '@poppypond/web';
+import { z } from 'zod';
+import { startProgram } from './program.js';
+import type { Flags, RunningProgram } from './program.js';
+
+/** What a fleet consists of. */
+export interface FleetOptions {
+  readonly gateways: number;
+  readonly engines: number;
+  readonly services: number;
+  readonly controllers?: number;
+  readonly zones?: readonly string[];
+  readonly gatewayFlags?: Flags;
+  readonly engineFlags?: Flags;
+  readonly platformFlags?: Flags;
+  readonly controllerFlags?: Flags;
+  /** Objects in place of or beside the sample's; the same kind and name replaces. */
+  readonly objects?: readonly SampleObject[];
+}
+
+/** A backend server that runs as a process. */
+export interface FleetServer extends SampleServer {
+  readonly program: RunningProgram;
+}
+
+const READY_TIMEOUT_MS = 20_000;
+const POLL_MS = 25;
+const CALL_TIMEOUT_MS = 10_000;
+const DEFAULT_ZONES = ['regina-a', 'saskatoon-b', 'brandon-c'];
+
+const appliedSchema = z.object({ revision: z.int() });
+
+/** Polls until `check` holds; an event that can be seen, not a fixed time, ends the wait. */
+export async function waitUntil(
+  what: string,
+  check: () => Promise<boolean> | boolean,
+  timeoutMs = READY_TIMEOUT_MS,
+): Promise<void> {
+  const until = performance.now() + timeoutMs;
+  while (!(await check())) {
+    if (performance.now() > until) throw new Error(`timed out: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+/** Gets JSON; undefined where there is no answer with status 200. */
+export async function getJson(url: string): Promise<unknown> {
+  const reply = await callHttp({ method: 'GET', url, timeoutMs: CALL_TIMEOUT_MS });
+  return reply.isOk && reply.value.status === 200 ? parseJson(reply.value.body) : undefined;
+}
+
+/** Sets fault switches of a stand-in. */
+export async function setFaults(
+  url: string,
+  faults: Readonly<Record<string, unknown>>,
+): Promise<void> {
+  const body = JSON.stringify(faults);
+  const reply = await callHttp({
+    method: 'POST',
+    url: `${url}/faults`,
+    body,
+    timeoutMs: CALL_TIMEOUT_MS,
+  });
+  if (reply.isErr || reply.value.status !== 200) throw new Error(`faults were not set at ${url}`);
+}
+
+/** A fleet of real processes on loopback: stand-ins, gateways, controllers, admin. */
+export class Fleet {
+  readonly gateways: RunningProgram[] = [];
+  readonly controllers: RunningProgram[] = [];
+  readonly engines: FleetServer[] = [];
+  readonly services: FleetServer[] = [];
+  #started = 0;
+
+  private constructor(
+    readonly options: FleetOptions,
+    readonly platform: RunningProgram,
+    readonly admin: RunningProgram,
+  ) {}
+
+  get zones(): readonly string[] {
+    return this.options.zones ?? DEFAULT_ZONES;
+  }
+
+  /** Starts everything and waits until every gateway is ready and sees every engine. */
+  static async start(options: FleetOptions): Promise<Fleet> {
+    const platform = await startProgram('standin', ['platform'], { ...options.platformFlags });
+    const admin = await startProgram('admin', [], {
+      host: 'admin-1',
+      'listen-port': 0,
+      'platform-url': platform.url,
+      'bootstrap-key-sha256': keySha256(SAMPLE_OPERATOR_KEY),
+      'log-level': 'warn',
+    });
+    const fleet = new Fleet(options, platform, admin);
+    await fleet.#startServers();
+    const objects = new Map(
+      [...sampleObjects(fleet.engines, fleet.services), ...(options.objects ?? [])].map(
+        (object) => [`${object.kind}/${object.name}`, object],
+      ),
+    );
+    await fleet.apply([...objects.values()], 'first');
+    for (let index = 0; index < options.gateways; index += 1) await fleet.startGateway();
+    await fleet.waitReady();
+    for (let index = 0; index < (options.controllers ?? 0); index += 1)
+      await fleet.startController();
+    return fleet;
+  }
+
+  async #startServers(): Promise<void> {
+    const { engines, services } = this.options;
+    const starting = Array.from({ length: engines }, () => this.startEngine());
+    this.engines.push(...(await Promise.all(starting)));
+    for (let index = 0; index < services; index += 1) {
+      const program = await startProgram('standin', ['service'], {});
+      const zone = this.zones[index % this.zones.length] ?? '';
+      const url = `${program.url}/call`;
+      this.services.push({ name: `register-${String(index + 1)}`, url, zone, program });
+    }
+  }
+
+  /** Starts an engine; the caller adds it to the configuration. */
+  async startEngine(): Promise<FleetServer> {
+    this.#started += 1;
+    const number = this.#started;
+    const program = await startProgram('standin', ['engine'], {
+      'platform-url': this.platform.url,
+      ...this.options.engineFlags,
+    });
+    const zone = this.zones[number % this.zones.length] ?? '';
+    return { name: `engine-${String(number).padStart(3, '0')}`, url: program.url, zone, program };
+  }
+
+  async startGateway(flags: Flags = {}): Promise<RunningProgram> {
+    this.#started += 1;
+    const seeds = this.gateways
+      .filter((gateway) => !gateway.hasExited)
+      .map((gateway) => gateway.listening.get('peers') ?? '');
+    const gateway = await startProgram('gateway', [], {
+      host: `host-${String(this.#started)}`,
+      zone: this.zones[this.#started % this.zones.length] ?? '',
+      'listen-port': 0,
+      'peer-port': 0,
+      'platform-url': this.platform.url,
+      'log-level': 'warn',
+      'drain-delay-ms': 200,
+      ...(seeds.length > 0 ? { peers: seeds.slice(0, 3).join(',') } : {}),
+      ...this.options.gatewayFlags,
+      ...flags,
+    });
+    this.gateways.push(gateway);
+    return gateway;
+  }
+
+  async startController(flags: Flags = {}): Promise<RunningProgram> {
+    this.#started += 1;
+    const controller = await startProgram('controller', [], {
+      host: `host-${String(this.#started)}`,
+      'listen-port': 0,
+      'platform-url': this.platform.url,
+      gateways: this.gateways.map((gateway) => gateway.url).join(','),
+      'log-level': 'warn',
+      ...this.options.controllerFlags,
+      ...flags,
+    });
+    this.controllers.push(controller);
+    return controller;
+  }
+
+  /** Waits until each live gateway is ready and has a report of each engine. */
+  async waitReady(): Promise<void> {
+    const statusSchema = z.object({ engines: z.array(z.object({ reportAgeMs: z.number() })) });
+    await waitUntil('gateways ready', async () => {
+      for (const gateway of this.gateways) {
+        if (gateway.hasExited) continue;
+        if ((await getJson(`${gateway.url}/readyz`)) === undefined) return false;
+        const status = statusSchema.safeParse(await getJson(`${gateway.url}/status`));
+        if (!status.success || status.data.engines.length < this.engines.length) return false;
+      }
+      return true;
+    });
+  }
+
+  /** Applies objects as the sample operator; the revision that accepted them. */
+  async apply(objects: readonly SampleObject[], why: string): Promise<number> {
+    const reply = await callHttp({
+      method: 'POST',
+      url: `${this.admin.url}/v1/apply`,
+      headers: { authorization: `Bearer ${SAMPLE_OPERATOR_KEY}` },
+      body: JSON.stringify({ why, objects }),
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+    if (reply.isErr) throw new Error(`not applied: ${reply.error.detail}`);
+    if (reply.value.status !== 200) throw new Error(`not applied: ${reply.value.body}`);
+    return appliedSchema.parse(parseJson(reply.value.body)).revision;
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    const servers = [...this.engines, ...this.services].map((server) => server.program);
+    const programs = [...this.gateways, ...this.controllers, this.admin, ...servers, this.platform];
+    for (const program of programs) program.signal('SIGCONT');
+    await Promise.all(programs.map((program) => program.kill()));
+  }
+}
--- /dev/null
+++ b/packages/launch/src/index.ts
@@ -0,0 +1,2 @@
+export * from './fleet.js';
+export * from './program.js';
--- /dev/null
+++ b/packages/launch/src/program.ts
@@ -0,0 +1,114 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+
+/** The programs that can be started. */
+export type ProgramName = 'gateway' | 'controller' | 'admin' | 'standin';
+
+/** Settings as flags, without the leading dashes. */
+export type Flags = Readonly<Record<string, string | number | boolean>>;
+
+const START_TIMEOUT_MS = 20_000;
+const MAX_LOG_CHARACTERS = 200_000;
+
+function programPath(name: ProgramName): string {
+  return fileURLToPath(new URL(`../../${name}/dist/main.js`, import.meta.url));
+}
+
+function flagsOf(flags: Flags): readonly string[] {
+  return Object.entries(flags).flatMap(([name, value]) => {
+    if (value === true) return [`--${name}`];
+    if (value === false) return [`--no-${name}`];
+    return [`--${name}`, String(value)];
+  });
+}
+
+/** A program that runs as a process of its own. */
+export class RunningProgram {
+  log = '';
+  #exit: Promise<number | null>;
+
+  constructor(
+    readonly name: ProgramName,
+    readonly child: ChildProcess,
+    /** `KEY=VALUE` pairs of the line that the program prints when it listens. */
+    readonly listening: ReadonlyMap<string, string>,
+  ) {
+    this.#exit = new Promise((resolve) => {
+      child.once('exit', (code) => {
+        resolve(code);
+      });
+    });
+    const keep = (chunk: Buffer) => {
+      this.log = (this.log + chunk.toString('utf8')).slice(-MAX_LOG_CHARACTERS);
+    };
+    child.stderr?.on('data', keep);
+  }
+
+  get url(): string {
+    return this.listening.get('url') ?? '';
+  }
+
+  get hasExited(): boolean {
+    return this.child.exitCode !== null || this.child.signalCode !== null;
+  }
+
+  signal(signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
+    if (!this.hasExited) this.child.kill(signal);
+  }
+
+  /** Resolves with the exit code when the process has ended. */
+  ended(): Promise<number | null> {
+    return this.hasExited ? Promise.resolve(this.child.exitCode) : this.#exit;
+  }
+
+  async kill(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.ended();
+  }
+}
+
+function parseListening(line: string): ReadonlyMap<string, string> {
+  const pairs = line
+    .trim()
+    .split(' ')
+    .slice(1)
+    .map((pair) => pair.split('='));
+  return new Map(pairs.map(([key = '', value = '']) => [key, value]));
+}
+
+/** Starts a program and resolves when it listens. */
+export function startProgram(
+  name: ProgramName,
+  words: readonly string[],
+  flags: Flags,
+): Promise<RunningProgram> {
+  const child = spawn(process.execPath, [programPath(name), ...words, ...flagsOf(flags)], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  return new Promise((resolve, reject) => {
+    let output = '';
+    const timer = setTimeout(() => {
+      child.kill('SIGKILL');
+      reject(new Error(`${name} did not start: ${output}`));
+    }, START_TIMEOUT_MS);
+    const onOutput = (chunk: Buffer) => {
+      output += chunk.toString('utf8');
+      const line = output.split('\n').find((part) => part.startsWith('listening '));
+      if (line === undefined) return;
+      clearTimeout(timer);
+      child.stdout.removeListener('data', onOutput);
+      child.removeListener('exit', onExit);
+      child.stdout.resume();
+      resolve(new RunningProgram(name, child, parseListening(line)));
+    };
+    const onError = (chunk: Buffer) => (output += chunk.toString('utf8'));
+    const onExit = () => {
+      clearTimeout(timer);
+      reject(new Error(`${name} ended: ${output}`));
+    };
+    child.stdout.on('data', onOutput);
+    child.stderr.on('data', onError);
+    child.once('exit', onExit);
+  });
+}
--- /dev/null
+++ b/packages/objects/src/configuration.ts
@@ -0,0 +1,139 @@
+import { isSelected } from './selector.js';
+import type { ConfigObject, ObjectKind, ObjectOf } from './kinds.js';
+import { objectId, OBJECT_KINDS } from './kinds.js';
+
+/** An object as it was accepted. */
+export interface StoredObject {
+  readonly object: ConfigObject;
+  /** The revision of the configuration that last changed it; also its version. */
+  readonly revision: number;
+}
+
+/** One accepted change of one object; `after` is null where it was deleted. */
+export interface ObjectChange {
+  readonly id: string;
+  readonly revision: number;
+  readonly after: ConfigObject | null;
+}
+
+/** An object of a known kind with its revision. */
+export interface Versioned<Kind extends ObjectKind> {
+  readonly object: ObjectOf<Kind>;
+  readonly revision: number;
+}
+
+type ByKind = { readonly [Kind in ObjectKind]: Map<string, Versioned<Kind>> };
+
+function emptyByKind(): ByKind {
+  return {
+    pool: new Map(),
+    'backend-server': new Map(),
+    workspace: new Map(),
+    key: new Map(),
+    operator: new Map(),
+    'request-class': new Map(),
+    rule: new Map(),
+    model: new Map(),
+  };
+}
+
+function put<Kind extends ObjectKind>(
+  map: Map<string, Versioned<Kind>>,
+  object: ObjectOf<Kind>,
+  revision: number,
+): void {
+  map.set(object.name, { object, revision });
+}
+
+/**
+ * One revision of the operators' objects, indexed for decisions.
+ * Immutable: a change makes a new configuration.
+ */
+export class Configuration {
+  static readonly empty = new Configuration(0, new Map());
+
+  readonly #byKind = emptyByKind();
+  readonly #keysByHash = new Map<string, Versioned<'key'>>();
+  readonly #poolMembers = new Map<string, readonly Versioned<'backend-server'>[]>();
+
+  constructor(
+    readonly revision: number,
+    readonly objects: ReadonlyMap<string, StoredObject>,
+  ) {
+    for (const stored of objects.values()) this.#index(stored);
+    for (const key of this.#byKind.key.values()) this.#keysByHash.set(key.object.spec.sha256, key);
+    for (const pool of this.#byKind.pool.values()) {
+      this.#poolMembers.set(pool.object.name, this.#selectMembers(pool.object));
+    }
+  }
+
+  #index({ object, revision }: StoredObject): void {
+    switch (object.kind) {
+      case 'pool':
+        return put(this.#byKind.pool, object, revision);
+      case 'backend-server':
+        return put(this.#byKind['backend-server'], object, revision);
+      case 'workspace':
+        return put(this.#byKind.workspace, object, revision);
+      case 'key':
+        return put(this.#byKind.key, object, revision);
+      case 'operator':
+        return put(this.#byKind.operator, object, revision);
+      case 'request-class':
+        return put(this.#byKind['request-class'], object, revision);
+      case 'rule':
+        return put(this.#byKind.rule, object, revision);
+      case 'model':
+        return put(this.#byKind.model, object, revision);
+    }
+  }
+
+  #selectMembers(pool: ObjectOf<'pool'>): readonly Versioned<'backend-server'>[] {
+    return this.list('backend-server').filter((server) =>
+      isSelected(pool.spec.members, server.object.labels),
+    );
+  }
+
+  /** All objects of a kind, by name. */
+  list<Kind extends ObjectKind>(kind: Kind): readonly Versioned<Kind>[] {
+    return [...this.#byKind[kind].values()];
+  }
+
+  /** One object. */
+  get<Kind extends ObjectKind>(kind: Kind, name: string): Versioned<Kind> | undefined {
+    return this.#byKind[kind].get(name);
+  }
+
+  /** The key object with this SHA-256. */
+  findKey(sha256: string): Versioned<'key'> | undefined {
+    return this.#keysByHash.get(sha256);
+  }
+
+  /** The backend servers that a pool selects. */
+  poolMembers(pool: string): readonly Versioned<'backend-server'>[] {
+    return this.#poolMembers.get(pool) ?? [];
+  }
+
+  /** The configuration after `changes`, whose last revision becomes its revision. */
+  advance(changes: readonly ObjectChange[]): Configuration {
+    const objects = new Map(this.objects);
+    let revision = this.revision;
+    for (const change of changes) {
+      revision = Math.max(revision, change.revision);
+      const before = objects.get(change.id);
+      if (before && before.revision >= change.revision) continue;
+      if (change.after === null) objects.delete(change.id);
+      else objects.set(change.id, { object: change.after, revision: change.revision });
+    }
+    return new Configuration(revision, objects);
+  }
+
+  /** All objects, ordered by kind and name. */
+  all(): readonly StoredObject[] {
+    return [...this.objects.values()].sort(
+      (a, b) =>
+        OBJECT_KINDS.indexOf(a.object.kind) - OBJECT_KINDS.indexOf(b.object.kind) ||
+        objectId(a.object).localeCompare(objectId(b.object)),
+    );
+  }
+}
--- /dev/null
+++ b/packages/objects/src/validate.ts
@@ -0,0 +1,87 @@
+import type { Labels } from '@poppypond/core';
+import { Result } from 'true-myth';
+import type { z } from 'zod';
+import type { Configuration } from './configuration.js';
+import type { ConfigObject } from './kinds.js';
+import { objectId, objectSchema } from './kinds.js';
+import { isNeverMet, isSelected } from './selector.js';
+import type { Selector } from './selector.js';
+
+/** A wrong field: where it is and what is wrong. */
+export interface FieldProblem {
+  readonly path: string;
+  readonly problem: string;
+}
+
+function problemsOf(error: z.ZodError, prefix: string): readonly FieldProblem[] {
+  return error.issues.map((issue) => ({
+    path: [prefix, ...issue.path.map(String)].join('.'),
+    problem: issue.message,
+  }));
+}
+
+/** Checks objects as a whole: either all are returned with defaults, or every wrong field. */
+export function parseObjects(
+  values: readonly unknown[],
+): Result<readonly ConfigObject[], readonly FieldProblem[]> {
+  const objects: ConfigObject[] = [];
+  const problems: FieldProblem[] = [];
+  const seen = new Set<string>();
+  values.forEach((value, index) => {
+    const prefix = `objects.${String(index)}`;
+    const parsed = objectSchema.safeParse(value);
+    if (!parsed.success) {
+      problems.push(...problemsOf(parsed.error, prefix));
+      return;
+    }
+    const id = objectId(parsed.data);
+    if (seen.has(id)) problems.push({ path: prefix, problem: `${id} is given twice` });
+    seen.add(id);
+    objects.push(parsed.data);
+  });
+  return problems.length > 0 ? Result.err(problems) : Result.ok(objects);
+}
+
+function warnSelector(
+  where: string,
+  selector: Selector,
+  candidates: readonly Labels[],
+): readonly string[] {
+  if (isNeverMet(selector)) return [`${where} can never match`];
+  if (candidates.some((labels) => isSelected(selector, labels))) return [];
+  return [`${where} matches no object now`];
+}
+
+function warningsOf(object: ConfigObject, configuration: Configuration): readonly string[] {
+  const id = objectId(object);
+  const pools = configuration.list('pool').map((pool) => pool.object.labels);
+  switch (object.kind) {
+    case 'rule': {
+      const never = isNeverMet(object.spec.traffic) ? [`${id}: traffic can never match`] : [];
+      if (object.spec.action === 'refuse') return never;
+      return [...never, ...warnSelector(`${id}: pools`, object.spec.pools, pools)];
+    }
+    case 'model':
+      return warnSelector(`${id}: pools`, object.spec.pools, pools);
+    case 'pool': {
+      const servers = configuration.list('backend-server').map((server) => server.object.labels);
+      return warnSelector(`${id}: members`, object.spec.members, servers);
+    }
+    case 'request-class':
+      return isNeverMet(object.spec.traffic) ? [`${id}: traffic can never match`] : [];
+    case 'key':
+      return configuration.get('workspace', object.spec.workspace)
+        ? []
+        : [`${id}: workspace ${object.spec.workspace} does not exist`];
+    default:
+      return [];
+  }
+}
+
+/** What an operator should look at in `objects` once `configuration` holds them. */
+export function findWarnings(
+  objects: readonly ConfigObject[],
+  configuration: Configuration,
+): readonly string[] {
+  return objects.flatMap((object) => warningsOf(object, configuration));
+}
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,4 @@
+export * from './link.js';
+export * from './membership.js';
+export * from './mesh.js';
+export * from './messages.js';
--- /dev/null
+++ b/packages/peer/src/mesh.ts
@@ -0,0 +1,205 @@
+import type { Server } from 'node:http';
+import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
+import { rendezvousOrder } from '@poppypond/hashing';
+import { WebSocket, WebSocketServer } from 'ws';
+import type { z } from 'zod';
+import { readMessage, sendMessage } from './link.js';
+import type { LinkTraffic } from './link.js';
+import { Membership } from './membership.js';
+import type { KnownMember, MembershipTimes } from './membership.js';
+import { envelopeSchema, helloSchema } from './messages.js';
+import type { Member } from './messages.js';
+
+/** Settings of the mesh. */
+export interface MeshSettings extends MembershipTimes {
+  readonly self: Member;
+  /** Peer addresses to start from, `ws://ADDRESS:PORT`. */
+  readonly seeds: readonly string[];
+  /** How many members this host connects to by itself. */
+  readonly fanOut: number;
+  readonly heartbeatMs: Milliseconds;
+}
+
+interface Link {
+  readonly socket: WebSocket;
+  readonly isDialled: boolean;
+  member: Member | undefined;
+}
+
+type Handler = (from: Member, body: unknown) => void;
+
+const MAX_BUFFERED_BYTES = 4_000_000;
+const MAX_MESSAGE_BYTES = 16_000_000;
+const HEARTBEAT = 'heartbeat';
+
+/**
+ * Connections between hosts. Each host dials a few members in rendezvous order, so that a small
+ * fleet is fully connected and a large one is not all-to-all. Messages may be lost or repeated.
+ */
+export class PeerMesh {
+  readonly membership: Membership;
+  readonly traffic: LinkTraffic = { bytesIn: 0, bytesOut: 0, messagesIn: 0, messagesOut: 0 };
+  readonly #links = new Set<Link>();
+  readonly #handlers = new Map<string, Handler>();
+  readonly #dialling = new Set<string>();
+  readonly #server: WebSocketServer;
+  #cancelTimer: CancelTimer | undefined;
+  #isStopped = false;
+  /** Called when a member's link has opened. */
+  onJoined: (member: Member) => void = () => undefined;
+
+  constructor(
+    readonly settings: MeshSettings,
+    readonly clock: Clock,
+    httpServer: Server,
+  ) {
+    this.membership = new Membership(settings.self, settings, clock);
+    this.#server = new WebSocketServer({ server: httpServer, maxPayload: MAX_MESSAGE_BYTES });
+    this.#server.on('connection', (socket) => {
+      this.#attach(socket, false);
+    });
+  }
+
+  start(): void {
+    this.#tick();
+    this.#cancelTimer = this.clock.every(this.settings.heartbeatMs, () => {
+      this.#tick();
+    });
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#cancelTimer?.();
+    for (const { socket } of this.#links) socket.terminate();
+    this.#server.close();
+  }
+
+  /** Registers the handler of a kind of message; malformed bodies are dropped. */
+  on<Schema extends z.ZodType>(
+    kind: string,
+    schema: Schema,
+    handler: (from: Member, body: z.infer<Schema>) => void,
+  ): void {
+    this.#handlers.set(kind, (from, body) => {
+      const parsed = schema.safeParse(body);
+      if (parsed.success) handler(from, parsed.data);
+    });
+  }
+
+  /** Members with an open link. */
+  linked(): readonly Member[] {
+    const members = new Map<string, Member>();
+    for (const { member, socket } of this.#links) {
+      if (member && socket.readyState === WebSocket.OPEN) members.set(member.host, member);
+    }
+    return [...members.values()];
+  }
+
+  members(): readonly KnownMember[] {
+    return this.membership.list();
+  }
+
+  /** Sends to one host; false where there is no open link or its buffer is full. */
+  send(host: string, kind: string, body: unknown): boolean {
+    for (const { member, socket } of this.#links) {
+      if (member?.host !== host) continue;
+      if (sendMessage(socket, { kind, body }, MAX_BUFFERED_BYTES, this.traffic)) return true;
+    }
+    return false;
+  }
+
+  /** Sends to every linked member but `except`. */
+  broadcast(kind: string, body: unknown, except?: string): void {
+    for (const { host } of this.linked()) if (host !== except) this.send(host, kind, body);
+  }
+
+  #tick(): void {
+    for (const { host } of this.linked()) this.send(host, HEARTBEAT, {});
+    const linkedUrls = new Set(this.linked().map((member) => member.peerUrl));
+    for (const url of this.#wantedUrls()) {
+      if (!linkedUrls.has(url) && !this.#dialling.has(url)) this.#dial(url);
+    }
+  }
+
+  #wantedUrls(): readonly string[] {
+    const members = this.membership.list().map(({ member }) => member);
+    const chosen = rendezvousOrder(this.settings.self.host, members, (member) => member.host)
+      .slice(0, this.settings.fanOut)
+      .map((member) => member.peerUrl);
+    const known = new Set(members.map((member) => member.peerUrl));
+    const isFull = this.linked().length >= this.settings.fanOut;
+    const seeds = isFull ? [] : this.settings.seeds.filter((url) => !known.has(url));
+    return [...chosen, ...seeds].filter((url) => url !== this.settings.self.peerUrl);
+  }
+
+  #dial(url: string): void {
+    this.#dialling.add(url);
+    const socket = new WebSocket(url, {
+      handshakeTimeout: this.settings.suspectAfterMs,
+      maxPayload: MAX_MESSAGE_BYTES,
+    });
+    socket.once('open', () => {
+      this.#dialling.delete(url);
+    });
+    socket.once('close', () => {
+      this.#dialling.delete(url);
+    });
+    this.#attach(socket, true);
+  }
+
+  #attach(socket: WebSocket, isDialled: boolean): void {
+    const link: Link = { socket, isDialled, member: undefined };
+    this.#links.add(link);
+    const sayHello = () => {
+      const others = this.membership.list().map(({ member }) => member);
+      const hello = { self: this.settings.self, others };
+      sendMessage(socket, hello, MAX_BUFFERED_BYTES, this.traffic);
+    };
+    if (isDialled) socket.once('open', sayHello);
+    else sayHello();
+    socket.on('message', (data) => {
+      this.#receive(link, readMessage(data, this.traffic));
+    });
+    socket.on('error', () => undefined);
+    socket.once('close', () => this.#links.delete(link));
+  }
+
+  #receive(link: Link, message: unknown): void {
+    if (this.#isStopped) return;
+    if (!link.member) return this.#greet(link, message);
+    this.membership.hear(link.member, true);
+    const envelope = envelopeSchema.safeParse(message);
+    if (envelope.success) this.#handlers.get(envelope.data.kind)?.(link.member, envelope.data.body);
+  }
+
+  #greet(link: Link, message: unknown): void {
+    const hello = helloSchema.safeParse(message);
+    if (!hello.success) {
+      link.socket.terminate();
+      return;
+    }
+    const { self: member, others } = hello.data;
+    this.membership.hear(member, true);
+    for (const other of others) this.membership.hear(other, false);
+    if (this.#isDoubled(link, member)) {
+      link.socket.close();
+      return;
+    }
+    link.member = member;
+    this.onJoined(member);
+  }
+
+  /** Of two links to one run of a host, the one that the lesser name dialled stays. */
+  #isDoubled(link: Link, member: Member): boolean {
+    const isOurs = this.settings.self.host < member.host;
+    for (const other of this.#links) {
+      if (other === link || other.member?.host !== member.host) continue;
+      if (other.member.incarnation !== member.incarnation) {
+        other.socket.terminate();
+        continue;
+      }
+      if (other.socket.readyState === WebSocket.OPEN) return link.isDialled !== isOurs;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/engine-load.ts
@@ -0,0 +1,185 @@
+import type { Milliseconds } from '@poppypond/core';
+
+/** Priorities run from 0 to 9. */
+export const PRIORITY_COUNT = 10;
+
+/** What an engine reports of itself; late by the time it is read. */
+export interface LoadReport {
+  readonly sequence: number;
+  /** The last dispatch of this host that the report counts. */
+  readonly seen: number;
+  readonly running: number;
+  readonly decoding: number;
+  readonly waiting: number;
+  /** Prompt tokens still to be prefilled, by priority. */
+  readonly prefillByPriority: readonly number[];
+  readonly heldTokens: number;
+  readonly kvTokens: number;
+  readonly role: 'any' | 'long' | 'short';
+  readonly isLeaving: boolean;
+  /** Model to version. */
+  readonly models: Readonly<Record<string, string>>;
+}
+
+/** Work that this host gave an engine. */
+export interface DispatchedWork {
+  readonly prefillTokens: number;
+  readonly heldTokens: number;
+  readonly priority: number;
+}
+
+/** What is believed of an engine when a decision is made. */
+export interface EngineState {
+  readonly id: string;
+  readonly zone: string;
+  readonly kvTokens: number;
+  readonly heldTokens: number;
+  readonly running: number;
+  readonly decoding: number;
+  readonly prefillByPriority: readonly number[];
+  readonly prefillTokens: number;
+  readonly prefillTokensPerMs: number;
+  readonly role: 'any' | 'long' | 'short';
+  readonly models: Readonly<Record<string, string>>;
+  readonly reportAgeMs: Milliseconds;
+}
+
+interface Outstanding extends DispatchedWork {
+  readonly dispatchedAtMs: Milliseconds;
+  /** All prefill that was ahead of it, itself included. */
+  readonly aheadTokens: number;
+}
+
+const RATE_SMOOTHING = 0.1;
+const MIN_SAMPLE_TOKENS = 512;
+
+/** Stands in until the first report has come. */
+const EMPTY_REPORT: LoadReport = {
+  sequence: 0,
+  seen: 0,
+  running: 0,
+  decoding: 0,
+  waiting: 0,
+  prefillByPriority: [],
+  heldTokens: 0,
+  kvTokens: 0,
+  role: 'any',
+  isLeaving: false,
+  models: {},
+};
+
+/** The load of one engine: its last report, corrected by this host's own dispatches since. */
+export class EngineLoad {
+  #report: LoadReport | undefined;
+  #reportAtMs: Milliseconds = 0;
+  #lastDispatch = 0;
+  #prefillTokensPerMs: number;
+  readonly #outstanding = new Map<number, Outstanding>();
+  #cached: EngineState | undefined;
+
+  constructor(
+    readonly id: string,
+    readonly zone: string,
+    initialPrefillTokensPerMs: number,
+  ) {
+    this.#prefillTokensPerMs = initialPrefillTokensPerMs;
+  }
+
+  get report(): LoadReport | undefined {
+    return this.#report;
+  }
+
+  get reportAtMs(): Milliseconds {
+    return this.#reportAtMs;
+  }
+
+  onReport(report: LoadReport, nowMs: Milliseconds): void {
+    this.#report = report;
+    this.#reportAtMs = nowMs;
+    this.#cached = undefined;
+  }
+
+  /** Notes work given to the engine; the number goes with the call and comes back in reports. */
+  onDispatch(work: DispatchedWork, nowMs: Milliseconds): number {
+    const state = this.state(nowMs);
+    const ahead = prefillAtOrAbove(state, work.priority) + work.prefillTokens;
+    this.#lastDispatch += 1;
+    this.#outstanding.set(this.#lastDispatch, {
+      ...work,
+      dispatchedAtMs: nowMs,
+      aheadTokens: ahead,
+    });
+    this.#cached = undefined;
+    return this.#lastDispatch;
+  }
+
+  /** Learns the prefill rate from the time that the first token took. */
+  onFirstToken(dispatch: number, nowMs: Milliseconds): void {
+    const work = this.#outstanding.get(dispatch);
+    if (!work || work.aheadTokens < MIN_SAMPLE_TOKENS) return;
+    const rate = work.aheadTokens / Math.max(1, nowMs - work.dispatchedAtMs);
+    this.#prefillTokensPerMs += RATE_SMOOTHING * (rate - this.#prefillTokensPerMs);
+  }
+
+  onEnd(dispatch: number): void {
+    this.#outstanding.delete(dispatch);
+    this.#cached = undefined;
+  }
+
+  /** This host's own attempts that have not ended. */
+  get outstandingCount(): number {
+    return this.#outstanding.size;
+  }
+
+  /** Prompt and output tokens of this host's own attempts that have not ended. */
+  get outstandingTokens(): number {
+    let tokens = 0;
+    for (const work of this.#outstanding.values()) tokens += work.heldTokens;
+    return tokens;
+  }
+
+  /** What is believed of the engine now. */
+  state(nowMs: Milliseconds): EngineState {
+    this.#cached ??= this.#compute();
+    return { ...this.#cached, reportAgeMs: nowMs - this.#reportAtMs };
+  }
+
+  #compute(): EngineState {
+    const report = this.#report ?? EMPTY_REPORT;
+    const prefill = Array.from(
+      { length: PRIORITY_COUNT },
+      (_, priority) => report.prefillByPriority[priority] ?? 0,
+    );
+    let heldTokens = report.heldTokens;
+    let running = report.running + report.waiting;
+    for (const [dispatch, work] of this.#outstanding) {
+      if (dispatch <= report.seen) continue;
+      prefill[work.priority] = (prefill[work.priority] ?? 0) + work.prefillTokens;
+      heldTokens += work.heldTokens;
+      running += 1;
+    }
+    return {
+      id: this.id,
+      zone: this.zone,
+      kvTokens: report.kvTokens,
+      heldTokens,
+      running,
+      decoding: report.decoding,
+      prefillByPriority: prefill,
+      prefillTokens: prefill.reduce((sum, tokens) => sum + tokens, 0),
+      prefillTokensPerMs: this.#prefillTokensPerMs,
+      role: report.role,
+      models: report.models,
+      reportAgeMs: 0,
+    };
+  }
+}
+
+/** Prompt tokens that an engine does before new work of this priority. */
+export function prefillAtOrAbove(state: EngineState, priority: number): number {
+  let tokens = 0;
+  for (let level = priority; level < PRIORITY_COUNT; level += 1) {
+    tokens += state.prefillByPriority[level] ?? 0;
+  }
+  return tokens;
+}
--- /dev/null
+++ b/packages/policy/src/lanes/size-histogram.ts
@@ -0,0 +1,51 @@
+const BUCKETS_PER_DOUBLING = 2;
+const BUCKET_COUNT = 48;
+
+/** The bucket of a request of `tokens` of work. */
+function bucketOf(tokens: number): number {
+  const bucket = Math.floor(Math.log2(Math.max(1, tokens)) * BUCKETS_PER_DOUBLING);
+  return Math.min(BUCKET_COUNT - 1, bucket);
+}
+
+/** Largest size in a bucket, in tokens. */
+export function bucketLimit(bucket: number): number {
+  return 2 ** ((bucket + 1) / BUCKETS_PER_DOUBLING);
+}
+
+/** One bucket of sizes: how many requests and how much work. */
+export interface SizeBucket {
+  readonly limit: number;
+  readonly count: number;
+  readonly work: number;
+}
+
+/** Recent request sizes by work, with old ones fading away. */
+export class SizeHistogram {
+  readonly #counts = new Float64Array(BUCKET_COUNT);
+  readonly #work = new Float64Array(BUCKET_COUNT);
+
+  observe(tokens: number, weight = 1): void {
+    const bucket = bucketOf(tokens);
+    this.#counts[bucket] = (this.#counts[bucket] ?? 0) + weight;
+    this.#work[bucket] = (this.#work[bucket] ?? 0) + tokens * weight;
+  }
+
+  /** Multiplies all that was seen so far. */
+  fade(factor: number): void {
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+      this.#counts[bucket] = (this.#counts[bucket] ?? 0) * factor;
+      this.#work[bucket] = (this.#work[bucket] ?? 0) * factor;
+    }
+  }
+
+  /** Buckets that hold anything, smallest sizes first. */
+  buckets(): readonly SizeBucket[] {
+    const found: SizeBucket[] = [];
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+      const count = this.#counts[bucket] ?? 0;
+      if (count > 0)
+        found.push({ limit: bucketLimit(bucket), count, work: this.#work[bucket] ?? 0 });
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/placement/group-plan.ts
@@ -0,0 +1,73 @@
+import type { EngineState } from '../engine-load.js';
+
+/** One engine's part of a prompt that is larger than any one engine's memory. */
+export interface GroupPart {
+  readonly engineId: string;
+  /** Tokens to reserve, a whole number of blocks but for the last part. */
+  readonly tokens: number;
+}
+
+/** The most engines that one prompt is spread over. */
+export const MAX_GROUP_SIZE = 8;
+
+/** Least part that is worth a handover, in tokens. */
+const LEAST_PART_TOKENS = 16_384;
+
+/** How many engines of a pool prompts in groups may use. */
+export function groupEngineCount(engines: number, groupShare: number): number {
+  return Math.floor(engines * groupShare);
+}
+
+/**
+ * Cuts a prompt over engines: as few as possible, those with most free memory.
+ * The parts come back in `engines` order, so that every host reserves in the same order.
+ * Undefined where the free memory doesn't suffice.
+ */
+export function planGroup(
+  promptTokens: number,
+  outputTokens: number,
+  engines: readonly EngineState[],
+  blockTokens: number,
+  margin: number,
+): readonly GroupPart[] | undefined {
+  const byFree = engines
+    .map((engine, order) => {
+      const free = engine.kvTokens * (1 - margin) - engine.heldTokens;
+      return { engine, order, blocks: Math.floor(free / blockTokens) };
+    })
+    .filter(({ blocks }) => blocks * blockTokens >= LEAST_PART_TOKENS)
+    .sort((a, b) => b.blocks - a.blocks)
+    .slice(0, MAX_GROUP_SIZE);
+  const outputBlocks = Math.ceil(outputTokens / blockTokens);
+  const neededBlocks = Math.ceil(promptTokens / blockTokens) + outputBlocks;
+  const chosen: typeof byFree = [];
+  let blocks = 0;
+  for (const candidate of byFree) {
+    chosen.push(candidate);
+    blocks += candidate.blocks;
+    if (blocks >= neededBlocks) break;
+  }
+  if (blocks < neededBlocks) return undefined;
+  chosen.sort((a, b) => a.order - b.order);
+  return cutParts(promptTokens, outputTokens, chosen, blockTokens, outputBlocks);
+}
+
+function cutParts(
+  promptTokens: number,
+  outputTokens: number,
+  chosen: readonly { readonly engine: EngineState; readonly blocks: number }[],
+  blockTokens: number,
+  outputBlocks: number,
+): readonly GroupPart[] | undefined {
+  const parts: GroupPart[] = [];
+  let left = promptTokens;
+  chosen.forEach(({ engine, blocks }, index) => {
+    const isLast = index === chosen.length - 1;
+    const room = (isLast ? blocks - outputBlocks : blocks) * blockTokens;
+    const tokens = Math.min(left, Math.max(0, room));
+    left -= tokens;
+    const output = isLast ? outputTokens : 0;
+    if (tokens > 0) parts.push({ engineId: engine.id, tokens: tokens + output });
+  });
+  return left > 0 || parts.length !== chosen.length ? undefined : parts;
+}
--- /dev/null
+++ b/packages/policy/src/placement/predicted-start.ts
@@ -0,0 +1,154 @@
+import type { Milliseconds } from '@poppypond/core';
+import { prefillAtOrAbove } from '../engine-load.js';
+import type { EngineState } from '../engine-load.js';
+import { shortEngineCount } from '../lanes/lanes.js';
+import type { LaneSplit } from '../lanes/lanes.js';
+import { pickSome } from '../random-source.js';
+import type { RandomSource } from '../random-source.js';
+import { memoryNeeded, NO_ENGINE } from './placement.js';
+import type { EnginePassedOver, Placement, PlacementChoice, PlacementJob } from './placement.js';
+
+/** What each mechanism of the placement is set to; each can be switched off. */
+export interface PredictedStartSettings {
+  /** Keeps some engines free of long work. */
+  readonly useLanes: boolean;
+  /** Waits at this host while every engine has more than `bindWithinMs` of work ahead. */
+  readonly useLateBinding: boolean;
+  /** Counts prefix cache hints. */
+  readonly useAffinity: boolean;
+  readonly bindWithinMs: Milliseconds;
+  /** How many engines at random are compared, so that hosts don't all pick the same one. */
+  readonly randomChoices: number;
+  /** Cost of leaving this host's availability zone. */
+  readonly otherZoneMs: Milliseconds;
+  /** Time that one step with a full chunk takes; new work waits for the step that runs. */
+  readonly stepMs: Milliseconds;
+  /** Share of an engine's memory that is kept for sequences as they are. */
+  readonly memoryMargin: number;
+}
+
+/** Reasonable values; docs/TUNING.md says how to choose them. */
+export const DEFAULT_PREDICTED_START: PredictedStartSettings = {
+  useLanes: true,
+  useLateBinding: true,
+  useAffinity: true,
+  bindWithinMs: 150,
+  randomChoices: 3,
+  otherZoneMs: 2,
+  stepMs: 30,
+  memoryMargin: 0.02,
+};
+
+interface Scored {
+  readonly engine: EngineState;
+  readonly startMs: Milliseconds;
+  readonly aheadMs: Milliseconds;
+  readonly cachedTokens: number;
+}
+
+/** Places by the predicted time to the first token. */
+export class PredictedStartPlacement implements Placement {
+  readonly name = 'predicted-start';
+
+  constructor(
+    readonly settings: PredictedStartSettings,
+    public split: LaneSplit,
+  ) {}
+
+  choose(
+    job: PlacementJob,
+    engines: readonly EngineState[],
+    random: RandomSource,
+  ): PlacementChoice {
+    if (engines.length === 0) return NO_ENGINE;
+    const groups = this.#groupsFor(job, engines);
+    let why = 'no engine in the lane';
+    for (const group of groups) {
+      const choice = this.#chooseAmong(job, group, random);
+      if (choice.kind === 'dispatch') return choice;
+      why = choice.why;
+    }
+    return { kind: 'wait', why };
+  }
+
+  /** Groups of engines in order of preference. Long work never enters the short lane. */
+  #groupsFor(
+    job: PlacementJob,
+    engines: readonly EngineState[],
+  ): readonly (readonly EngineState[])[] {
+    const inRole = engines.filter((engine) => engine.role === 'any' || engine.role === job.lane);
+    if (!this.settings.useLanes) return [inRole];
+    const shortCount = shortEngineCount(inRole.length, this.split);
+    const shortLane = inRole.slice(0, shortCount);
+    const longLane = inRole.slice(shortCount);
+    return job.lane === 'long' ? [longLane] : [shortLane, longLane];
+  }
+
+  #chooseAmong(
+    job: PlacementJob,
+    engines: readonly EngineState[],
+    random: RandomSource,
+  ): PlacementChoice {
+    const needed = memoryNeeded(job);
+    const passedOver: EnginePassedOver[] = [];
+    const open: Scored[] = [];
+    for (const engine of engines) {
+      const free = engine.kvTokens * (1 - this.settings.memoryMargin) - engine.heldTokens;
+      if (free < needed) {
+        passedOver.push({ candidate: engine.id, why: `memory: ${String(Math.floor(free))} free` });
+        continue;
+      }
+      const scored = this.#score(job, engine);
+      if (this.settings.useLateBinding && scored.aheadMs > this.settings.bindWithinMs) {
+        passedOver.push({ candidate: engine.id, why: `busy ${scored.aheadMs.toFixed(0)} ms` });
+        continue;
+      }
+      open.push(scored);
+    }
+    return this.#best(open, passedOver, random);
+  }
+
+  #score(job: PlacementJob, engine: EngineState): Scored {
+    const cachedTokens = this.settings.useAffinity
+      ? Math.min(job.promptTokens, job.cachedTokens(engine.id))
+      : 0;
+    const aheadTokens = prefillAtOrAbove(engine, job.priority);
+    const aheadMs = aheadTokens / engine.prefillTokensPerMs;
+    const ownMs = (job.promptTokens - cachedTokens) / engine.prefillTokensPerMs;
+    const zoneMs = engine.zone === job.zone ? 0 : this.settings.otherZoneMs;
+    const hasLowerWork = engine.prefillTokens > aheadTokens;
+    const stepMs = hasLowerWork ? this.settings.stepMs : 0;
+    return { engine, startMs: aheadMs + ownMs + zoneMs + stepMs, aheadMs, cachedTokens };
+  }
+
+  /** The best of a few at random, and of those that the cache favours. */
+  #best(
+    open: readonly Scored[],
+    passedOver: readonly EnginePassedOver[],
+    random: RandomSource,
+  ): PlacementChoice {
+    const cached = open.filter((scored) => scored.cachedTokens > 0);
+    const few = pickSome(open, this.settings.randomChoices, random);
+    let best: Scored | undefined;
+    for (const scored of [...few, ...cached]) {
+      if (!best || scored.startMs < best.startMs) best = scored;
+    }
+    if (!best) {
+      const first = passedOver[0];
+      return { kind: 'wait', why: first ? `${first.candidate} ${first.why}` : 'no engine' };
+    }
+    const others = few
+      .filter((scored) => scored !== best)
+      .map(({ engine, startMs }) => ({
+        candidate: engine.id,
+        why: `start ${startMs.toFixed(0)} ms`,
+      }));
+    return {
+      kind: 'dispatch',
+      engine: best.engine,
+      predictedStartMs: best.startMs,
+      cachedTokens: best.cachedTokens,
+      passedOver: [...others, ...passedOver],
+    };
+  }
+}
--- /dev/null
+++ b/packages/policy/src/prefix-index.ts
@@ -0,0 +1,52 @@
+import { BLOCK_TOKENS } from '@poppypond/hashing';
+
+/** A line of an engine's cache stream: a whole list, or a change. */
+export type CacheLine =
+  | { readonly sequence: number; readonly all: readonly string[] }
+  | {
+      readonly sequence: number;
+      readonly added: readonly string[];
+      readonly removed: readonly string[];
+    };
+
+/**
+ * Which prompt blocks one engine probably holds. Events come late and with gaps, so this is
+ * a hint: at a gap the index is dropped and the stream must be opened again for a whole list.
+ */
+export class PrefixIndex {
+  #blocks = new Set<string>();
+  #sequence: number | undefined;
+
+  get size(): number {
+    return this.#blocks.size;
+  }
+
+  /** Takes one line; false at a gap, after which the index is empty until the next whole list. */
+  apply(line: CacheLine): boolean {
+    if ('all' in line) {
+      this.#blocks = new Set(line.all);
+      this.#sequence = line.sequence;
+      return true;
+    }
+    if (this.#sequence === undefined || line.sequence !== this.#sequence + 1) {
+      this.drop();
+      return false;
+    }
+    this.#sequence = line.sequence;
+    for (const block of line.added) this.#blocks.add(block);
+    for (const block of line.removed) this.#blocks.delete(block);
+    return true;
+  }
+
+  drop(): void {
+    this.#blocks.clear();
+    this.#sequence = undefined;
+  }
+
+  /** Leading tokens of a prompt that the engine probably holds. */
+  cachedTokens(chain: readonly string[]): number {
+    let matched = 0;
+    while (matched < chain.length && this.#blocks.has(chain[matched] ?? '')) matched += 1;
+    return matched * BLOCK_TOKENS;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/waiting/wait-queue.ts
@@ -0,0 +1,157 @@
+import type { Milliseconds } from '@poppypond/core';
+
+/** A request that waits at this host. */
+export interface WaitingEntry<Item> {
+  readonly item: Item;
+  readonly priority: number;
+  readonly workspace: string;
+  /** The workspace's weight against others. */
+  readonly weight: number;
+  /** Rule that bounds the queue. */
+  readonly rule: string;
+  readonly maxQueuedTokens: number;
+  readonly tokens: number;
+  /** Entries of one group can't be placed when an earlier one of the group couldn't. */
+  readonly group: string;
+  /** Monotonic time at which waiting ends. */
+  readonly expiresAtMs: Milliseconds;
+}
+
+interface Queued<Item> extends WaitingEntry<Item> {
+  /** Start tag of start-time fair queueing, in tokens divided by weight. */
+  readonly startTag: number;
+  readonly arrival: number;
+}
+
+/** Whether an entry was taken in, and which others had to leave for it. */
+export type EnqueueResult<Item> =
+  { readonly isQueued: true; readonly displaced: readonly Item[] } | { readonly isQueued: false };
+
+function compare<Item>(a: Queued<Item>, b: Queued<Item>): number {
+  return b.priority - a.priority || a.startTag - b.startTag || a.arrival - b.arrival;
+}
+
+/**
+ * Requests that wait at this host: higher priority first; within a priority the workspaces
+ * share in tokens by weight (start-time fair queueing, Goyal et al., 1996); bounded in tokens
+ * for each rule, where higher priority displaces lower.
+ */
+export class WaitQueue<Item> {
+  #entries: Queued<Item>[] = [];
+  readonly #finishTags = new Map<string, number>();
+  readonly #tokensByRule = new Map<string, number>();
+  #virtualTime = 0;
+  #arrivals = 0;
+  #tokens = 0;
+
+  get length(): number {
+    return this.#entries.length;
+  }
+
+  get tokens(): number {
+    return this.#tokens;
+  }
+
+  /** Tokens that wait at this priority or above. */
+  tokensAtOrAbove(priority: number, group: string): number {
+    let tokens = 0;
+    for (const entry of this.#entries) {
+      if (entry.priority < priority) break;
+      if (entry.group === group) tokens += entry.tokens;
+    }
+    return tokens;
+  }
+
+  enqueue(entry: WaitingEntry<Item>): EnqueueResult<Item> {
+    const victims = this.#victimsFor(entry);
+    if (!victims) return { isQueued: false };
+    for (const victim of victims) this.#drop(victim);
+    const tagKey = `${String(entry.priority)}/${entry.workspace}`;
+    const startTag = Math.max(this.#virtualTime, this.#finishTags.get(tagKey) ?? 0);
+    this.#finishTags.set(tagKey, startTag + entry.tokens / entry.weight);
+    this.#arrivals += 1;
+    this.#insert({ ...entry, startTag, arrival: this.#arrivals });
+    return { isQueued: true, displaced: victims.map((victim) => victim.item) };
+  }
+
+  /** Entries of lower priority to make room for; undefined where that isn't enough. */
+  #victimsFor(entry: WaitingEntry<Item>): readonly Queued<Item>[] | undefined {
+    let excess = (this.#tokensByRule.get(entry.rule) ?? 0) + entry.tokens - entry.maxQueuedTokens;
+    const victims: Queued<Item>[] = [];
+    for (let index = this.#entries.length - 1; index >= 0 && excess > 0; index -= 1) {
+      const candidate = this.#entries[index];
+      if (!candidate || candidate.priority >= entry.priority) break;
+      if (candidate.rule !== entry.rule) continue;
+      victims.push(candidate);
+      excess -= candidate.tokens;
+    }
+    return excess > 0 ? undefined : victims;
+  }
+
+  #insert(entry: Queued<Item>): void {
+    let low = 0;
+    let high = this.#entries.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      const other = this.#entries[middle];
+      if (other && compare(other, entry) <= 0) low = middle + 1;
+      else high = middle;
+    }
+    this.#entries.splice(low, 0, entry);
+    this.#count(entry, entry.tokens);
+  }
+
+  #count(entry: Queued<Item>, tokens: number): void {
+    this.#tokens += tokens;
+    this.#tokensByRule.set(entry.rule, (this.#tokensByRule.get(entry.rule) ?? 0) + tokens);
+  }
+
+  #drop(entry: Queued<Item>): void {
+    const index = this.#entries.indexOf(entry);
+    if (index < 0) return;
+    this.#entries.splice(index, 1);
+    this.#count(entry, -entry.tokens);
+  }
+
+  /** Takes an entry out, e.g. because its caller went away. */
+  remove(item: Item): boolean {
+    const entry = this.#entries.find((candidate) => candidate.item === item);
+    if (entry) this.#drop(entry);
+    return entry !== undefined;
+  }
+
+  /** Takes out all whose wait has ended. */
+  takeExpired(nowMs: Milliseconds): readonly Item[] {
+    const expired = this.#entries.filter((entry) => entry.expiresAtMs <= nowMs);
+    for (const entry of expired) this.#drop(entry);
+    return expired.map((entry) => entry.item);
+  }
+
+  /** The next time at which an entry expires. */
+  nextExpiryMs(): Milliseconds | undefined {
+    let next: Milliseconds | undefined;
+    for (const { expiresAtMs } of this.#entries) {
+      if (next === undefined || expiresAtMs < next) next = expiresAtMs;
+    }
+    return next;
+  }
+
+  /**
+   * Offers entries in order. `tryStart` says whether the entry was started; once one entry of a
+   * group was not, the rest of its group is passed by, so that a long request that must wait
+   * never holds up a short one.
+   */
+  offer(tryStart: (item: Item) => boolean): void {
+    const blocked = new Set<string>();
+    for (const entry of [...this.#entries]) {
+      if (blocked.has(entry.group)) continue;
+      if (!tryStart(entry.item)) {
+        blocked.add(entry.group);
+        continue;
+      }
+      this.#virtualTime = Math.max(this.#virtualTime, entry.startTag);
+      this.#drop(entry);
+    }
+    if (this.#entries.length === 0) this.#finishTags.clear();
+  }
+}
--- /dev/null
+++ b/packages/proof/src/whole-path.test.ts
@@ -0,0 +1,74 @@
+import { Fleet, waitUntil } from '@poppypond/launch';
+import { callStream, expectedAnswer, makePrompt, SAMPLE_MODEL, sampleKey } from '@poppypond/load';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+const FAST_ENGINE = { 'step-base-ms': 1, 'prefill-ms': 0.001 };
+
+describe('the whole path, as separate processes', () => {
+  let fleet: Fleet;
+
+  beforeAll(async () => {
+    fleet = await Fleet.start({
+      gateways: 2,
+      engines: 4,
+      services: 1,
+      engineFlags: FAST_ENGINE,
+      gatewayFlags: { 'decode-step-ms': 2, 'prefill-tokens-per-ms': 500 },
+    });
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+  });
+
+  function gatewayUrl(index: number): string {
+    return fleet.gateways[index]?.url ?? '';
+  }
+
+  async function ask(tokens: number, head: string) {
+    const prompt = makePrompt(head, tokens);
+    const call = { url: gatewayUrl(0), key: sampleKey('members'), model: SAMPLE_MODEL };
+    const outcome = await callStream({ ...call, prompt, maxTokens: 8 });
+    return { outcome, expected: expectedAnswer(prompt, 8) };
+  }
+
+  it('streams the answer to a short question', async () => {
+    const { outcome, expected } = await ask(1000, 'balance');
+    expect(outcome.code).toBe('ok');
+    expect(outcome.text).toBe(expected);
+  });
+
+  it('streams the answer to a prompt over twice the memory of one engine', async () => {
+    const { outcome, expected } = await ask(950_000, 'contract');
+    expect(outcome.code).toBe('ok');
+    expect(outcome.text).toBe(expected);
+  });
+
+  it('says why, at another host than the one that decided', async () => {
+    const { outcome } = await ask(1200, 'why');
+    const headers = { authorization: `Bearer ${sampleKey('members')}` };
+    await waitUntil('the decision is known at the other host', async () => {
+      const reply = await fetch(`${gatewayUrl(1)}/explain/${outcome.requestId}`, { headers });
+      return reply.status === 200 && (await reply.text()).includes('prompts@1');
+    });
+  });
+
+  it('runs a call that may not be repeated once, at whichever hosts it is sent', async () => {
+    const headers = {
+      authorization: `Bearer ${sampleKey('members')}`,
+      'idempotency-key': 'confirmation-1',
+    };
+    const send = async (gateway: number, body: string) => {
+      const url = `${gatewayUrl(gateway)}/services/register/trades`;
+      return fetch(url, { method: 'POST', headers, body });
+    };
+    const first = await send(0, '{"units":3}');
+    expect(first.status).toBe(200);
+    const receipt = await first.text();
+    await waitUntil('the outcome is recorded', async () => {
+      const again = await send(1, '{"units":3}');
+      return again.status === 200 && (await again.text()) === receipt;
+    });
+    expect((await send(1, '{"units":4}')).status).toBe(422);
+  });
+});
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,3 @@
+export * from './program.js';
+export * from './schemas.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/settings/src/program.ts
@@ -0,0 +1,112 @@
+import { Builtins, Cli, Command, Option, UsageError } from 'clipanion';
+import type { z } from 'zod';
+import { describeSettings, findUnknownVariable, loadSettings } from './settings.js';
+import type { SettingsShape } from './settings.js';
+
+/** Exit code for a wrong command line or setting. */
+export const EXIT_BAD_SETTINGS = 2;
+
+/** One command of a program. */
+export interface ProgramCommand {
+  /** Words after the program's name; empty for its only command. */
+  readonly path: readonly string[];
+  readonly description: string;
+  readonly shape: SettingsShape;
+  /** Runs the command; the number is the exit code, the string says which setting is wrong. */
+  run(flags: Readonly<Record<string, unknown>>): Promise<number | string>;
+}
+
+/** Makes a command whose settings are checked before `main` starts. */
+export function defineCommand<Shape extends SettingsShape>(options: {
+  readonly path?: readonly string[];
+  readonly description: string;
+  readonly shape: Shape;
+  readonly main: (settings: z.infer<z.ZodObject<Shape>>) => Promise<number>;
+}): ProgramCommand {
+  return {
+    path: options.path ?? [],
+    description: options.description,
+    shape: options.shape,
+    run: async (flags) => {
+      const settings = loadSettings(options.shape, flags, process.env);
+      return settings.isErr ? settings.error : options.main(settings.value);
+    },
+  };
+}
+
+function isFlag(schema: z.ZodType): boolean {
+  return schema.safeParse(true).success && schema.safeParse('yes').success;
+}
+
+function optionFor(schema: z.ZodType, flag: string, description: string): unknown {
+  return isFlag(schema)
+    ? Option.Boolean(flag, { description })
+    : Option.String(flag, { description });
+}
+
+function toClipanion(binary: string, command: ProgramCommand) {
+  const settings = describeSettings(command.shape);
+  return class extends Command {
+    static override paths = [command.path.length > 0 ? [...command.path] : Command.Default];
+    static override usage = Command.Usage({
+      description: command.description,
+      details: 'Each setting can also be given as the environment variable in brackets.',
+    });
+
+    constructor() {
+      super();
+      for (const { key, flag, env, help } of settings) {
+        const schema = command.shape[key];
+        if (schema) Object.assign(this, { [key]: optionFor(schema, flag, `${help} [${env}]`) });
+      }
+    }
+
+    override async execute(): Promise<number> {
+      const flags = settings.map(({ key }) => [key, Reflect.get(this, key)]);
+      const result = await command.run(Object.fromEntries(flags));
+      if (typeof result === 'number') return result;
+      process.stderr.write(`${binary}: ${result}\n`);
+      return EXIT_BAD_SETTINGS;
+    }
+  };
+}
+
+function oneLine(error: unknown): string {
+  const text = error instanceof Error ? error.message : String(error);
+  const line = text
+    .split('\n')
+    .map((part) => part.trim())
+    .find((part) => part.length > 0);
+  return line ?? 'failed';
+}
+
+function isUsageProblem(error: unknown): boolean {
+  return error instanceof Error && (error instanceof UsageError || 'clipanion' in error);
+}
+
+/**
+ * Runs a program: picks the command, checks its settings, sets the exit code.
+ * A wrong command line or setting is one line on standard error and exit code 2.
+ */
+export async function runProgram(
+  binary: string,
+  commands: readonly ProgramCommand[],
+  args: readonly string[] = process.argv.slice(2),
+): Promise<void> {
+  const cli = new Cli({ binaryName: binary, binaryLabel: binary, enableCapture: false });
+  cli.register(Builtins.HelpCommand);
+  for (const command of commands) cli.register(toClipanion(binary, command));
+  const known = new Set(
+    commands.flatMap((command) => describeSettings(command.shape).map(({ env }) => env)),
+  );
+  const unknown = findUnknownVariable(known, process.env);
+  try {
+    if (unknown) throw new UsageError(unknown);
+    const command = cli.process([...args], Cli.defaultContext);
+    process.exitCode = await cli.run(command, Cli.defaultContext);
+  } catch (error) {
+    const prefix = isUsageProblem(error) ? '' : 'failed: ';
+    process.stderr.write(`${binary}: ${prefix}${oneLine(error)}\n`);
+    process.exitCode = isUsageProblem(error) ? EXIT_BAD_SETTINGS : 1;
+  }
+}
--- /dev/null
+++ b/packages/settings/src/schemas.ts
@@ -0,0 +1,30 @@
+import { z } from 'zod';
+
+const MAX_PORT = 65_535;
+
+/** A TCP port; 0 takes a free one. */
+export const portSetting = z.coerce.number<string>().int().min(0).max(MAX_PORT);
+
+/** A duration in milliseconds. */
+export const millisecondsSetting = z.coerce.number<string>().positive();
+
+/** A positive number. */
+export const numberSetting = z.coerce.number<string>().nonnegative();
+
+/** A whole number, zero or more. */
+export const countSetting = z.coerce.number<string>().int().nonnegative();
+
+/** `true` or `false`, also `1`, `0`, `yes`, `no`. */
+export const yesNoSetting = z.union([z.boolean(), z.stringbool()]);
+
+/** A name of a host, availability zone or region. */
+export const nameSetting = z.string().regex(/^[a-z0-9-]{1,63}$/, 'use a-z, 0-9 and -');
+
+/** An HTTP address, `http://ADDRESS:PORT`. */
+export const urlSetting = z.url({ protocol: /^https?$/, error: 'not an http address' });
+
+/** Items separated by commas. */
+export const listSetting = z
+  .string()
+  .transform((text) => text.split(',').map((item) => item.trim()))
+  .transform((items) => items.filter((item) => item.length > 0));
--- /dev/null
+++ b/packages/settings/src/settings.ts
@@ -0,0 +1,71 @@
+import { Result } from 'true-myth';
+import { z } from 'zod';
+
+/** The prefix of every environment variable that the programs read. */
+export const ENV_PREFIX = 'POPPYPOND_';
+
+/** A settings schema: one key for each setting, in camel case, with `.describe()` as its help. */
+export type SettingsShape = Readonly<Record<string, z.ZodType>>;
+
+/** How one setting is given and explained. */
+export interface SettingHelp {
+  readonly key: string;
+  /** `--listen-port`. */
+  readonly flag: string;
+  /** `POPPYPOND_LISTEN_PORT`. */
+  readonly env: string;
+  readonly help: string;
+}
+
+function splitWords(key: string): readonly string[] {
+  return key.split(/(?=[A-Z])/).map((word) => word.toLowerCase());
+}
+
+/** Lists the settings of a schema. */
+export function describeSettings(shape: SettingsShape): readonly SettingHelp[] {
+  return Object.entries(shape).map(([key, schema]) => {
+    const words = splitWords(key);
+    return {
+      key,
+      flag: `--${words.join('-')}`,
+      env: `${ENV_PREFIX}${words.join('_').toUpperCase()}`,
+      help: schema.description ?? '',
+    };
+  });
+}
+
+function firstProblem(error: z.ZodError, settings: readonly SettingHelp[]): string {
+  const issue = error.issues[0];
+  const key = String(issue?.path[0]);
+  const setting = settings.find((candidate) => candidate.key === key);
+  const name = setting ? `${setting.flag} (${setting.env})` : key;
+  return `${name}: ${issue?.message ?? 'invalid'}`;
+}
+
+/**
+ * Checks settings. A flag wins over the environment variable, which wins over the default.
+ * The error is one line that names the setting.
+ */
+export function loadSettings<Shape extends SettingsShape>(
+  shape: Shape,
+  flags: Readonly<Record<string, unknown>>,
+  environment: Readonly<Record<string, string | undefined>>,
+): Result<z.infer<z.ZodObject<Shape>>, string> {
+  const settings = describeSettings(shape);
+  const given = settings.map(({ key, env }) => [key, flags[key] ?? environment[env]] as const);
+  const present = given.filter(([, value]) => value !== undefined);
+  const parsed = z.object(shape).safeParse(Object.fromEntries(present));
+  if (!parsed.success) return Result.err(firstProblem(parsed.error, settings));
+  return Result.ok(parsed.data);
+}
+
+/** An unknown `POPPYPOND_` variable, as one line; undefined if there is none. */
+export function findUnknownVariable(
+  known: ReadonlySet<string>,
+  environment: Readonly<Record<string, string | undefined>>,
+): string | undefined {
+  const unknown = Object.keys(environment).find(
+    (name) => name.startsWith(ENV_PREFIX) && !known.has(name),
+  );
+  return unknown ? `${unknown}: unknown setting` : undefined;
+}
--- /dev/null
+++ b/packages/standin/src/commands.ts
@@ -0,0 +1,91 @@
+import { SystemClock } from '@poppypond/core';
+import {
+  countSetting,
+  defineCommand,
+  millisecondsSetting,
+  numberSetting,
+  portSetting,
+  urlSetting,
+} from '@poppypond/settings';
+import type { ProgramCommand } from '@poppypond/settings';
+import { z } from 'zod';
+import { startEngine } from './engine/app.js';
+import { engineModelShape } from './engine/model-settings.js';
+import { startPlatform } from './platform/app.js';
+import { startService } from './service/app.js';
+
+const listenShape = {
+  listenAddress: z.string().default('127.0.0.1').describe('address to listen on'),
+  listenPort: portSetting.default(0).describe('port to listen on; 0 takes a free one'),
+};
+
+const MS_PER_SECOND = 1000;
+
+/** Prints the address for whoever started the process, and serves until a signal. */
+function serveUntilStopped(url: string): Promise<number> {
+  process.stdout.write(`listening url=${url}\n`);
+  return new Promise((resolve) => {
+    process.once('SIGTERM', () => {
+      resolve(0);
+      setImmediate(() => process.exit(0));
+    });
+  });
+}
+
+const engineCommand = defineCommand({
+  path: ['engine'],
+  description: 'Run a model engine stand-in.',
+  shape: {
+    ...listenShape,
+    ...engineModelShape,
+    platformUrl: urlSetting.optional().describe('platform stand-in that holds the weights'),
+  },
+  main: async (settings) => {
+    const { server } = await startEngine(settings, new SystemClock(), {
+      address: settings.listenAddress,
+      port: settings.listenPort,
+      platformUrl: settings.platformUrl,
+      onDie: () => process.exit(1),
+    });
+    return serveUntilStopped(server.url);
+  },
+});
+
+const serviceCommand = defineCommand({
+  path: ['service'],
+  description: 'Run a plain service stand-in.',
+  shape: listenShape,
+  main: async (settings) => {
+    const clock = new SystemClock();
+    const { server } = await startService(clock, settings.listenAddress, settings.listenPort);
+    return serveUntilStopped(server.url);
+  },
+});
+
+const platformCommand = defineCommand({
+  path: ['platform'],
+  description: 'Run a platform stand-in: table, object store, host list, weight store.',
+  shape: {
+    ...listenShape,
+    writesPerSecond: countSetting
+      .default(300)
+      .describe('writes a second of table and object store'),
+    readsPerSecond: countSetting.default(2000).describe('reads a second of table and object store'),
+    hostListLagMs: numberSetting.default(3 * MS_PER_SECOND).describe('lag of the host list'),
+    weightMs: millisecondsSetting.default(MS_PER_SECOND).describe('time to load one model'),
+  },
+  main: async (settings) => {
+    const { server } = await startPlatform(
+      { ...settings, address: settings.listenAddress, port: settings.listenPort },
+      new SystemClock(),
+    );
+    return serveUntilStopped(server.url);
+  },
+});
+
+/** The commands of `poppypond-standin`. */
+export const standinCommands: readonly ProgramCommand[] = [
+  engineCommand,
+  serviceCommand,
+  platformCommand,
+];
--- /dev/null
+++ b/packages/standin/src/engine/engine.ts
@@ -0,0 +1,251 @@
+import type { ServerResponse } from 'node:http';
+import type { Clock, Milliseconds } from '@poppypond/core';
+import { callHttp } from '@poppypond/web';
+import { z } from 'zod';
+import { answerToken, CHAIN_START, chainText } from '@poppypond/hashing';
+import { Batch } from './batch.js';
+import type { SequenceEnd } from './batch.js';
+import { noEngineFaults } from './faults.js';
+import type { EngineFaults } from './faults.js';
+import { chainsOf } from './generate-call.js';
+import type { GenerateCall } from './generate-call.js';
+import { KvMemory } from './kv-memory.js';
+import type { Reservation } from './kv-memory.js';
+import type { EngineModelSettings } from './model-settings.js';
+import { OrderGate } from './orders.js';
+import { EngineFeeds } from './feeds.js';
+import { FrameWriter } from './frame-writer.js';
+
+/** One attempt that ran, for the ground truth. */
+export interface EngineRun {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly owner: string;
+  readonly promptTokens: number;
+  readonly prefillOnly: boolean;
+  readonly startedAtMs: Milliseconds;
+  firstToken: number;
+  tokens: number;
+  end: SequenceEnd | 'running';
+}
+
+interface Admitted {
+  readonly call: GenerateCall;
+  readonly response: ServerResponse;
+  readonly imported: { readonly tokens: number; readonly chain: bigint };
+}
+
+interface Waiting extends Admitted {
+  readonly arrival: number;
+  readonly deadlineMs: Milliseconds;
+}
+
+const exportedSchema = z.object({ tokens: z.number(), chain: z.string() });
+const PRIORITY_COUNT = 10;
+const RESERVATION_TTL_MS = 10_000;
+const IMPORT_TIMEOUT_MS = 2_000;
+const MAX_RUNS_KEPT = 200_000;
+
+/** One model engine: batch, memory, waiting line, orders and ground truth. */
+export class Engine {
+  readonly batch: Batch;
+  readonly memory: KvMemory;
+  readonly orders: OrderGate;
+  readonly feeds: EngineFeeds;
+  readonly faults: EngineFaults = noEngineFaults();
+  readonly runs: EngineRun[] = [];
+  readonly models = new Map<string, string>();
+  /** Reservations whose sequence is in the batch. */
+  readonly running = new Set<string>();
+  readonly seenDispatches = new Map<string, number>();
+  role: 'any' | 'long' | 'short' = 'any';
+  readonly #waiting: Waiting[] = [];
+  #arrivals = 0;
+
+  constructor(
+    readonly settings: EngineModelSettings,
+    readonly clock: Clock,
+  ) {
+    this.batch = new Batch(settings, clock);
+    this.memory = new KvMemory(settings.kvTokens, clock, (event) => {
+      this.feeds.publishCacheEvent(event);
+    });
+    this.orders = new OrderGate(settings.checksFencing, clock);
+    for (const model of settings.models) this.models.set(model, '1');
+    this.feeds = new EngineFeeds(this, clock);
+  }
+
+  get waitingCount(): number {
+    return this.#waiting.length;
+  }
+
+  /** Prompt tokens still to be prefilled, by priority. */
+  pendingPrefill(): readonly number[] {
+    const byPriority = Array.from({ length: PRIORITY_COUNT }, () => 0);
+    this.batch.addPendingPrefill(byPriority);
+    for (const { call } of this.#waiting) {
+      byPriority[call.priority] = (byPriority[call.priority] ?? 0) + call.promptTokens;
+    }
+    return byPriority;
+  }
+
+  /** Runs a call, lets it wait, or refuses it with a status that confirms it was not run. */
+  async generate(call: GenerateCall, response: ServerResponse): Promise<void> {
+    this.seenDispatches.set(
+      call.owner,
+      Math.max(call.dispatch, this.seenDispatches.get(call.owner) ?? 0),
+    );
+    const refusal = this.#refusal(call);
+    if (refusal) return refuse(response, ...refusal);
+    const imported = await this.#import(call);
+    if (!imported) return refuse(response, 409, 'import_failed');
+    const admitted = { call, response, imported };
+    if (this.#tryStart(admitted)) return;
+    if (!call.mayWait) return refuse(response, 409, 'no_memory');
+    this.#arrivals += 1;
+    const deadlineMs = this.clock.monotonicMs() + call.timeRemainingMs;
+    this.#waiting.push({ ...admitted, arrival: this.#arrivals, deadlineMs });
+    this.#waiting.sort((a, b) => b.call.priority - a.call.priority || a.arrival - b.arrival);
+    response.once('close', () => {
+      this.#dropWaiting(response);
+    });
+  }
+
+  #refusal(call: GenerateCall): readonly [number, string] | undefined {
+    if (this.faults.refuseCalls > 0) {
+      this.faults.refuseCalls -= 1;
+      return [503, 'refused'];
+    }
+    if (this.faults.leaving) return [503, 'leaving'];
+    if (!this.models.has(call.model)) return [404, 'model_not_loaded'];
+    const needed = call.promptTokens + call.maxTokens;
+    return needed > this.settings.kvTokens ? [413, 'larger_than_memory'] : undefined;
+  }
+
+  async #import(call: GenerateCall): Promise<Admitted['imported'] | undefined> {
+    let tokens = 0;
+    let chain = CHAIN_START;
+    for (const source of call.imports) {
+      const [url, reservation] = source.split('#');
+      const reply = await callHttp({
+        method: 'GET',
+        url: `${url ?? ''}/kv/export/${reservation ?? ''}`,
+        timeoutMs: IMPORT_TIMEOUT_MS,
+      });
+      if (reply.isErr || reply.value.status !== 200) return undefined;
+      const exported = exportedSchema.parse(JSON.parse(reply.value.body));
+      tokens += exported.tokens;
+      chain = BigInt(`0x${exported.chain}`);
+    }
+    return { tokens, chain };
+  }
+
+  #tryStart(admitted: Admitted): boolean {
+    const { call, response } = admitted;
+    if (response.destroyed) return true;
+    if (this.batch.size >= this.settings.maxRunning) return false;
+    const reservation = this.#reservationFor(call);
+    if (!reservation) return false;
+    this.#start(admitted, reservation);
+    return true;
+  }
+
+  #reservationFor(call: GenerateCall): Reservation | undefined {
+    if (call.reservationId !== undefined) return this.memory.find(call.reservationId);
+    const tokens = call.promptTokens + call.maxTokens;
+    const claim = { ...call, tokens, deadlineMs: call.timeRemainingMs };
+    return this.memory.reserve(claim, RESERVATION_TTL_MS);
+  }
+
+  #start({ call, response, imported }: Admitted, reservation: Reservation): void {
+    const { blocks, whole } = chainsOf(call.prompt, imported.chain);
+    const cachedTokens = this.memory.matchPrefix(blocks);
+    const run = this.#recordRun(call);
+    const writer = new FrameWriter(response, call.attempt, this.faults);
+    const key = `${call.requestId}/${String(call.attempt)}`;
+    this.running.add(reservation.id);
+    writer.begin({ reservation: reservation.id, cachedTokens, promptTokens: call.promptTokens });
+    const onEnd = (end: SequenceEnd): void => {
+      run.end = end;
+      this.running.delete(reservation.id);
+      this.memory.keep(end === 'done' ? blocks : [], chainText);
+      if (end === 'done' && call.prefillOnly) {
+        this.memory.markExported(reservation.id, imported.tokens + call.promptTokens, whole);
+      } else if (call.reservationId === undefined || end !== 'done') {
+        this.memory.release(reservation.id);
+      }
+      writer.end(end, { promptTokens: call.promptTokens, tokens: run.tokens });
+      this.#startWaiting();
+    };
+    response.once('close', () => {
+      this.batch.cancel(key);
+    });
+    this.batch.add({
+      key,
+      priority: call.priority,
+      prefillTokens: Math.max(1, call.promptTokens + call.resumeOffset - cachedTokens),
+      firstToken: call.resumeOffset,
+      endToken: call.prefillOnly ? call.resumeOffset : call.maxTokens,
+      deadlineMs: this.clock.monotonicMs() + call.timeRemainingMs,
+      startDelayMs: imported.tokens * this.settings.importMs,
+      onToken: (index) => {
+        run.tokens += 1;
+        writer.token(index, answerToken(whole, index));
+      },
+      onEnd,
+    });
+  }
+
+  #recordRun(call: GenerateCall): EngineRun {
+    const run: EngineRun = {
+      requestId: call.requestId,
+      attempt: call.attempt,
+      owner: call.owner,
+      promptTokens: call.promptTokens,
+      prefillOnly: call.prefillOnly,
+      startedAtMs: this.clock.wallMs(),
+      firstToken: call.resumeOffset,
+      tokens: 0,
+      end: 'running',
+    };
+    this.runs.push(run);
+    if (this.runs.length > MAX_RUNS_KEPT) this.runs.splice(0, MAX_RUNS_KEPT / 2);
+    return run;
+  }
+
+  /** Starts what waits, in order, for as long as there is room. */
+  #startWaiting(): void {
+    const now = this.clock.monotonicMs();
+    for (let next = this.#waiting[0]; next; next = this.#waiting[0]) {
+      if (next.deadlineMs <= now) {
+        refuse(next.response, 504, 'waited_too_long');
+      } else if (!this.#tryStart(next)) {
+        return;
+      }
+      this.#waiting.shift();
+    }
+  }
+
+  #dropWaiting(response: ServerResponse): void {
+    const index = this.#waiting.findIndex((waiting) => waiting.response === response);
+    if (index >= 0) this.#waiting.splice(index, 1);
+  }
+
+  /** Cancels a running attempt. */
+  cancel(requestId: string, attempt: number): boolean {
+    return this.batch.cancel(`${requestId}/${String(attempt)}`);
+  }
+
+  /** Releases a reservation and lets waiting calls use the room. */
+  release(id: string): number {
+    const tokens = this.memory.release(id);
+    if (tokens > 0) this.#startWaiting();
+    return tokens;
+  }
+}
+
+function refuse(response: ServerResponse, status: number, reason: string): void {
+  if (response.headersSent || response.destroyed) return;
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify({ refused: reason }));
+}
--- /dev/null
+++ b/packages/standin/src/engine/feeds.ts
@@ -0,0 +1,89 @@
+import type { ServerResponse } from 'node:http';
+import type { Clock } from '@poppypond/core';
+import type { Engine } from './engine.js';
+import type { CacheEvent } from './kv-memory.js';
+
+interface Subscriber {
+  readonly response: ServerResponse;
+  readonly owner: string;
+}
+
+/** Sends load reports with a lag, and cache events late and with gaps, as lines of JSON. */
+export class EngineFeeds {
+  readonly #load = new Set<Subscriber>();
+  readonly #cache = new Set<ServerResponse>();
+  #reportSequence = 0;
+  #cacheEvents = 0;
+
+  constructor(
+    readonly engine: Engine,
+    readonly clock: Clock,
+  ) {
+    clock.every(engine.settings.reportPeriodMs, () => {
+      this.#report();
+    });
+  }
+
+  /** The load as it is now; `seen` is the last dispatch of `owner` that it counts. */
+  loadNow(owner: string): Readonly<Record<string, unknown>> {
+    const { engine } = this;
+    return {
+      sequence: this.#reportSequence,
+      seen: engine.seenDispatches.get(owner) ?? 0,
+      running: engine.batch.size,
+      decoding: engine.batch.decodingCount,
+      waiting: engine.waitingCount,
+      prefillByPriority: engine.pendingPrefill(),
+      heldTokens: engine.memory.heldTokens,
+      kvTokens: engine.settings.kvTokens,
+      role: engine.role,
+      isLeaving: engine.faults.leaving,
+      models: Object.fromEntries(engine.models),
+    };
+  }
+
+  subscribeLoad(response: ServerResponse, owner: string): void {
+    this.#open(response);
+    const subscriber = { response, owner };
+    this.#load.add(subscriber);
+    response.write(`${JSON.stringify(this.loadNow(owner))}\n`);
+    response.once('close', () => this.#load.delete(subscriber));
+  }
+
+  subscribeCache(response: ServerResponse): void {
+    this.#open(response);
+    this.#cache.add(response);
+    const { memory } = this.engine;
+    const snapshot = { sequence: memory.eventSequence, all: memory.cachedBlocks };
+    response.write(`${JSON.stringify(snapshot)}\n`);
+    response.once('close', () => this.#cache.delete(response));
+  }
+
+  publishCacheEvent(event: CacheEvent): void {
+    const { dropCacheEventEvery, cacheEventDelayMs } = this.engine.faults;
+    this.#cacheEvents += 1;
+    if (dropCacheEventEvery > 0 && this.#cacheEvents % dropCacheEventEvery === 0) return;
+    if (this.#cache.size === 0) return;
+    const line = `${JSON.stringify(event)}\n`;
+    const send = () => {
+      for (const response of this.#cache) response.write(line);
+    };
+    if (cacheEventDelayMs > 0) this.clock.after(cacheEventDelayMs, send);
+    else send();
+  }
+
+  #open(response: ServerResponse): void {
+    response.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    response.flushHeaders();
+  }
+
+  #report(): void {
+    this.#reportSequence += 1;
+    for (const { response, owner } of this.#load) {
+      const line = `${JSON.stringify(this.loadNow(owner))}\n`;
+      this.clock.after(this.engine.settings.reportLagMs, () => {
+        response.write(line);
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/standin/src/engine/generate-call.ts
@@ -0,0 +1,99 @@
+import { parseJson } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
+import {
+  CHAIN_START,
+  chainBlocks,
+  chainWhole,
+  chatPrompt,
+  estimateTokens,
+} from '@poppypond/hashing';
+import { z } from 'zod';
+
+const DEFAULT_OUTPUT_TOKENS = 16;
+
+const bodySchema = z.object({
+  model: z.string(),
+  prompt: z.string().optional(),
+  messages: z.array(z.object({ role: z.string(), content: z.string() })).optional(),
+  max_tokens: z.int().positive().optional(),
+});
+
+const headerNumber = z.coerce.number<string>();
+const headersSchema = z.object({
+  'x-request': z.string().min(1),
+  'x-attempt': headerNumber.pipe(z.int().nonnegative()),
+  'x-owner': z.string().default('caller/direct'),
+  'x-dispatch': headerNumber.pipe(z.int().nonnegative()).default(0),
+  'x-priority': headerNumber.default(0),
+  'x-max-tokens': headerNumber.pipe(z.int().positive()).optional(),
+  'x-time-remaining-ms': headerNumber.pipe(z.number().positive()).default(600_000),
+  'x-resume-offset': headerNumber.pipe(z.int().nonnegative()).default(0),
+  /** 1: wait inside the engine for memory; 0: be refused at once. */
+  'x-wait': z.enum(['0', '1']).default('1'),
+  /** Use this reservation in place of a new one. */
+  'x-reservation': z.string().optional(),
+  /** Prefill only, then hold the KV cache for export. */
+  'x-prefill-only': z.enum(['0', '1']).default('0'),
+  /** `URL#RESERVATION` of the KV caches that come before this prompt, comma separated. */
+  'x-imports': z.string().optional(),
+});
+
+/** A checked call to generate. */
+export interface GenerateCall {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly owner: string;
+  readonly dispatch: number;
+  readonly priority: number;
+  readonly timeRemainingMs: Milliseconds;
+  readonly resumeOffset: number;
+  readonly mayWait: boolean;
+  readonly reservationId: string | undefined;
+  readonly prefillOnly: boolean;
+  readonly imports: readonly string[];
+  readonly model: string;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+}
+
+/** Checks a call; a string says what is wrong. */
+export function parseGenerateCall(
+  headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+  body: string,
+): GenerateCall | string {
+  const head = headersSchema.safeParse(headers);
+  if (!head.success) return `header ${String(head.error.issues[0]?.path[0])}`;
+  const parsed = bodySchema.safeParse(parseJson(body));
+  if (!parsed.success) return `field ${String(parsed.error.issues[0]?.path.join('.'))}`;
+  const prompt = parsed.data.prompt ?? chatPrompt(parsed.data.messages ?? []);
+  const h = head.data;
+  return {
+    requestId: h['x-request'],
+    attempt: h['x-attempt'],
+    owner: h['x-owner'],
+    dispatch: h['x-dispatch'],
+    priority: h['x-priority'],
+    timeRemainingMs: h['x-time-remaining-ms'],
+    resumeOffset: h['x-resume-offset'],
+    mayWait: h['x-wait'] === '1',
+    reservationId: h['x-reservation'],
+    prefillOnly: h['x-prefill-only'] === '1',
+    imports: h['x-imports']?.split(',') ?? [],
+    model: parsed.data.model,
+    prompt,
+    promptTokens: estimateTokens(prompt),
+    maxTokens: h['x-max-tokens'] ?? parsed.data.max_tokens ?? DEFAULT_OUTPUT_TOKENS,
+  };
+}
+
+/** The blocks of a prompt after what was imported, and the chain value after all of it. */
+export function chainsOf(
+  prompt: string,
+  start: bigint = CHAIN_START,
+): { readonly blocks: readonly bigint[]; readonly whole: bigint } {
+  return {
+    blocks: chainBlocks(prompt, Number.POSITIVE_INFINITY, start),
+    whole: chainWhole(prompt, start),
+  };
+}
--- /dev/null
+++ b/packages/state/src/config/apply-change.ts
@@ -0,0 +1,205 @@
+import { delay, fault, randomId } from '@poppypond/core';
+import type { Clock, Fault, Json } from '@poppypond/core';
+import { objectId } from '@poppypond/objects';
+import type { ConfigObject } from '@poppypond/objects';
+import { Result } from 'true-myth';
+import type { StoreFault, TableRow, TableStore } from '../table/table-store.js';
+import {
+  auditKey,
+  auditRowSchema,
+  changeIdKey,
+  HEAD_KEY,
+  headSchema,
+  objectKey,
+  objectRowSchema,
+} from './rows.js';
+import type { AuditRow } from './rows.js';
+
+/** One object to write or delete. */
+export interface ObjectWrite {
+  readonly id: string;
+  /** Null deletes. */
+  readonly after: ConfigObject | null;
+  /** The revision the operator saw; 0 where the object must be new; absent accepts any. */
+  readonly expected?: number;
+}
+
+/** A change by one operator. */
+export interface ChangeRequest {
+  readonly operator: string;
+  readonly why: string;
+  /** A change sent twice with one id has one effect. */
+  readonly changeId?: string;
+  readonly writes: readonly ObjectWrite[];
+}
+
+/** An accepted change; `isRepeat` where an earlier send of the same change id made it. */
+export interface AcceptedChange {
+  readonly audit: AuditRow;
+  readonly isRepeat: boolean;
+}
+
+interface Before {
+  readonly row: TableRow | undefined;
+  readonly revision: number;
+  readonly object: ConfigObject | null;
+}
+
+const MAX_TRIES = 12;
+const RETRY_BASE_MS = 5;
+const FIRST_REVISION = 1;
+
+function storeFault(error: StoreFault): Fault {
+  const code = error.reason === 'unconfirmed' ? 'store_unconfirmed' : 'store_down';
+  return fault(code, error.detail);
+}
+
+async function readBefore(
+  table: TableStore,
+  write: ObjectWrite,
+): Promise<Result<Before, StoreFault>> {
+  const row = await table.get(objectKey(write.id));
+  return row.map((found): Before => {
+    if (!found) return { row: undefined, revision: 0, object: null };
+    return { row: found, ...objectRowSchema.parse(found.value) };
+  });
+}
+
+/** Accepts changes of the configuration: one transaction for objects, audit row and head. */
+export class ConfigurationWriter {
+  constructor(
+    readonly table: TableStore,
+    readonly clock: Clock,
+  ) {}
+
+  /** Applies a change whole or not at all. Racing changes of other objects are waited out. */
+  async apply(request: ChangeRequest): Promise<Result<AcceptedChange, Fault>> {
+    const changeId = request.changeId ?? randomId();
+    const earlier = await this.#findEarlier(changeId);
+    if (earlier.isErr) return Result.err(storeFault(earlier.error));
+    if (earlier.value) return Result.ok({ audit: earlier.value, isRepeat: true });
+    for (let attempt = 1; attempt <= MAX_TRIES; attempt += 1) {
+      const tried = await this.#tryOnce(request, changeId);
+      if (tried !== 'raced') return tried;
+      await delay(this.clock, Math.random() * RETRY_BASE_MS * attempt);
+    }
+    return Result.err(fault('store_down', 'too many changes at once; apply again'));
+  }
+
+  async #findEarlier(changeId: string): Promise<Result<AuditRow | undefined, StoreFault>> {
+    const row = await this.table.get(changeIdKey(changeId));
+    if (row.isErr) return Result.err(row.error);
+    if (!row.value) return Result.ok(undefined);
+    const { revision } = headSchema.parse(row.value.value);
+    const audit = await this.table.get(auditKey(revision));
+    return audit.map((found) => (found ? auditRowSchema.parse(found.value) : undefined));
+  }
+
+  async #tryOnce(
+    request: ChangeRequest,
+    changeId: string,
+  ): Promise<Result<AcceptedChange, Fault> | 'raced'> {
+    const headRow = await this.table.get(HEAD_KEY);
+    if (headRow.isErr) return Result.err(storeFault(headRow.error));
+    const befores: Before[] = [];
+    for (const write of request.writes) {
+      const before = await readBefore(this.table, write);
+      if (before.isErr) return Result.err(storeFault(before.error));
+      if (write.expected !== undefined && write.expected !== before.value.revision) {
+        return Result.err(await this.#conflict(write, before.value));
+      }
+      befores.push(before.value);
+    }
+    const head = headRow.value ? headSchema.parse(headRow.value.value).revision : 0;
+    const audit = this.#auditRow(request, changeId, head + FIRST_REVISION, befores);
+    return this.#commit(headRow.value, audit, request, befores);
+  }
+
+  #auditRow(
+    request: ChangeRequest,
+    changeId: string,
+    revision: number,
+    befores: readonly Before[],
+  ): AuditRow {
+    return {
+      revision,
+      changeId,
+      operator: request.operator,
+      wallMs: this.clock.wallMs(),
+      why: request.why,
+      changes: request.writes.map(({ id, after }, index) => ({
+        id,
+        before: befores[index]?.object ?? null,
+        after,
+      })),
+    };
+  }
+
+  async #commit(
+    head: TableRow | undefined,
+    audit: AuditRow,
+    request: ChangeRequest,
+    befores: readonly Before[],
+  ): Promise<Result<AcceptedChange, Fault> | 'raced'> {
+    const { revision, changeId } = audit;
+    const objects = request.writes.flatMap(({ id, after }) =>
+      after ? [{ key: objectKey(id), value: toJson({ revision, object: after }) }] : [],
+    );
+    const sent = await this.table.transact({
+      checks: [
+        { key: HEAD_KEY, version: head?.version ?? 0 },
+        { key: changeIdKey(changeId), version: 0 },
+        ...request.writes.map(({ id }, index) => ({
+          key: objectKey(id),
+          version: befores[index]?.row?.version ?? 0,
+        })),
+      ],
+      puts: [
+        ...objects,
+        { key: HEAD_KEY, value: { revision } },
+        { key: changeIdKey(changeId), value: { revision } },
+        { key: auditKey(revision), value: toJson(audit) },
+      ],
+      deletes: request.writes.filter(({ after }) => !after).map(({ id }) => objectKey(id)),
+    });
+    if (sent.isOk) {
+      return sent.value.kind === 'applied' ? Result.ok({ audit, isRepeat: false }) : 'raced';
+    }
+    return this.#readBack(changeId, sent.error);
+  }
+
+  /** The answer to the write was lost: whether it took effect is read from the table. */
+  async #readBack(
+    changeId: string,
+    error: StoreFault,
+  ): Promise<Result<AcceptedChange, Fault> | 'raced'> {
+    if (error.reason === 'unavailable') return Result.err(storeFault(error));
+    const earlier = await this.#findEarlier(changeId);
+    if (earlier.isErr) return Result.err(storeFault(error));
+    if (earlier.value) return Result.ok({ audit: earlier.value, isRepeat: false });
+    return 'raced';
+  }
+
+  async #conflict(write: ObjectWrite, before: Before): Promise<Fault> {
+    const row = await this.table.get(auditKey(before.revision));
+    const other = row.isOk && row.value ? auditRowSchema.parse(row.value.value) : undefined;
+    const by = other
+      ? `change ${other.changeId} by ${other.operator} ("${other.why}")`
+      : 'it does not exist';
+    const detail =
+      `${write.id}: you changed revision ${String(write.expected)}, ` +
+      `it is now at ${String(before.revision)}: ${by}`;
+    return fault('conflict', detail, { path: write.id });
+  }
+}
+
+function toJson(value: unknown): Json {
+  const copy: Json = JSON.parse(JSON.stringify(value));
+  return copy;
+}
+
+/** The `kind/name` and object of a write that replaces whatever is there. */
+export function writeOf(object: ConfigObject, expected?: number): ObjectWrite {
+  const id = objectId(object);
+  return expected === undefined ? { id, after: object } : { id, after: object, expected };
+}
--- /dev/null
+++ b/packages/state/src/config/configuration-reader.ts
@@ -0,0 +1,59 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { ObjectChange } from '@poppypond/objects';
+import type { TableStore } from '../table/table-store.js';
+import type { ConfigurationHolder } from './configuration-holder.js';
+import { readChangesAfter, readConfiguration, readHeadRevision } from './read-configuration.js';
+
+/** Changes that a read brought into force, and the revision they follow. */
+export interface ReadChanges {
+  readonly after: number;
+  readonly changes: readonly ObjectChange[];
+}
+
+/** Keeps a holder up to date from the table; one read at a time. */
+export class ConfigurationReader {
+  #contactAtMs: Milliseconds | undefined;
+  #reading: Promise<ReadChanges | undefined> | undefined;
+
+  constructor(
+    readonly holder: ConfigurationHolder,
+    readonly table: TableStore,
+    readonly clock: Clock,
+  ) {}
+
+  /** Monotonic time of the last answer from the table. */
+  get contactAtMs(): Milliseconds | undefined {
+    return this.#contactAtMs;
+  }
+
+  /** Reads what is new; the changes are returned where they could be read one by one. */
+  poll(): Promise<ReadChanges | undefined> {
+    this.#reading ??= this.#read().finally(() => {
+      this.#reading = undefined;
+    });
+    return this.#reading;
+  }
+
+  #read(): Promise<ReadChanges | undefined> {
+    return this.holder.current.revision === 0 ? this.#readAll() : this.#readNew();
+  }
+
+  async #readAll(): Promise<undefined> {
+    const read = await readConfiguration(this.table);
+    if (read.isErr) return;
+    this.#contactAtMs = this.clock.monotonicMs();
+    this.holder.replace(read.value);
+  }
+
+  async #readNew(): Promise<ReadChanges | undefined> {
+    const head = await readHeadRevision(this.table);
+    if (head.isErr) return undefined;
+    this.#contactAtMs = this.clock.monotonicMs();
+    const after = this.holder.current.revision;
+    if (head.value <= after) return undefined;
+    const changes = await readChangesAfter(this.table, after);
+    if (changes.isErr) return undefined;
+    const result = this.holder.advance(after, changes.value);
+    return result === 'advanced' ? { after, changes: changes.value } : undefined;
+  }
+}
--- /dev/null
+++ b/packages/state/src/lease/lease.ts
@@ -0,0 +1,114 @@
+import { ownerText } from '@poppypond/core';
+import type { Clock, Milliseconds, Owner } from '@poppypond/core';
+import { z } from 'zod';
+import type { TableStore } from '../table/table-store.js';
+
+const leaseRowSchema = z.object({
+  holder: z.string(),
+  fence: z.int().nonnegative(),
+  durationMs: z.number(),
+});
+
+type LeaseRow = z.infer<typeof leaseRowSchema>;
+
+/** Share of the duration after which the holder renews. */
+const RENEW_SHARE = 1 / 3;
+/** Share of the duration that the holder gives up early, for clocks that run at unlike rates. */
+const SAFETY_SHARE = 0.15;
+
+/** A lease that is held. */
+export interface HeldLease {
+  /** Rises with each holder; orders carry it. */
+  readonly fence: number;
+  /** Monotonic time until which orders may be sent. */
+  readonly validUntilMs: Milliseconds;
+}
+
+interface Observed {
+  readonly version: number;
+  readonly sinceMs: Milliseconds;
+}
+
+/**
+ * A lease in the platform's table. No wall clock is compared: a candidate takes the lease
+ * only after it has seen the same row version for the row's whole duration by its own
+ * monotonic clock. The holder counts its time from before it sent the write that succeeded.
+ */
+export class Lease {
+  #held: (HeldLease & { readonly version: number }) | undefined;
+  #observed: Observed | undefined;
+  readonly #key: string;
+
+  constructor(
+    readonly name: string,
+    readonly owner: Owner,
+    readonly table: TableStore,
+    readonly clock: Clock,
+    readonly durationMs: Milliseconds,
+  ) {
+    this.#key = `lease/${name}`;
+  }
+
+  /** How often `tick` is to be called. */
+  get tickPeriodMs(): Milliseconds {
+    return this.durationMs * RENEW_SHARE;
+  }
+
+  /** The lease, if it is held and an order sent now would still be in time. */
+  held(): HeldLease | undefined {
+    if (!this.#held || this.clock.monotonicMs() >= this.#held.validUntilMs) return undefined;
+    return this.#held;
+  }
+
+  /** Renews the lease, takes it when it is free or lapsed, or goes on observing it. */
+  async tick(): Promise<void> {
+    const row = await this.table.get(this.#key);
+    if (row.isErr) return;
+    const version = row.value?.version ?? 0;
+    const current = row.value ? leaseRowSchema.parse(row.value.value) : undefined;
+    if (current?.holder === ownerText(this.owner)) return this.#write(version, current);
+    this.#held = undefined;
+    if (this.#isFree(version, current)) return this.#write(version, current);
+  }
+
+  /** Gives the lease up so that another host needn't wait for it to lapse. */
+  async release(): Promise<void> {
+    const held = this.#held;
+    this.#held = undefined;
+    if (!held) return;
+    const value = { holder: '', fence: held.fence, durationMs: this.durationMs };
+    await this.table.transact({
+      checks: [{ key: this.#key, version: held.version }],
+      puts: [{ key: this.#key, value }],
+    });
+  }
+
+  #isFree(version: number, row: LeaseRow | undefined): boolean {
+    if (!row || row.holder === '') return true;
+    const now = this.clock.monotonicMs();
+    if (this.#observed?.version !== version) this.#observed = { version, sinceMs: now };
+    return now - this.#observed.sinceMs >= row.durationMs;
+  }
+
+  async #write(version: number, row: LeaseRow | undefined): Promise<void> {
+    const isRenewal = row?.holder === ownerText(this.owner) && this.#held !== undefined;
+    const fence = isRenewal ? row.fence : (row?.fence ?? 0) + 1;
+    const sentAtMs = this.clock.monotonicMs();
+    const written = await this.table.transact({
+      checks: [{ key: this.#key, version }],
+      puts: [
+        {
+          key: this.#key,
+          value: { holder: ownerText(this.owner), fence, durationMs: this.durationMs },
+        },
+      ],
+    });
+    if (written.isErr) return;
+    if (written.value.kind === 'conflict') {
+      this.#held = undefined;
+      return;
+    }
+    const validUntilMs = sentAtMs + this.durationMs * (1 - SAFETY_SHARE);
+    this.#held = { fence, validUntilMs, version: written.value.version };
+  }
+}
--- /dev/null
+++ b/packages/state/src/once/at-most-once-ledger.ts
@@ -0,0 +1,255 @@
+import { delay, fault, ownerText, randomId } from '@poppypond/core';
+import type { Clock, Fault, Json, Milliseconds, Owner } from '@poppypond/core';
+import { Result } from 'true-myth';
+import { z } from 'zod';
+import type { StoreFault, TableRow, TableStore } from '../table/table-store.js';
+
+/** The prefix of the ledger's rows. */
+export const ONCE_PREFIX = 'once/';
+
+const answerSchema = z.object({
+  status: z.int(),
+  contentType: z.string(),
+  body: z.string(),
+});
+
+const entrySchema = z.discriminatedUnion('state', [
+  z.object({
+    state: z.literal('claimed'),
+    claimId: z.string(),
+    owner: z.string(),
+    requestHash: z.string(),
+    wallMs: z.number(),
+  }),
+  z.object({
+    state: z.literal('ran'),
+    claimId: z.string(),
+    requestHash: z.string(),
+    wallMs: z.number(),
+    answer: answerSchema,
+  }),
+  z.object({ state: z.literal('not_run'), claimId: z.string(), wallMs: z.number() }),
+]);
+
+/** An entry of the ledger. */
+export type LedgerEntry = z.infer<typeof entrySchema>;
+
+/** A recorded answer. */
+export type RecordedAnswer = z.infer<typeof answerSchema>;
+
+/** The right to run one call; only its holder dispatches it. */
+export interface Claim {
+  readonly key: string;
+  readonly claimId: string;
+  readonly requestHash: string;
+}
+
+/** Either the call may run now, or it ran before with this answer. */
+export type ClaimResult =
+  | { readonly kind: 'claimed'; readonly claim: Claim }
+  | { readonly kind: 'ran_before'; readonly answer: RecordedAnswer };
+
+const READ_BACK_TRIES = 3;
+const READ_BACK_DELAY_MS = 50;
+const FLUSH_DELAY_MS = 25;
+const FLUSH_RETRY_MS = 500;
+const BUSY_RETRY_AFTER_MS = 1000;
+const STORE_RETRY_AFTER_MS = 2000;
+
+/** The row of a call; the key is encoded so that no workspace can name another's row. */
+export function ledgerKey(workspace: string, idempotencyKey: string): string {
+  return `${ONCE_PREFIX}${workspace}/${encodeURIComponent(idempotencyKey)}`;
+}
+
+/**
+ * Calls that run at most once. A claim is one conditional write before dispatch; the outcome
+ * is written in batches after the caller has its answer, and again until it is stored.
+ */
+export class AtMostOnceLedger {
+  readonly #outcomes = new Map<string, LedgerEntry>();
+  #isFlushing = false;
+
+  constructor(
+    readonly table: TableStore,
+    readonly clock: Clock,
+    readonly owner: Owner,
+  ) {}
+
+  /** Outcomes that are not stored yet. */
+  get pendingOutcomes(): number {
+    return this.#outcomes.size;
+  }
+
+  /** Claims a call before it is dispatched. Every fault but `key_in_progress` means not run. */
+  async claim(
+    workspace: string,
+    idempotencyKey: string,
+    requestHash: string,
+  ): Promise<Result<ClaimResult, Fault>> {
+    const key = ledgerKey(workspace, idempotencyKey);
+    const local = this.#outcomes.get(key);
+    if (local) return this.#meetEntry(key, requestHash, local, undefined);
+    return this.#write(key, requestHash, 0);
+  }
+
+  async #write(
+    key: string,
+    requestHash: string,
+    version: number,
+  ): Promise<Result<ClaimResult, Fault>> {
+    const claim = { key, claimId: randomId(), requestHash };
+    const value = {
+      state: 'claimed',
+      claimId: claim.claimId,
+      owner: ownerText(this.owner),
+      requestHash,
+      wallMs: this.clock.wallMs(),
+    };
+    const sent = await this.table.transact({ checks: [{ key, version }], puts: [{ key, value }] });
+    if (sent.isOk && sent.value.kind === 'applied') return Result.ok({ kind: 'claimed', claim });
+    if (sent.isErr && sent.error.reason === 'unavailable')
+      return Result.err(notStarted(sent.error));
+    const row = await this.#readBack(key);
+    if (row.isErr) {
+      this.#giveUp(claim);
+      return Result.err(notStarted(row.error));
+    }
+    const entry = row.value ? entrySchema.parse(row.value.value) : undefined;
+    if (entry?.claimId === claim.claimId) return Result.ok({ kind: 'claimed', claim });
+    if (!entry) {
+      this.#giveUp(claim);
+      return Result.err(notStarted({ reason: 'unconfirmed', detail: 'the claim was not stored' }));
+    }
+    if (sent.isErr) this.#giveUp(claim);
+    return this.#meetEntry(key, requestHash, entry, row.value);
+  }
+
+  async #readBack(key: string): Promise<Result<TableRow | undefined, StoreFault>> {
+    let row = await this.table.get(key);
+    for (let tries = 1; row.isErr && tries < READ_BACK_TRIES; tries += 1) {
+      await delay(this.clock, READ_BACK_DELAY_MS);
+      row = await this.table.get(key);
+    }
+    return row;
+  }
+
+  #meetEntry(
+    key: string,
+    requestHash: string,
+    entry: LedgerEntry,
+    row: TableRow | undefined,
+  ): Result<ClaimResult, Fault> | Promise<Result<ClaimResult, Fault>> {
+    if (entry.state === 'not_run') {
+      if (row) return this.#write(key, requestHash, row.version);
+      return Result.err(inProgress());
+    }
+    if (entry.requestHash !== requestHash) {
+      return Result.err(
+        fault('key_reused', 'the first request differs', { path: 'idempotency-key' }),
+      );
+    }
+    if (entry.state === 'ran') return Result.ok({ kind: 'ran_before', answer: entry.answer });
+    return Result.err(inProgress());
+  }
+
+  /** Records that the call ran with this answer; stored soon, and retried until it is. */
+  recordRan(claim: Claim, answer: RecordedAnswer): void {
+    const { claimId, requestHash } = claim;
+    const wallMs = this.clock.wallMs();
+    this.#enqueue(claim.key, { state: 'ran', claimId, requestHash, wallMs, answer });
+  }
+
+  /** Records that the call was not run, so that its key can be used again. */
+  recordNotRun(claim: Claim): void {
+    this.#giveUp(claim);
+  }
+
+  #giveUp(claim: Claim): void {
+    const wallMs = this.clock.wallMs();
+    this.#enqueue(claim.key, { state: 'not_run', claimId: claim.claimId, wallMs });
+  }
+
+  #enqueue(key: string, entry: LedgerEntry): void {
+    this.#outcomes.set(key, entry);
+    this.#scheduleFlush(FLUSH_DELAY_MS);
+  }
+
+  #scheduleFlush(delayMs: Milliseconds): void {
+    if (this.#isFlushing) return;
+    this.#isFlushing = true;
+    this.clock.after(delayMs, () => {
+      void this.#flush();
+    });
+  }
+
+  async #flush(): Promise<void> {
+    const outcomes = [...this.#outcomes];
+    const stored = await this.#store(outcomes);
+    for (const [key, entry] of stored) {
+      if (this.#outcomes.get(key) === entry) this.#outcomes.delete(key);
+    }
+    this.#isFlushing = false;
+    if (this.#outcomes.size === 0) return;
+    this.#scheduleFlush(stored.length === outcomes.length ? FLUSH_DELAY_MS : FLUSH_RETRY_MS);
+  }
+
+  /**
+   * Writes outcomes in one transaction. `ran` needs no check: only the holder of the claim
+   * writes the row. A tombstone must not overwrite another host's claim, so it is checked.
+   */
+  async #store(
+    outcomes: readonly (readonly [string, LedgerEntry])[],
+  ): Promise<readonly (readonly [string, LedgerEntry])[]> {
+    const ran = outcomes.filter(([, entry]) => entry.state === 'ran');
+    const stored: (readonly [string, LedgerEntry])[] = [];
+    if (ran.length > 0) {
+      const puts = ran.map(([key, entry]) => ({ key, value: toJson(entry) }));
+      const sent = await this.table.transact({ puts });
+      if (sent.isOk) stored.push(...ran);
+    }
+    for (const [key, entry] of outcomes) {
+      if (entry.state === 'not_run' && (await this.#storeTombstone(key, entry))) {
+        stored.push([key, entry]);
+      }
+    }
+    return stored;
+  }
+
+  async #storeTombstone(key: string, entry: LedgerEntry): Promise<boolean> {
+    const row = await this.table.get(key);
+    if (row.isErr) return false;
+    const current = row.value ? entrySchema.parse(row.value.value) : undefined;
+    if (current && current.claimId !== entry.claimId) return true;
+    if (current?.state === 'not_run') return true;
+    const version = row.value?.version ?? 0;
+    const sent = await this.table.transact({
+      checks: [{ key, version }],
+      puts: [{ key, value: toJson(entry) }],
+    });
+    return sent.isOk && sent.value.kind === 'applied';
+  }
+}
+
+function inProgress(): Fault {
+  return fault('key_in_progress', 'ask again with the same key', {
+    retryAfterMs: BUSY_RETRY_AFTER_MS,
+  });
+}
+
+function notStarted(error: StoreFault): Fault {
+  return fault('store_unavailable', error.detail, { retryAfterMs: STORE_RETRY_AFTER_MS });
+}
+
+function toJson(entry: LedgerEntry): Json {
+  return entry;
+}
+
+/** Whether a row of the ledger is older than `retentionMs` and can be deleted. */
+export function isExpiredEntry(
+  value: unknown,
+  nowWallMs: Milliseconds,
+  retentionMs: Milliseconds,
+): boolean {
+  const entry = entrySchema.safeParse(value);
+  return entry.success && nowWallMs - entry.data.wallMs > retentionMs;
+}
--- /dev/null
+++ b/packages/state/src/table/platform-connection.ts
@@ -0,0 +1,44 @@
+import type { Milliseconds } from '@poppypond/core';
+import { callHttp } from '@poppypond/web';
+import type { HttpCall, HttpReply } from '@poppypond/web';
+import { Result } from 'true-myth';
+import type { StoreFault } from './table-store.js';
+
+/** Counts of calls, for the platform's budget. */
+export interface StoreCalls {
+  reads: number;
+  writes: number;
+  failures: number;
+}
+
+/** Calls to the platform, counted and with one time limit. */
+export class PlatformConnection {
+  readonly calls: StoreCalls = { reads: 0, writes: 0, failures: 0 };
+
+  constructor(
+    readonly url: string,
+    readonly timeoutMs: Milliseconds,
+  ) {}
+
+  /** Makes a call; a status that is not in `accepted` is an error that changed nothing. */
+  async call(
+    call: Omit<HttpCall, 'url' | 'timeoutMs'>,
+    path: string,
+    accepted: readonly number[],
+  ): Promise<Result<HttpReply, StoreFault>> {
+    const isWrite = call.method !== 'GET';
+    if (isWrite) this.calls.writes += 1;
+    else this.calls.reads += 1;
+    const reply = await callHttp({ ...call, url: `${this.url}${path}`, timeoutMs: this.timeoutMs });
+    if (reply.isOk && accepted.includes(reply.value.status)) return Result.ok(reply.value);
+    this.calls.failures += 1;
+    if (reply.isOk) {
+      return Result.err({ reason: 'unavailable', detail: `status ${String(reply.value.status)}` });
+    }
+    const isUnconfirmed = isWrite && reply.error.mayHaveArrived;
+    return Result.err({
+      reason: isUnconfirmed ? 'unconfirmed' : 'unavailable',
+      detail: `${reply.error.reason}: ${reply.error.detail}`,
+    });
+  }
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+export * from './log.js';
+export * from './metrics.js';
--- /dev/null
+++ b/packages/telemetry/src/log.ts
@@ -0,0 +1,58 @@
+import { Logger } from 'tslog';
+
+/** A value of one key in a log line. */
+export type LogValue = string | number | boolean | undefined;
+
+/** The keys of a log line besides `time`, `level`, `event` and those of the program. */
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+/** Writes one line of key=value pairs for each event. */
+export interface Log {
+  debug(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+}
+
+const TSLOG_LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
+
+/** The levels a log can be set to, least important first. */
+export type LogLevel = keyof typeof TSLOG_LEVELS;
+
+function valueText(value: string | number | boolean): string {
+  const text = String(value);
+  return /^[\w.:/@+-]+$/.test(text) ? text : JSON.stringify(text);
+}
+
+/** `key=value` pairs with quotes where a value holds anything but plain characters. */
+export function lineText(fields: LogFields): string {
+  const parts: string[] = [];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value !== undefined) parts.push(`${key}=${valueText(value)}`);
+  }
+  return parts.join(' ');
+}
+
+/** A log whose lines all carry `common`, written to standard error unless `write` is given. */
+export function createLog(
+  common: LogFields,
+  level: LogLevel = 'info',
+  write: (line: string) => void = (line) => process.stderr.write(line),
+): Log {
+  const logger = new Logger<LogFields>({ type: 'hidden', minLevel: TSLOG_LEVELS[level] });
+  logger.attachTransport((entry) => {
+    const { _meta, ...fields } = entry;
+    const head = { time: _meta?.date.toISOString(), level: _meta?.logLevelName.toLowerCase() };
+    write(`${lineText({ ...head, ...fields })}\n`);
+  });
+  const line = (event: string, fields: LogFields = {}) => ({ event, ...common, ...fields });
+  return {
+    debug: (event, fields) => logger.debug(line(event, fields)),
+    info: (event, fields) => logger.info(line(event, fields)),
+    warn: (event, fields) => logger.warn(line(event, fields)),
+    error: (event, fields) => logger.error(line(event, fields)),
+  };
+}
+
+/** A log that writes nothing. */
+export const silentLog: Log = createLog({}, 'error', () => undefined);
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,94 @@
+import { StatsD } from 'hot-shots';
+
+interface MetricEntry {
+  readonly type: 'counter' | 'gauge' | 'timing';
+  readonly meaning: string;
+}
+
+/** Every metric, sent to StatsD with the prefix `poppypond.`; times are in milliseconds. */
+export const METRICS = {
+  'requests.done': { type: 'counter', meaning: 'Requests answered, tagged with the result code.' },
+  'requests.first_token': {
+    type: 'timing',
+    meaning: 'Arrival to first token, tagged with the lane.',
+  },
+  'requests.waiting': { type: 'gauge', meaning: 'Requests in the wait queue.' },
+  'requests.waiting_tokens': { type: 'gauge', meaning: 'Work in the wait queue, in tokens.' },
+  'attempts.retried': {
+    type: 'counter',
+    meaning: 'Attempts after the first, tagged with the reason.',
+  },
+  'backend.set_aside': {
+    type: 'counter',
+    meaning: 'Times a backend server was set aside after failures.',
+  },
+  'loop.pause': { type: 'timing', meaning: 'Longest pause of the event loop in each period.' },
+  'config.revision': { type: 'gauge', meaning: 'Revision of the configuration in force.' },
+  'store.calls': {
+    type: 'counter',
+    meaning: 'Calls to the platform table, tagged with kind and result.',
+  },
+  'peers.connected': { type: 'gauge', meaning: 'Peers with an open connection.' },
+  'decisions.flushed': {
+    type: 'counter',
+    meaning: 'Decision records written to the object store.',
+  },
+  'decisions.lost': {
+    type: 'counter',
+    meaning: 'Decision records dropped before they were written.',
+  },
+  'engine_memory.swept_tokens': {
+    type: 'counter',
+    meaning: 'Reserved tokens released by the sweep.',
+  },
+} as const satisfies Record<string, MetricEntry>;
+
+/** The name of a metric. */
+export type MetricName = keyof typeof METRICS;
+
+/** Metric tags. */
+export type MetricTags = Readonly<Record<string, string>>;
+
+/** Sends metrics; never throws and never waits. */
+export interface Metrics {
+  count(name: MetricName, value?: number, tags?: MetricTags): void;
+  gauge(name: MetricName, value: number): void;
+  timing(name: MetricName, milliseconds: number, tags?: MetricTags): void;
+  close(): void;
+}
+
+/** Metrics to the StatsD address `HOST:PORT`; with no address nothing is sent. */
+export function createMetrics(address: string | undefined, tags: MetricTags): Metrics {
+  const [host, port] = address?.split(':') ?? [];
+  const client = new StatsD({
+    ...(host ? { host } : {}),
+    ...(port ? { port: Number(port) } : {}),
+    mock: address === undefined,
+    prefix: 'poppypond.',
+    globalTags: { ...tags },
+    errorHandler: () => undefined,
+  });
+  if (address === undefined) return silentMetrics;
+  return {
+    count: (name, value = 1, more = {}) => {
+      client.increment(name, value, { ...more });
+    },
+    gauge: (name, value) => {
+      client.gauge(name, value);
+    },
+    timing: (name, milliseconds, more = {}) => {
+      client.timing(name, milliseconds, { ...more });
+    },
+    close: () => {
+      client.close();
+    },
+  };
+}
+
+/** Metrics that go nowhere. */
+export const silentMetrics: Metrics = {
+  count: () => undefined,
+  gauge: () => undefined,
+  timing: () => undefined,
+  close: () => undefined,
+};
--- /dev/null
+++ b/packages/web/src/body.ts
@@ -0,0 +1,55 @@
+import type { IncomingMessage } from 'node:http';
+import { fault, parseJson } from '@poppypond/core';
+import type { Fault, Milliseconds } from '@poppypond/core';
+import { Result } from 'true-myth';
+import type { z } from 'zod';
+
+/** Reads a whole body of at most `limitBytes` within `timeoutMs`. */
+export function readBody(
+  request: IncomingMessage,
+  limitBytes: number,
+  timeoutMs: Milliseconds,
+): Promise<Result<Buffer, Fault>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const finish = (result: Result<Buffer, Fault>) => {
+      clearTimeout(timer);
+      request.removeListener('data', onData);
+      resolve(result);
+    };
+    const onData = (chunk: Buffer) => {
+      length += chunk.length;
+      if (length <= limitBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      request.resume();
+      finish(Result.err(fault('body_too_large', `over ${String(limitBytes)} bytes`)));
+    };
+    const timer = setTimeout(() => {
+      finish(Result.err(fault('caller_slow', `no whole body in ${String(timeoutMs)} ms`)));
+    }, timeoutMs);
+    request.on('data', onData);
+    request.once('end', () => {
+      finish(Result.ok(Buffer.concat(chunks)));
+    });
+    request.once('close', () => {
+      finish(Result.err(fault('cancelled_waiting', 'the caller closed the connection')));
+    });
+  });
+}
+
+/** Parses and checks a JSON body; the fault's path names the first wrong field. */
+export function parseBody<Schema extends z.ZodType>(
+  body: string,
+  schema: Schema,
+): Result<z.infer<Schema>, Fault> {
+  const value = parseJson(body);
+  if (value === undefined) return Result.err(fault('bad_json', 'the body is not valid JSON'));
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return Result.ok(parsed.data);
+  const issue = parsed.error.issues[0];
+  const path = issue?.path.map(String).join('.') ?? '';
+  return Result.err(fault('bad_field', issue?.message ?? 'invalid', { path }));
+}
--- /dev/null
+++ b/packages/web/src/client.ts
@@ -0,0 +1,110 @@
+import { Agent, request as startHttp } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import type { Milliseconds } from '@poppypond/core';
+import { Result } from 'true-myth';
+
+/** Why an HTTP call gave no answer. */
+export interface TransportFault {
+  readonly reason: 'connect' | 'timeout' | 'closed' | 'cancelled';
+  /** False only where not a byte of the call can have reached the other side. */
+  readonly mayHaveArrived: boolean;
+  readonly detail: string;
+}
+
+/** An HTTP call. */
+export interface HttpCall {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE' | (string & {});
+  readonly url: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | Buffer;
+  /** Limit for the answer's headers, and for the whole answer in `callHttp`. */
+  readonly timeoutMs: Milliseconds;
+  readonly signal?: AbortSignal;
+}
+
+/** A whole answer. */
+export interface HttpReply {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+const MAX_SOCKETS = 512;
+const agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, scheduling: 'lifo' });
+
+/** Closes the connections that are kept for reuse. */
+export function closeIdleConnections(): void {
+  agent.destroy();
+}
+
+/** Starts a call and returns when the answer's headers are here; the caller reads the stream. */
+export function openHttp(call: HttpCall): Promise<Result<IncomingMessage, TransportFault>> {
+  return new Promise((resolve) => {
+    let isConnected = false;
+    let isTimedOut = false;
+    const outgoing = startHttp(call.url, {
+      method: call.method,
+      agent,
+      headers: {
+        ...(call.body === undefined ? {} : { 'content-length': Buffer.byteLength(call.body) }),
+        ...call.headers,
+      },
+      ...(call.signal ? { signal: call.signal } : {}),
+    });
+    const timer = setTimeout(() => {
+      isTimedOut = true;
+      outgoing.destroy();
+    }, call.timeoutMs);
+    const reasonOf = (): TransportFault['reason'] => {
+      if (call.signal?.aborted) return 'cancelled';
+      if (isTimedOut) return 'timeout';
+      return isConnected ? 'closed' : 'connect';
+    };
+    outgoing.once('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', () => (isConnected = true));
+      else isConnected = true;
+    });
+    outgoing.once('response', (response) => {
+      clearTimeout(timer);
+      resolve(Result.ok(response));
+    });
+    outgoing.on('error', (error) => {
+      clearTimeout(timer);
+      const detail = error.message;
+      resolve(Result.err({ reason: reasonOf(), mayHaveArrived: isConnected, detail }));
+    });
+    outgoing.end(call.body);
+  });
+}
+
+/** Makes a call and reads the whole answer. */
+export async function callHttp(call: HttpCall): Promise<Result<HttpReply, TransportFault>> {
+  const started = performance.now();
+  const opened = await openHttp(call);
+  if (opened.isErr) return Result.err(opened.error);
+  const response = opened.value;
+  const remainingMs = Math.max(1, call.timeoutMs - (performance.now() - started));
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    const fail = (reason: TransportFault['reason']) => {
+      clearTimeout(timer);
+      resolve(Result.err({ reason, mayHaveArrived: true, detail: `answer cut (${reason})` }));
+    };
+    const timer = setTimeout(() => {
+      response.destroy();
+      fail('timeout');
+    }, remainingMs);
+    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    response.once('error', () => {
+      fail('closed');
+    });
+    response.once('close', () => {
+      if (!response.complete) fail('closed');
+    });
+    response.once('end', () => {
+      clearTimeout(timer);
+      const body = Buffer.concat(chunks).toString('utf8');
+      resolve(Result.ok({ status: response.statusCode ?? 0, headers: response.headers, body }));
+    });
+  });
+}
--- /dev/null
+++ b/packages/web/src/index.ts
@@ -0,0 +1,5 @@
+export * from './body.js';
+export * from './client.js';
+export * from './reply.js';
+export * from './router.js';
+export * from './server.js';
--- /dev/null
+++ b/packages/web/src/reply.ts
@@ -0,0 +1,64 @@
+import type { ServerResponse } from 'node:http';
+import { RESULT_CODES } from '@poppypond/core';
+import type { Fault, Json } from '@poppypond/core';
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Headers of a reply. */
+export type ReplyHeaders = Readonly<Record<string, string>>;
+
+/** Answers with JSON. Does nothing if the answer has begun or the connection is gone. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: Json,
+  headers: ReplyHeaders = {},
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  response.end(text);
+}
+
+/** A fault in the error shape that common client libraries read, with our fields beside. */
+export function faultBody(fault: Fault, requestId?: string): { readonly [key: string]: Json } {
+  const entry = RESULT_CODES[fault.code];
+  return {
+    error: {
+      message: `${entry.meaning} ${fault.detail}`.trim(),
+      type: entry.httpStatus < 500 ? 'invalid_request_error' : 'server_error',
+      code: fault.code,
+      param: fault.path ?? null,
+      number: entry.number,
+      outcome: entry.outcome,
+      ...(fault.rule === undefined ? {} : { rule: fault.rule }),
+      ...(fault.retryAfterMs === undefined ? {} : { retry_after_ms: fault.retryAfterMs }),
+      ...(requestId === undefined ? {} : { request_id: requestId }),
+    },
+  };
+}
+
+/** Answers with a fault; `Retry-After` is in whole seconds, at least one. */
+export function sendFault(
+  response: ServerResponse,
+  fault: Fault,
+  requestId?: string,
+  headers: ReplyHeaders = {},
+): void {
+  const retryAfter =
+    fault.retryAfterMs === undefined
+      ? {}
+      : {
+          'retry-after': String(
+            Math.max(1, Math.ceil(fault.retryAfterMs / MILLISECONDS_PER_SECOND)),
+          ),
+        };
+  sendJson(response, RESULT_CODES[fault.code].httpStatus, faultBody(fault, requestId), {
+    ...headers,
+    ...retryAfter,
+  });
+}
