Add controller and embedded demo

Cause: engines had no control, and there was no embedded default. Demo: everything in one process.

Ruled out: unloading on low demand alone. The demo's long prompt hung for its whole limit since the plan unloaded the idle model from five of six engines; room is now given up only where more models are wanted than engines can hold.

--- /dev/null
+++ b/packages/controller/src/cleanup/cleanup.ts
@@ -0,0 +1,43 @@
+import { isExpiredEntry, ONCE_PREFIX } from '@poppypond/state';
+import type { ControllerContext } from '../context.js';
+
+const DECISIONS_PREFIX = 'decisions/';
+const TIME_DIGITS = 14;
+/** Deletions in one round, so that clean-up never takes the store's write budget. */
+const MAX_DELETES = 200;
+
+/** Deletes what was kept for its stated time. One page of the ledger for each round. */
+export class Cleanup {
+  #after = '';
+
+  constructor(readonly context: ControllerContext) {}
+
+  async round(): Promise<void> {
+    await this.#cleanLedger();
+    await this.#cleanDecisions();
+  }
+
+  async #cleanLedger(): Promise<void> {
+    const { table, clock, settings } = this.context;
+    const rows = await table.scan(ONCE_PREFIX, this.#after);
+    if (rows.isErr) return;
+    this.#after = rows.value.at(-1)?.key ?? '';
+    const now = clock.wallMs();
+    const expired = rows.value.filter((row) =>
+      isExpiredEntry(row.value, now, settings.ledgerRetentionMs),
+    );
+    if (expired.length === 0) return;
+    const checks = expired.map(({ key, version }) => ({ key, version }));
+    await table.transact({ checks, deletes: expired.map((row) => row.key) });
+    this.context.log.info('ledger_cleaned', { rows: expired.length });
+  }
+
+  async #cleanDecisions(): Promise<void> {
+    const { objects, clock, settings } = this.context;
+    const names = await objects.list(DECISIONS_PREFIX);
+    if (names.isErr) return;
+    const oldest = clock.wallMs() - settings.decisionRetentionMs;
+    const expired = names.value.filter((name) => Number(name.slice(-TIME_DIGITS)) < oldest);
+    for (const name of expired.slice(0, MAX_DELETES)) await objects.remove(name);
+  }
+}
--- /dev/null
+++ b/packages/controller/src/context.ts
@@ -0,0 +1,16 @@
+import type { Clock, Owner } from '@poppypond/core';
+import type { ConfigurationReader, DecisionLog, ObjectStore, TableStore } from '@poppypond/state';
+import type { Log } from '@poppypond/telemetry';
+import type { ControllerSettings } from './settings.js';
+
+/** What the parts of the controller share. */
+export interface ControllerContext {
+  readonly settings: ControllerSettings;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly owner: Owner;
+  readonly table: TableStore;
+  readonly objects: ObjectStore;
+  readonly reader: ConfigurationReader;
+  readonly decisions: DecisionLog;
+}
--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export { startController } from './controller.js';
+export type { RunningController } from './controller.js';
+export { controllerShape } from './settings.js';
+export type { ControllerSettings } from './settings.js';
--- /dev/null
+++ b/packages/controller/src/sweep/memory-sweep.ts
@@ -0,0 +1,112 @@
+import { listMemory, releaseMemory } from '@poppypond/backend';
+import type { HeldReservation } from '@poppypond/backend';
+import { parseJson, parseOwner } from '@poppypond/core';
+import type { Versioned } from '@poppypond/objects';
+import { callHttp } from '@poppypond/web';
+import { z } from 'zod';
+import type { ControllerContext } from '../context.js';
+import { isUnchanged, judgeReservation } from './judge-reservation.js';
+import type { ClaimAnswer } from './judge-reservation.js';
+
+const ASK_TIMEOUT_MS = 2000;
+
+const claimSchema = z.object({ owner: z.string(), isClaimed: z.boolean() });
+const statusSchema = z.object({
+  host: z.string(),
+  peers: z.array(z.object({ host: z.string(), callerUrl: z.string() })),
+});
+
+/** Releases engine memory that no live request needs, in two looks. */
+export class MemorySweep {
+  #before = new Map<string, HeldReservation>();
+  releasedTokens = 0;
+
+  constructor(readonly context: ControllerContext) {}
+
+  /** One look at every engine. */
+  async look(engines: readonly Versioned<'backend-server'>[]): Promise<void> {
+    const hosts = await this.#findHosts();
+    const seen = new Map<string, HeldReservation>();
+    for (const engine of engines) await this.#lookAt(engine, hosts, seen);
+    this.#before = seen;
+  }
+
+  async #lookAt(
+    engine: Versioned<'backend-server'>,
+    hosts: ReadonlyMap<string, string>,
+    seen: Map<string, HeldReservation>,
+  ): Promise<void> {
+    const { name, spec } = engine.object;
+    const listed = await listMemory(spec.url);
+    if (listed.isErr) return;
+    for (const held of listed.value) {
+      const key = `${name}/${held.id}`;
+      if (held.ttlMs > 0 || held.isRunning) continue;
+      seen.set(key, held);
+      if (!isUnchanged(this.#before.get(key), held)) continue;
+      const answer = await this.#askOwner(hosts, spec.url, held);
+      const reason = judgeReservation(held, answer);
+      if (reason) await this.#release(engine, held, reason);
+    }
+  }
+
+  async #release(
+    engine: Versioned<'backend-server'>,
+    held: HeldReservation,
+    reason: string,
+  ): Promise<void> {
+    const { context } = this;
+    const { name, spec, labels } = engine.object;
+    const released = await releaseMemory(spec.url, [held.id]);
+    if (released.isErr) return;
+    this.releasedTokens += released.value;
+    context.log.info('memory_swept', { engine: name, tokens: released.value, reason });
+    context.decisions.record({
+      kind: 'sweep',
+      host: context.decisions.host,
+      wallMs: context.clock.wallMs(),
+      requestId: held.requestId,
+      labels: { ...labels, server: name },
+      revision: context.reader.holder.current.revision,
+      choice: `released ${held.id} on ${name}: ${reason}`,
+      state: { tokens: held.tokens, owner: held.owner, timeRemainingMs: held.timeRemainingMs },
+      passedOver: [],
+    });
+  }
+
+  /** Host name to address, from the gateways in the settings and the peers they know. */
+  async #findHosts(): Promise<ReadonlyMap<string, string>> {
+    const hosts = new Map<string, string>();
+    const replies = await Promise.all(
+      this.context.settings.gateways.map(async (url) => ({
+        url,
+        reply: await callHttp({ method: 'GET', url: `${url}/status`, timeoutMs: ASK_TIMEOUT_MS }),
+      })),
+    );
+    for (const { url, reply } of replies) {
+      const status = statusSchema.safeParse(reply.isOk ? parseJson(reply.value.body) : undefined);
+      if (!status.success) continue;
+      hosts.set(status.data.host, url);
+      for (const peer of status.data.peers) {
+        if (!hosts.has(peer.host)) hosts.set(peer.host, peer.callerUrl);
+      }
+    }
+    return hosts;
+  }
+
+  async #askOwner(
+    hosts: ReadonlyMap<string, string>,
+    engineUrl: string,
+    held: HeldReservation,
+  ): Promise<ClaimAnswer | undefined> {
+    const host = parseOwner(held.owner)?.host;
+    const url = host === undefined ? undefined : hosts.get(host);
+    if (url === undefined) return undefined;
+    const query = new URLSearchParams({ engine: engineUrl, reservation: held.id }).toString();
+    const asked = `${url}/claims?${query}`;
+    const reply = await callHttp({ method: 'GET', url: asked, timeoutMs: ASK_TIMEOUT_MS });
+    const parsed = claimSchema.safeParse(reply.isOk ? parseJson(reply.value.body) : undefined);
+    const owner = parsed.success ? parseOwner(parsed.data.owner) : undefined;
+    return owner && parsed.success ? { owner, isClaimed: parsed.data.isClaimed } : undefined;
+  }
+}
--- /dev/null
+++ b/packages/demo/src/check.ts
@@ -0,0 +1,27 @@
+import { callStream, expectedAnswer, makePrompt, SAMPLE_MODEL, sampleKey } from '@poppypond/load';
+import type { RunningDemo } from './demo.js';
+
+const SHORT_TOKENS = 1000;
+const LONG_TOKENS = 950_000;
+const OUTPUT_TOKENS = 16;
+
+async function checkPrompt(url: string, head: string, tokens: number): Promise<boolean> {
+  const prompt = makePrompt(head, tokens);
+  const key = sampleKey('members');
+  const call = { url, key, model: SAMPLE_MODEL, prompt, maxTokens: OUTPUT_TOKENS };
+  const outcome = await callStream(call);
+  const isRight = outcome.code === 'ok' && outcome.text === expectedAnswer(prompt, OUTPUT_TOKENS);
+  const firstToken = outcome.firstTokenMs?.toFixed(0) ?? '-';
+  const verdict = isRight ? 'right' : 'wrong';
+  process.stdout.write(
+    `${String(tokens)} tokens: ${outcome.code}, answer ${verdict}, first token ${firstToken} ms\n`,
+  );
+  return isRight;
+}
+
+/** Sends one short and one long prompt and verifies both answers. */
+export async function checkDemo(demo: RunningDemo): Promise<boolean> {
+  const isShortRight = await checkPrompt(demo.gatewayUrl, 'a balance question', SHORT_TOKENS);
+  const isLongRight = await checkPrompt(demo.gatewayUrl, 'a contract review', LONG_TOKENS);
+  return isShortRight && isLongRight;
+}
--- /dev/null
+++ b/packages/demo/src/commands.ts
@@ -0,0 +1,37 @@
+import { SystemClock } from '@poppypond/core';
+import { defineCommand, portSetting, yesNoSetting } from '@poppypond/settings';
+import { checkDemo } from './check.js';
+import { startDemo } from './demo.js';
+import { showFigures } from './figures.js';
+
+/** The embedded default: everything in one process on loopback. */
+export const demoCommand = defineCommand({
+  description: 'Run gateway, controller, admin and stand-ins in one process on loopback.',
+  shape: {
+    port: portSetting.default(8080).describe('port for callers; 0 takes a free one'),
+    adminPort: portSetting.default(8090).describe('port for operators; 0 takes a free one'),
+    check: yesNoSetting
+      .default(false)
+      .describe('send one short and one long prompt, verify both answers, exit'),
+  },
+  main: async ({ port, adminPort, check }) => {
+    const clock = new SystemClock();
+    const demo = await startDemo(clock, check ? 0 : port, check ? 0 : adminPort);
+    if (check) {
+      const isRight = await checkDemo(demo);
+      await demo.stop();
+      process.stdout.write(isRight ? 'demo check passed\n' : 'demo check failed\n');
+      setImmediate(() => process.exit(isRight ? 0 : 1));
+      return isRight ? 0 : 1;
+    }
+    showFigures(demo, clock);
+    return new Promise((resolve) => {
+      process.once('SIGINT', () => {
+        void demo.stop().then(() => {
+          resolve(0);
+          setImmediate(() => process.exit(0));
+        });
+      });
+    });
+  },
+});
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,4 @@
+import { runProgram } from '@poppypond/settings';
+import { demoCommand } from './commands.js';
+
+await runProgram('demo', [demoCommand]);
--- a/packages/gateway/src/engines/watched-engine.ts
+++ b/packages/gateway/src/engines/watched-engine.ts
@@ -1,9 +1,9 @@
-import { LineFeed } from '@poppypond/backend';
+import { LineFeed, loadReportSchema } from '@poppypond/backend';
 import { ownerText } from '@poppypond/core';
 import type { Clock, Milliseconds, Owner } from '@poppypond/core';
 import type { Versioned } from '@poppypond/objects';
 import { EngineLoad, PrefixIndex, ServerHealth } from '@poppypond/policy';
-import { cacheLineSchema, loadReportSchema } from './report-schema.js';
+import { cacheLineSchema } from './cache-line-schema.js';
 
 /** One engine as this host sees it: reports, own dispatches, health and cache hints. */
 export class WatchedEngine {
--- a/packages/objects/src/kinds.ts
+++ b/packages/objects/src/kinds.ts
@@ -15,6 +15,12 @@
   /** The share of the pool's engines that prompts larger than one engine may hold at once. */
   groupShare: z.number().min(0).max(1).default(0.5),
   budget: budgetSchema.optional(),
+  /** Models that one engine can hold; where more are wanted, demand decides which. */
+  modelsPerEngine: z.int().positive().default(4),
+  /** How many engines are kept for one kind of work; the rest take any. */
+  roles: z
+    .strictObject({ short: z.int().nonnegative(), long: z.int().nonnegative() })
+    .default({ short: 0, long: 0 }),
 });
 
 const backendServerSpec = z.strictObject({
