Share limits across hosts, add load generator and mixed measurement

Cause: each host's token budgets stood alone, so nine hosts allowed nine times the limit; and nothing measured the product's purpose. Shares: recorded in the table, moved between hosts without it (giver takes off before taker adds, grants repeated until confirmed), reclaimed from hosts that are surely gone.

--- a/packages/gateway/src/completions/app.ts
+++ b/packages/gateway/src/completions/app.ts
@@ -30,6 +30,9 @@
   if (!lifecycle.takesNewRequests) {
     return Result.err(fault('stopping', '', { retryAfterMs: STOPPING_RETRY_AFTER_MS }));
   }
+  if (configuration.current.revision === 0 || context.isCutOff()) {
+    return Result.err(fault('not_ready', '', { retryAfterMs: STOPPING_RETRY_AFTER_MS }));
+  }
   const caller = authenticate(request, configuration.current);
   if (caller.isErr) return Result.err(caller.error);
   const headers = readCallerHeaders(request);
@@ -72,10 +75,11 @@
   recorder: DecisionRecorder,
 ): Promise<void> {
   const units = requestCost(request.promptTokens, request.body.maxTokens);
-  const now = context.clock.monotonicMs();
   const late = checkCanFinish(context, request);
   if (late) return refuse(context, response, recorder, { ...late, rule: request.rule });
-  const charge = context.budgets.charge(request.budgets, units, now);
+  await context.shares.prepare(request.budgets, units);
+  const now = context.clock.monotonicMs();
+  const charge = context.shares.budgets.charge(request.budgets, units, now);
   if (charge.isErr) {
     return refuse(context, response, recorder, { ...charge.error, rule: request.rule });
   }
@@ -92,6 +96,7 @@
   response.once('close', () => {
     if (!response.writableFinished) run.onCallerGone();
   });
+  if (response.destroyed) run.onCallerGone();
   await run.run(charge.value);
 }
 
--- a/packages/gateway/src/completions/completion-run.ts
+++ b/packages/gateway/src/completions/completion-run.ts
@@ -291,7 +291,7 @@
     const offset = request.headers.resume?.offset ?? 0;
     const prompt = this.#actualPromptTokens ?? (this.#hasRun ? request.promptTokens : 0);
     const actual = requestCost(prompt, this.#nextToken - offset);
-    context.budgets.settle(charge, actual, context.clock.monotonicMs());
+    context.shares.budgets.settle(charge, actual, context.clock.monotonicMs());
     if (this.#actualPromptTokens === undefined) return;
     const { estimatedTokens } = request.body;
     context.correction.observe(request.className, estimatedTokens, this.#actualPromptTokens);
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,6 +1,5 @@
 import type { Clock, Owner } from '@poppypond/core';
 import type {
-  Budgets,
   PredictedStartPlacement,
   RandomSource,
   RetryAllowance,
@@ -14,6 +13,7 @@
 import type { ReservationKeeper } from './engines/reservation-keeper.js';
 import type { Lifecycle } from './lifecycle/lifecycle.js';
 import type { ServiceDirectory } from './services/service-directory.js';
+import type { ShareKeeper } from './shares/share-keeper.js';
 import type { GatewaySettings } from './settings.js';
 
 /** What the request handlers of one gateway share. */
@@ -31,12 +31,14 @@
   readonly lanes: LaneTuner;
   readonly predictedStart: PredictedStartPlacement | undefined;
   readonly reservations: ReservationKeeper;
-  readonly budgets: Budgets;
+  readonly shares: ShareKeeper;
   readonly correction: TokenCorrection;
   readonly retries: RetryAllowance;
   readonly decisions: DecisionLog;
   readonly ledger: AtMostOnceLedger;
   readonly lifecycle: Lifecycle;
+  /** Whether this host is cut off from both the table and all peers for too long. */
+  isCutOff(): boolean;
   /** How many hosts share the engines. */
   hostCount(): number;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,6 @@
 import { newOwner } from '@poppypond/core';
-import type { Clock, Owner } from '@poppypond/core';
+import type { Clock, Milliseconds, Owner } from '@poppypond/core';
 import {
-  Budgets,
   DEFAULT_PREDICTED_START,
   LeastRequestsPlacement,
   LeastTokensPlacement,
@@ -40,6 +39,7 @@
 import { createRandom } from './random.js';
 import { addServiceRoutes } from './services/app.js';
 import { ServiceDirectory } from './services/service-directory.js';
+import { reclaimTime, ShareKeeper } from './shares/share-keeper.js';
 import type { GatewaySettings } from './settings.js';
 import { addClaimRoutes } from './status/claims-app.js';
 import { addStatusRoutes } from './status/app.js';
@@ -85,12 +85,28 @@
   };
 }
 
+/** When the table last answered; the start of this process counts as an answer. */
+class StoreContact {
+  readonly #startedAtMs: Milliseconds;
+  source: () => Milliseconds | undefined = () => undefined;
+
+  constructor(clock: Clock) {
+    this.#startedAtMs = clock.monotonicMs();
+  }
+
+  atMs(): Milliseconds {
+    return this.source() ?? this.#startedAtMs;
+  }
+}
+
 interface Surroundings {
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly owner: Owner;
   readonly mesh: PeerMesh;
+  /** When the table last answered. */
+  readonly contact: StoreContact;
 }
 
 function createContext(
@@ -98,7 +114,7 @@
   platform: Platform,
   surroundings: Surroundings,
 ): GatewayContext {
-  const { clock, log, metrics, owner, mesh } = surroundings;
+  const { clock, log, metrics, owner, mesh, contact } = surroundings;
   const random: RandomSource = createRandom(settings.seed);
   const engines = new EngineDirectory(settings, owner, clock);
   const placement = choosePlacement(settings);
@@ -118,12 +134,16 @@
     lanes: new LaneTuner(engines, predictedStart, clock),
     predictedStart,
     reservations: new ReservationKeeper(owner, clock),
-    budgets: new Budgets(() => 1),
+    shares: new ShareKeeper(mesh, platform.table, clock, owner, log, {
+      reclaimAfterMs: reclaimTime(settings.notReadyAfterMs),
+    }),
     correction: new TokenCorrection(),
     retries: new RetryAllowance(settings.retryShare, settings.retryReserve),
     decisions: new DecisionLog(settings.host, platform.objects, clock, settings.decisionRing),
     ledger: new AtMostOnceLedger(platform.table, clock, owner),
     lifecycle: new Lifecycle(clock),
+    isCutOff: () =>
+      mesh.linked().length === 0 && clock.monotonicMs() - contact.atMs() > settings.notReadyAfterMs,
     hostCount: () => 1 + mesh.members().length,
   };
 }
@@ -152,6 +172,7 @@
       context.clock.after(OUTCOME_WAIT_MS, resolve);
     });
   }
+  await context.shares.returnAll();
   await context.decisions.flush();
   sync.stop();
   mesh.stop();
@@ -182,8 +203,10 @@
   const owner = newOwner(settings.host);
   const self = { ...owner, zone: settings.zone, peerUrl, callerUrl: server.url };
   const mesh = new PeerMesh({ ...settings, self, seeds: settings.peers }, clock, peerServer.server);
-  const context = createContext(settings, platform, { clock, log, metrics, owner, mesh });
+  const contact = new StoreContact(clock);
+  const context = createContext(settings, platform, { clock, log, metrics, owner, mesh, contact });
   const sync = new ConfigurationSync(context, platform.table, mesh);
+  contact.source = () => sync.storeContactAtMs;
   followConfiguration(context);
   new LeavingWatch(platform.hosts, mesh, context.engines, context.services, clock);
   startDecisionCopies(mesh, context.decisions, clock);
@@ -194,7 +217,7 @@
   addServiceRoutes(router, context);
   addExplainRoutes(router, context, mesh);
   addClaimRoutes(router, context);
-  addStatusRoutes(router, { context, mesh, sync, connection: platform.connection });
+  addStatusRoutes(router, { context, mesh, connection: platform.connection });
   mesh.start();
   await sync.start();
   context.lifecycle.onServing();
--- /dev/null
+++ b/packages/gateway/src/shares/share-messages.ts
@@ -0,0 +1,29 @@
+import { z } from 'zod';
+
+/** Kinds of messages about shares. */
+export const SHARE_ASK = 'share-ask';
+export const SHARE_GRANT = 'share-grant';
+export const SHARE_TAKEN = 'share-taken';
+
+/** A host asks for a part of a budget. */
+export const shareAskSchema = z.object({
+  budgetId: z.string(),
+  wanted: z.number().positive(),
+  share: z.number().nonnegative(),
+  demand: z.number().nonnegative(),
+});
+
+/** A host has given a part away; sent again until it is confirmed. */
+export const shareGrantSchema = z.object({
+  id: z.string(),
+  budgetId: z.string(),
+  giver: z.string(),
+  share: z.number().nonnegative(),
+  units: z.number().nonnegative(),
+});
+
+/** A part has arrived. */
+export const shareTakenSchema = z.object({ id: z.string() });
+
+/** A part on its way from one host to another. */
+export type ShareGrant = z.infer<typeof shareGrantSchema>;
--- a/packages/gateway/src/status/app.ts
+++ b/packages/gateway/src/status/app.ts
@@ -3,7 +3,6 @@
 import type { Router } from '@poppypond/web';
 import type { PeerMesh } from '@poppypond/peer';
 import type { PlatformConnection } from '@poppypond/state';
-import type { ConfigurationSync } from '../configuration/configuration-sync.js';
 import type { GatewayContext } from '../context.js';
 
 const NANOSECONDS_PER_MS = 1e6;
@@ -14,18 +13,14 @@
 export interface StatusSources {
   readonly context: GatewayContext;
   readonly mesh: PeerMesh;
-  readonly sync: ConfigurationSync;
   readonly connection: PlatformConnection;
 }
 
 /** Why this host is not ready; undefined when it is. */
-export function whyNotReady({ context, mesh, sync }: StatusSources): string | undefined {
+export function whyNotReady({ context }: StatusSources): string | undefined {
   if (context.lifecycle.state !== 'serving') return context.lifecycle.state;
   if (context.configuration.current.revision === 0) return 'no_configuration';
-  const now = context.clock.monotonicMs();
-  const storeAge = now - (sync.storeContactAtMs ?? Number.NEGATIVE_INFINITY);
-  const isCutOff = storeAge > context.settings.notReadyAfterMs && mesh.linked().length === 0;
-  return isCutOff ? 'cut_off' : undefined;
+  return context.isCutOff() ? 'cut_off' : undefined;
 }
 
 function statusOf(sources: StatusSources, longestPauseMs: number) {
@@ -60,6 +55,7 @@
       saved: context.decisions.saved,
       lost: context.decisions.lost,
     },
+    shares: context.shares.list(),
     pendingOutcomes: context.ledger.pendingOutcomes,
     engines: context.engines.all().map((engine) => ({
       name: engine.name,
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,3 +1,6 @@
 export * from './prompt.js';
 export * from './sample-objects.js';
 export * from './stream-client.js';
+export * from './run-load.js';
+export * from './summarize.js';
+export * from './workload.js';
--- /dev/null
+++ b/packages/load/src/run-load.ts
@@ -0,0 +1,62 @@
+import { callStream } from './stream-client.js';
+import type { StreamOutcome } from './stream-client.js';
+import { SAMPLE_MODEL, sampleKey } from './sample-objects.js';
+import { promptOf } from './workload.js';
+import type { Arrival } from './workload.js';
+
+/** One request's result. */
+export interface LoadSample {
+  readonly index: number;
+  readonly atMs: number;
+  readonly promptTokens: number;
+  readonly workspace: string;
+  readonly code: StreamOutcome['code'];
+  readonly requestId: string;
+  /** From the time it was due, not from when it was sent: no coordinated omission. */
+  readonly firstTokenMs: number | undefined;
+  readonly totalMs: number;
+  readonly tokens: number;
+  readonly retryAfterMs: number | undefined;
+}
+
+/** Where a workload is sent. */
+export interface LoadTarget {
+  readonly urls: readonly string[];
+  readonly seed: number;
+  readonly timeLimitMs: number;
+}
+
+async function send(arrival: Arrival, target: LoadTarget, startedAt: number): Promise<LoadSample> {
+  const { index, atMs, promptTokens, workspace } = arrival;
+  const outcome = await callStream(
+    {
+      url: target.urls[index % target.urls.length] ?? '',
+      key: sampleKey(workspace),
+      model: SAMPLE_MODEL,
+      prompt: promptOf(arrival, target.seed),
+      maxTokens: arrival.maxTokens,
+      timeLimitMs: target.timeLimitMs,
+    },
+    startedAt + atMs,
+  );
+  const { code, requestId, firstTokenMs, totalMs, tokens, retryAfterMs } = outcome;
+  const result = { code, requestId, firstTokenMs, totalMs, tokens, retryAfterMs };
+  return { index, atMs, promptTokens, workspace, ...result };
+}
+
+/** Sends each arrival at its time, whatever the others do, and waits for all results. */
+export function runLoad(
+  arrivals: readonly Arrival[],
+  target: LoadTarget,
+): Promise<readonly LoadSample[]> {
+  const startedAt = performance.now();
+  const running = arrivals.map(
+    (arrival) =>
+      new Promise<LoadSample>((resolve) => {
+        setTimeout(() => {
+          void send(arrival, target, startedAt).then(resolve);
+        }, arrival.atMs);
+      }),
+  );
+  return Promise.all(running);
+}
--- /dev/null
+++ b/packages/load/src/workload.ts
@@ -0,0 +1,106 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { CHARACTERS_PER_TOKEN } from '@poppypond/hashing';
+import { makePrompt } from './prompt.js';
+import { SAMPLE_WORKSPACES } from './sample-objects.js';
+
+/** One request of a workload, at its time of arrival. */
+export interface Arrival {
+  readonly index: number;
+  /** From the start of the run, in milliseconds. */
+  readonly atMs: number;
+  readonly workspace: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  /** The document that it shares its first tokens with. */
+  readonly document: number | undefined;
+}
+
+/** What a workload looks like. */
+export interface WorkloadOptions {
+  readonly seed: number;
+  readonly requestsPerSecond: number;
+  readonly durationMs: number;
+  /** Short questions come this many times more often during a burst; 1 for none. */
+  readonly burstFactor: number;
+  /** Share of prompts over 100,000 tokens. */
+  readonly hugeShare: number;
+}
+
+/** Prompts below this are short questions. */
+export const SHORT_TOKENS = 8192;
+
+const RANGE = 2 ** 32;
+const MIDDLE_SHARE = 0.18;
+const SHORT_RANGE = [800, 4000] as const;
+const MIDDLE_RANGE = [4000, 100_000] as const;
+const HUGE_RANGE = [100_000, 1_000_000] as const;
+const DOCUMENTS = 24;
+const SHARED_DOCUMENT_CHANCE = 0.3;
+const SHARED_PART = 0.8;
+const OUTPUT_RANGE = [8, 64] as const;
+const BURST_FROM = 0.4;
+const BURST_TO = 0.6;
+const MS_PER_SECOND = 1000;
+
+type Uniform = () => number;
+
+function uniformSource(seed: number): Uniform {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / RANGE;
+}
+
+function logUniform(range: readonly [number, number], uniform: Uniform): number {
+  const [low, high] = range;
+  return Math.round(low * (high / low) ** uniform());
+}
+
+function chooseWorkspace(uniform: Uniform): string {
+  let rest = uniform();
+  for (const { name, share } of SAMPLE_WORKSPACES) {
+    rest -= share;
+    if (rest <= 0) return name;
+  }
+  return SAMPLE_WORKSPACES[0].name;
+}
+
+function choosePrompt(hugeShare: number, uniform: Uniform): number {
+  const kind = uniform();
+  if (kind < hugeShare) return logUniform(HUGE_RANGE, uniform);
+  if (kind < hugeShare + MIDDLE_SHARE) return logUniform(MIDDLE_RANGE, uniform);
+  return logUniform(SHORT_RANGE, uniform);
+}
+
+/** The arrivals of a workload: a Poisson process, the same for the same seed. */
+export function makeWorkload(options: WorkloadOptions): readonly Arrival[] {
+  const uniform = uniformSource(options.seed);
+  const arrivals: Arrival[] = [];
+  let atMs = 0;
+  while (atMs < options.durationMs) {
+    const part = atMs / options.durationMs;
+    const isBurst = part >= BURST_FROM && part < BURST_TO;
+    const rate = options.requestsPerSecond * (isBurst ? options.burstFactor : 1);
+    atMs += (-Math.log(1 - uniform()) / rate) * MS_PER_SECOND;
+    const promptTokens = choosePrompt(isBurst ? options.hugeShare / 2 : options.hugeShare, uniform);
+    const isShared = promptTokens > SHORT_TOKENS && uniform() < SHARED_DOCUMENT_CHANCE;
+    arrivals.push({
+      index: arrivals.length,
+      atMs,
+      workspace: chooseWorkspace(uniform),
+      promptTokens,
+      maxTokens: logUniform(OUTPUT_RANGE, uniform),
+      document: isShared ? Math.floor(uniform() * DOCUMENTS) : undefined,
+    });
+  }
+  return arrivals;
+}
+
+/** The prompt of an arrival: unique, but for the document that it may start with. */
+export function promptOf(arrival: Arrival, seed: number): string {
+  const { document, index, promptTokens } = arrival;
+  const unique = `request ${String(seed)}-${String(index)} `;
+  if (document === undefined) return makePrompt(unique, promptTokens);
+  const shared = Math.floor(promptTokens * SHARED_PART);
+  const head = makePrompt(`document ${String(seed)}-${String(document)} `, shared);
+  const rest = promptTokens - Math.ceil(head.length / CHARACTERS_PER_TOKEN);
+  return head + makePrompt(unique, rest);
+}
--- a/packages/policy/src/limits/budgets.ts
+++ b/packages/policy/src/limits/budgets.ts
@@ -36,7 +36,7 @@
     };
     let bucket = this.#buckets.get(id);
     if (!bucket) {
-      bucket = new TokenBucket(size, nowMs);
+      bucket = new TokenBucket(size, nowMs, 0);
       this.#buckets.set(id, bucket);
     }
     bucket.available(nowMs);
@@ -74,9 +74,12 @@
     return this.#bucket(applied, nowMs).available(nowMs);
   }
 
-  /** Takes units out of this host's bucket, to hand them to another host with their share. */
-  withdraw(applied: AppliedBudget, units: number, nowMs: Milliseconds): void {
-    this.#bucket(applied, nowMs).take(units, nowMs);
+  /**
+   * Moves units into this host's bucket with a share that it has come to hold, or out of it
+   * (negative). A bucket starts empty: units come only from here and from its own refill.
+   */
+  move(applied: AppliedBudget, units: number, nowMs: Milliseconds): void {
+    this.#bucket(applied, nowMs).take(-units, nowMs);
   }
 }
 
