Mend shares that refilled at the old share after giving; add stateful fuzzing

The ledger, lease and configuration checkers run 1,000 histories each and each finds a planted fault (a store that does not check).

--- /dev/null
+++ b/packages/controller/src/models/plan-orders.test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from 'vitest';
+import { planLoad, planRole, planUnload, SlowFall } from './plan-orders.js';
+import type { PlannedEngine, WantedModel } from './plan-orders.js';
+import { versionToLoad } from './rollout.js';
+
+function engine(name: string, models: Record<string, string> = {}): PlannedEngine {
+  return { name, models, role: 'any', isLeaving: false };
+}
+
+function wanted(more: Partial<WantedModel> = {}): WantedModel {
+  return {
+    name: 'm',
+    version: '2',
+    adapters: [],
+    minEngines: 1,
+    maxEngines: 3,
+    neededEngines: 3,
+    order: ['e1', 'e2', 'e3'],
+    ...more,
+  };
+}
+
+describe('planning of loads', () => {
+  it('fills missing engines first, then replaces one old version at a time', () => {
+    const missing = [engine('e1', { m: '1' }), engine('e2'), engine('e3', { m: '1' })];
+    expect(planLoad(wanted(), missing)?.engine).toBe('e2');
+    const old = [engine('e1', { m: '2' }), engine('e2', { m: '1' }), engine('e3', { m: '1' })];
+    expect(planLoad(wanted(), old)?.engine).toBe('e2');
+    const all = ['e1', 'e2', 'e3'].map((name) => engine(name, { m: '2' }));
+    expect(planLoad(wanted(), all)).toBeUndefined();
+  });
+
+  it('goes back to the good version where the wanted one failed', () => {
+    expect(versionToLoad('2', { good: '1', failed: '2' })).toBe('1');
+    expect(versionToLoad('3', { good: '1', failed: '2' })).toBe('3');
+  });
+
+  it('unloads only above what is wanted, and never from the last holders', () => {
+    const all = ['e1', 'e2', 'e3'].map((name) => engine(name, { m: '2' }));
+    expect(planUnload(wanted({ neededEngines: 2 }), all)?.engine).toBe('e3');
+    expect(planUnload(wanted({ neededEngines: 0 }), all.slice(0, 1))).toBeUndefined();
+  });
+
+  it('keeps roles at the two ends of the order', () => {
+    const engines = ['e1', 'e2', 'e3'].map((name) => engine(name));
+    const order = planRole({ short: 1, long: 1 }, ['e1', 'e2', 'e3'], engines);
+    expect(order).toMatchObject({ engine: 'e1', order: { kind: 'set-role', role: 'short' } });
+    expect(planRole({ short: 0, long: 0 }, ['e1', 'e2', 'e3'], engines)).toBeUndefined();
+  });
+
+  it('falls slowly', () => {
+    const fall = new SlowFall(1000, 2);
+    expect([fall.next(4, 0), fall.next(1, 100), fall.next(1, 900), fall.next(1, 1100)]).toEqual([
+      4, 4, 4, 1,
+    ]);
+  });
+});
--- a/packages/gateway/src/shares/share-keeper.ts
+++ b/packages/gateway/src/shares/share-keeper.ts
@@ -1,7 +1,7 @@
 import { delay, ownerText, parseOwner, randomId } from '@poppypond/core';
 import type { Clock, Milliseconds, Owner } from '@poppypond/core';
 import { rendezvousOrder } from '@poppypond/hashing';
-import type { Member, PeerMesh } from '@poppypond/peer';
+import type { Member, PeerMessages } from '@poppypond/peer';
 import { Budgets, DemandRate, shareToAsk, shareToGive } from '@poppypond/policy';
 import type { AppliedBudget, ShareNeed } from '@poppypond/policy';
 import type { TableStore } from '@poppypond/state';
@@ -63,7 +63,7 @@
   readonly #missingSince = new Map<string, Milliseconds>();
 
   constructor(
-    readonly mesh: PeerMesh,
+    readonly mesh: PeerMessages,
     table: TableStore,
     readonly clock: Clock,
     owner: Owner,
@@ -178,6 +178,7 @@
     const units = (available * given) / held.share;
     this.budgets.move(held.applied, -units, now);
     held.share -= given;
+    this.budgets.onShareChanged(held.applied, now);
     const grant = {
       id: randomId(),
       budgetId: ask.budgetId,
--- /dev/null
+++ b/packages/mocks/src/memory-table.ts
@@ -0,0 +1,87 @@
+import type {
+  StoreFault,
+  TableRow,
+  TableStore,
+  TableTransaction,
+  TransactResult,
+} from '@poppypond/state';
+import { Result } from 'true-myth';
+
+/** What happens to the next call. `lost`: it takes effect and its answer is lost. */
+export type CallFate = 'ok' | 'down' | 'lost' | 'hang-then-lost';
+
+/** Decides the fate of each call; `isWrite` tells reads from writes. */
+export type FateOf = (isWrite: boolean) => CallFate;
+
+/** Waits before and after a call takes effect, so that a test can order calls. */
+export type Pause = (label: string) => Promise<void>;
+
+const UNAVAILABLE: StoreFault = { reason: 'unavailable', detail: 'down' };
+const UNCONFIRMED: StoreFault = { reason: 'unconfirmed', detail: 'answer lost' };
+
+/** Rows that several clients share. */
+export class MemoryRows {
+  readonly rows = new Map<string, TableRow>();
+  #version = 0;
+
+  apply(transaction: TableTransaction): TransactResult {
+    const failed = (transaction.checks ?? []).filter(
+      ({ key, version }) => (this.rows.get(key)?.version ?? 0) !== version,
+    );
+    if (failed.length > 0) return { kind: 'conflict', keys: failed.map(({ key }) => key) };
+    this.#version += 1;
+    for (const { key, value } of transaction.puts ?? []) {
+      this.rows.set(key, { key, version: this.#version, value });
+    }
+    for (const key of transaction.deletes ?? []) this.rows.delete(key);
+    return { kind: 'applied', version: this.#version };
+  }
+}
+
+/** Rows of a store that forgets to check: a planted fault that every checker must find. */
+export class UncheckedRows extends MemoryRows {
+  override apply(transaction: TableTransaction): TransactResult {
+    return super.apply({ ...transaction, checks: [] });
+  }
+}
+
+/** One client's view of a table in memory, with faults. */
+export class MemoryTable implements TableStore {
+  constructor(
+    readonly shared: MemoryRows,
+    public fateOf: FateOf = () => 'ok',
+    readonly pause: Pause = () => Promise.resolve(),
+  ) {}
+
+  async get(key: string): Promise<Result<TableRow | undefined, StoreFault>> {
+    const fate = this.fateOf(false);
+    await this.pause(`get ${key}`);
+    if (fate !== 'ok') return Result.err(UNAVAILABLE);
+    const row = this.shared.rows.get(key);
+    await this.pause(`got ${key}`);
+    return Result.ok(row);
+  }
+
+  async scan(prefix: string, after = ''): Promise<Result<readonly TableRow[], StoreFault>> {
+    const fate = this.fateOf(false);
+    await this.pause(`scan ${prefix}`);
+    if (fate !== 'ok') return Result.err(UNAVAILABLE);
+    const rows = [...this.shared.rows.values()]
+      .filter((row) => row.key.startsWith(prefix) && row.key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return Result.ok(rows);
+  }
+
+  async transact(transaction: TableTransaction): Promise<Result<TransactResult, StoreFault>> {
+    const fate = this.fateOf(true);
+    if (fate === 'down') return Result.err(UNAVAILABLE);
+    if (fate === 'hang-then-lost') {
+      void this.pause('late write').then(() => this.shared.apply(transaction));
+      return Result.err(UNCONFIRMED);
+    }
+    await this.pause('write');
+    const result = this.shared.apply(transaction);
+    await this.pause('written');
+    return fate === 'lost' ? Result.err(UNCONFIRMED) : Result.ok(result);
+  }
+}
--- /dev/null
+++ b/packages/mocks/src/scheduled-clock.ts
@@ -0,0 +1,36 @@
+import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
+
+/** Orders callbacks, e.g. a fast-check scheduler. */
+export interface Orderer {
+  schedule<Value>(task: Promise<Value>, label?: string): Promise<Value>;
+}
+
+/** A clock whose timers fire in whatever order the orderer picks; time stands still. */
+export class ScheduledClock implements Clock {
+  constructor(
+    readonly orderer: Orderer,
+    readonly nowMs: Milliseconds = 1000,
+  ) {}
+
+  monotonicMs(): Milliseconds {
+    return this.nowMs;
+  }
+
+  wallMs(): Milliseconds {
+    return this.nowMs;
+  }
+
+  after(_delayMs: Milliseconds, callback: () => void): CancelTimer {
+    let isCancelled = false;
+    void this.orderer.schedule(Promise.resolve(), 'timer').then(() => {
+      if (!isCancelled) callback();
+    });
+    return () => {
+      isCancelled = true;
+    };
+  }
+
+  every(): CancelTimer {
+    return () => undefined;
+  }
+}
--- a/packages/peer/src/mesh.ts
+++ b/packages/peer/src/mesh.ts
@@ -9,6 +9,7 @@
 import type { KnownMember, MembershipTimes } from './membership.js';
 import { envelopeSchema, helloSchema } from './messages.js';
 import type { Member } from './messages.js';
+import type { PeerMessages } from './peer-messages.js';
 
 /** Settings of the mesh. */
 export interface MeshSettings extends MembershipTimes {
@@ -36,7 +37,7 @@
  * Connections between hosts. Each host dials a few members in rendezvous order, so that a small
  * fleet is fully connected and a large one is not all-to-all. Messages may be lost or repeated.
  */
-export class PeerMesh {
+export class PeerMesh implements PeerMessages {
   readonly membership: Membership;
   readonly traffic: LinkTraffic = { bytesIn: 0, bytesOut: 0, messagesIn: 0, messagesOut: 0 };
   readonly #links = new Set<Link>();
--- /dev/null
+++ b/packages/peer/src/peer-messages.ts
@@ -0,0 +1,21 @@
+import type { z } from 'zod';
+import type { KnownMember } from './membership.js';
+import type { Member } from './messages.js';
+
+/** Messages between hosts. They may be lost or repeated. */
+export interface PeerMessages {
+  readonly settings: { readonly self: Member };
+  /** Registers the handler of a kind of message; malformed bodies are dropped. */
+  on<Schema extends z.ZodType>(
+    kind: string,
+    schema: Schema,
+    handler: (from: Member, body: z.infer<Schema>) => void,
+  ): void;
+  /** Sends to one host; false where it can't be sent now. */
+  send(host: string, kind: string, body: unknown): boolean;
+  /** Sends to every linked member but `except`. */
+  broadcast(kind: string, body: unknown, except?: string): void;
+  /** Members with an open link. */
+  linked(): readonly Member[];
+  members(): readonly KnownMember[];
+}
--- a/packages/policy/src/limits/budgets.ts
+++ b/packages/policy/src/limits/budgets.ts
@@ -74,6 +74,14 @@
     return this.#bucket(applied, nowMs).available(nowMs);
   }
 
+  /**
+   * Call when this host's share has become smaller: what was refilled so far counts at the old
+   * share, what follows at the new one. Without this the next call refilled at the old share.
+   */
+  onShareChanged(applied: AppliedBudget, nowMs: Milliseconds): void {
+    this.#bucket(applied, nowMs);
+  }
+
   /**
    * Moves units into this host's bucket with a share that it has come to hold, or out of it
    * (negative). A bucket starts empty: units come only from here and from its own refill.
--- /dev/null
+++ b/packages/policy/src/placement/group-plan.test.ts
@@ -0,0 +1,54 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { EngineState } from '../engine-load.js';
+import { MAX_GROUP_SIZE, planGroup } from './group-plan.js';
+
+const BLOCK = 1024;
+const MARGIN = 0.02;
+
+function engines(held: readonly number[]): readonly EngineState[] {
+  return held.map((heldTokens, index) => ({
+    id: `engine-${String(index)}`,
+    zone: 'a',
+    kvTokens: 400_000,
+    heldTokens,
+    running: 0,
+    decoding: 0,
+    prefillByPriority: [],
+    prefillTokens: 0,
+    prefillTokensPerMs: 100,
+    role: 'any',
+    models: {},
+    reportAgeMs: 0,
+  }));
+}
+
+describe('planGroup', () => {
+  it('cuts a prompt of more than twice an engine over three engines, in order', () => {
+    const plan = planGroup(950_000, 500, engines([0, 300_000, 0, 0]), BLOCK, MARGIN);
+    expect(plan?.map((part) => part.engineId)).toEqual(['engine-0', 'engine-2', 'engine-3']);
+  });
+
+  it('never takes more than is free, and covers the whole prompt', () => {
+    const held = fc.array(fc.integer({ min: 0, max: 400_000 }), { minLength: 1, maxLength: 12 });
+    const tokens = fc.integer({ min: 1, max: 3_000_000 });
+    fc.assert(
+      fc.property(held, tokens, fc.integer({ min: 1, max: 4096 }), (holdings, prompt, output) => {
+        const states = engines(holdings);
+        const plan = planGroup(prompt, output, states, BLOCK, MARGIN);
+        if (!plan) return;
+        expect(plan.length).toBeLessThanOrEqual(MAX_GROUP_SIZE);
+        expect(plan.reduce((sum, part) => sum + part.tokens, 0)).toBe(prompt + output);
+        const order = plan.map((part) => states.findIndex(({ id }) => id === part.engineId));
+        expect(order).toEqual([...order].sort((a, b) => a - b));
+        plan.forEach((part, index) => {
+          const state = states[order[index] ?? 0];
+          const free = 400_000 * (1 - MARGIN) - (state?.heldTokens ?? 0);
+          expect(part.tokens).toBeLessThanOrEqual(free);
+          if (index < plan.length - 1) expect(part.tokens % BLOCK).toBe(0);
+        });
+      }),
+      { seed: 13, numRuns: 500 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/state/src/config/configuration.test.ts
@@ -0,0 +1,125 @@
+import { parseObjects } from '@poppypond/objects';
+import type { ConfigObject } from '@poppypond/objects';
+import { MemoryRows, MemoryTable, ScheduledClock, UncheckedRows } from '@poppypond/mocks';
+import type { CallFate } from '@poppypond/mocks';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { ConfigurationWriter, writeOf } from './apply-change.js';
+import { ConfigurationHolder } from './configuration-holder.js';
+import { ConfigurationReader } from './configuration-reader.js';
+import { readConfiguration } from './read-configuration.js';
+
+function workspace(name: string, weight: number): ConfigObject {
+  const parsed = parseObjects([{ kind: 'workspace', name, spec: { weight } }]);
+  const [object] = parsed.isOk ? parsed.value : [];
+  if (!object) throw new Error('not valid');
+  return object;
+}
+
+const INSTANT = { schedule: <Value>(task: Promise<Value>) => task };
+
+/** Operators race while answers are lost; checks the order of revisions and what was accepted. */
+function raceProperty(makeRows: () => MemoryRows) {
+  const fate = fc.constantFrom<CallFate>('ok', 'ok', 'ok', 'ok', 'lost', 'down');
+  const change = fc.record({
+    name: fc.constantFrom('a', 'b'),
+    weight: fc.integer({ min: 1, max: 99 }),
+    isSentTwice: fc.boolean(),
+  });
+  return fc.asyncProperty(
+    fc.scheduler(),
+    fc.array(change, { minLength: 1, maxLength: 5 }),
+    fc.infiniteStream(fate),
+    async (scheduler, changes, fates) => {
+      const rows = makeRows();
+      const clock = new ScheduledClock(scheduler);
+      const pause = (label: string) => scheduler.schedule(Promise.resolve(), label);
+      const table = new MemoryTable(rows, () => fates.next().value, pause);
+      const writer = new ConfigurationWriter(table, clock);
+      const reader = new ConfigurationReader(new ConfigurationHolder(), table, clock);
+      const seen: number[] = [];
+      const accepted = new Map<string, number>();
+      const apply = async (
+        index: number,
+        { name, weight, isSentTwice }: (typeof changes)[number],
+      ) => {
+        const changeId = `c${String(index)}`;
+        const request = {
+          operator: 'o',
+          why: 'w',
+          changeId,
+          writes: [writeOf(workspace(name, weight))],
+        };
+        for (let sends = isSentTwice ? 2 : 1; sends > 0; sends -= 1) {
+          const result = await writer.apply(request);
+          if (result.isErr) continue;
+          const { revision } = result.value.audit;
+          expect(accepted.get(changeId) ?? revision).toBe(revision);
+          accepted.set(changeId, revision);
+        }
+      };
+      const watch = async () => {
+        for (let polls = 0; polls < 6; polls += 1) {
+          await reader.poll();
+          seen.push(reader.holder.current.revision);
+        }
+      };
+      const all = [...changes.map((one, index) => apply(index, one)), watch()];
+      await scheduler.waitFor(Promise.all(all));
+      expect(seen).toEqual([...seen].sort((a, b) => a - b));
+      expect(new Set(accepted.values()).size).toBe(accepted.size);
+      const audits = [...rows.rows.keys()].filter((key) => key.startsWith('audit/'));
+      const whole = await readConfiguration(new MemoryTable(rows));
+      expect(whole.isOk && whole.value.revision).toBe(audits.length);
+      expect(audits.length).toBeGreaterThanOrEqual(accepted.size);
+      expect(audits.length).toBeLessThanOrEqual(changes.length);
+    },
+  );
+}
+
+describe('ConfigurationWriter', () => {
+  it('names both changes when operators race on one object', async () => {
+    const writer = new ConfigurationWriter(
+      new MemoryTable(new MemoryRows()),
+      new ScheduledClock(INSTANT),
+    );
+    const create = { operator: 'ann', why: 'new', writes: [writeOf(workspace('a', 1), 0)] };
+    expect((await writer.apply(create)).isOk).toBe(true);
+    const byBen = { operator: 'ben', why: 'more', writes: [writeOf(workspace('a', 2), 1)] };
+    expect((await writer.apply(byBen)).isOk).toBe(true);
+    const stale = { operator: 'cal', why: 'less', writes: [writeOf(workspace('a', 3), 1)] };
+    const result = await writer.apply(stale);
+    expect(result.isErr && result.error).toMatchObject({ code: 'conflict', path: 'workspace/a' });
+    expect(result.isErr && result.error.detail).toMatch(/revision 1.*at 2.*ben/);
+  });
+
+  it('accepts each change once, in one order, whatever is lost; readers never go back', async () => {
+    await fc.assert(
+      raceProperty(() => new MemoryRows()),
+      { seed: 23, numRuns: 1000 },
+    );
+  });
+
+  it('is found out by the checker when the store does not check', async () => {
+    const planted = await fc.check(
+      raceProperty(() => new UncheckedRows()),
+      { seed: 23 },
+    );
+    expect(planted.failed).toBe(true);
+  });
+});
+
+describe('ConfigurationHolder', () => {
+  it('asks for what is missing at a gap, and never takes an older revision', () => {
+    const holder = new ConfigurationHolder();
+    const change = (revision: number) => ({
+      id: 'workspace/a',
+      revision,
+      after: workspace('a', revision),
+    });
+    expect(holder.advance(0, [change(1), change(2)])).toBe('advanced');
+    expect(holder.advance(3, [change(4)])).toBe('gap');
+    expect(holder.advance(0, [change(1)])).toBe('old');
+    expect(holder.current.revision).toBe(2);
+  });
+});
--- /dev/null
+++ b/packages/state/src/lease/lease.test.ts
@@ -0,0 +1,85 @@
+import { newOwner } from '@poppypond/core';
+import { ManualClock, MemoryRows, MemoryTable, UncheckedRows } from '@poppypond/mocks';
+import type { CallFate } from '@poppypond/mocks';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { Lease } from './lease.js';
+
+const DURATION_MS = 900;
+const CALL_MS = 20;
+
+const step = fc.record({
+  host: fc.integer({ min: 0, max: 2 }),
+  kind: fc.constantFrom('tick', 'tick', 'tick', 'pause', 'release'),
+  fate: fc.constantFrom<CallFate>('ok', 'ok', 'ok', 'down', 'lost'),
+  byMs: fc.integer({ min: 0, max: 700 }),
+});
+
+/** Three hosts tick, pause and release in any order; at most one holds, and fences only rise. */
+function holderProperty(makeRows: () => MemoryRows) {
+  return fc.asyncProperty(fc.array(step, { maxLength: 60 }), async (steps) => {
+    const rows = makeRows();
+    const clock = new ManualClock();
+    let fate: CallFate = 'ok';
+    const leases = [0, 1, 2].map((host) => {
+      const pause = () => clockPause(clock);
+      const table = new MemoryTable(rows, () => fate, pause);
+      return new Lease('pool', newOwner(`h${String(host)}`), table, clock, DURATION_MS);
+    });
+    let newest = 0;
+    for (const next of steps) {
+      fate = next.fate;
+      const lease = leases[next.host];
+      if (next.kind === 'tick') void lease?.tick();
+      if (next.kind === 'release') void lease?.release();
+      await clock.advance(next.byMs);
+      const held = leases.flatMap((one) => one.held() ?? []);
+      expect(held.length).toBeLessThanOrEqual(1);
+      for (const { fence } of held) {
+        expect(fence).toBeGreaterThanOrEqual(newest);
+        newest = fence;
+      }
+    }
+  });
+}
+
+/** Each call of the table takes some time before and after its effect, so that hosts overlap. */
+function clockPause(clock: ManualClock): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(CALL_MS, resolve);
+  });
+}
+
+describe('Lease', () => {
+  it('is never held by two at once, and its fencing token only rises with the holder', async () => {
+    await fc.assert(
+      holderProperty(() => new MemoryRows()),
+      { seed: 22, numRuns: 1000 },
+    );
+  });
+
+  it('is found out by the checker when the store does not check', async () => {
+    const planted = await fc.check(
+      holderProperty(() => new UncheckedRows()),
+      { seed: 22, numRuns: 1000 },
+    );
+    expect(planted.failed).toBe(true);
+  });
+
+  it('is taken from a holder that is paused, which then knows that it has lost it', async () => {
+    const rows = new MemoryRows();
+    const clock = new ManualClock();
+    const table = new MemoryTable(rows);
+    const first = new Lease('pool', newOwner('a'), table, clock, DURATION_MS);
+    const second = new Lease('pool', newOwner('b'), table, clock, DURATION_MS);
+    await first.tick();
+    await second.tick();
+    expect(second.held()).toBeUndefined();
+    clock.skip(DURATION_MS);
+    expect(first.held()).toBeUndefined();
+    await second.tick();
+    expect(second.held()?.fence).toBe(2);
+    await first.tick();
+    expect(first.held()).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/state/src/once/at-most-once-ledger.test.ts
@@ -0,0 +1,113 @@
+import { newOwner } from '@poppypond/core';
+import { MemoryRows, MemoryTable, ScheduledClock, UncheckedRows } from '@poppypond/mocks';
+import type { CallFate } from '@poppypond/mocks';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { AtMostOnceLedger } from './at-most-once-ledger.js';
+
+const SEED = 21;
+const RUNS = 1000;
+
+interface Told {
+  readonly kind: 'ran' | 'replayed' | 'not_run' | 'unknown' | 'died';
+  readonly hasRun: boolean;
+  readonly answer?: string;
+}
+
+const fate = fc.constantFrom<CallFate>('ok', 'ok', 'ok', 'down', 'lost', 'hang-then-lost');
+const call = fc.record({
+  host: fc.integer({ min: 0, max: 2 }),
+  key: fc.constantFrom('k1', 'k2'),
+  /** Where the host dies: before dispatch, after it, or not at all. */
+  dies: fc.constantFrom('no', 'no', 'before', 'after'),
+  /** Whether the service confirms that it did not run the call. */
+  isRefused: fc.boolean(),
+});
+
+/** Sends calls at three hosts in any order of events and checks what ran against what was told. */
+function historyProperty(makeRows: () => MemoryRows) {
+  return fc.asyncProperty(
+    fc.scheduler(),
+    fc.array(call, { minLength: 1, maxLength: 6 }),
+    fc.infiniteStream(fate),
+    async (scheduler, calls, fates) => {
+      const rows = makeRows();
+      const runs = new Map<string, number>();
+      const clock = new ScheduledClock(scheduler);
+      const ledgers = [0, 1, 2].map((host) => {
+        const pause = (label: string) => scheduler.schedule(Promise.resolve(), label);
+        const table = new MemoryTable(rows, () => fates.next().value, pause);
+        return new AtMostOnceLedger(table, clock, newOwner(`host-${String(host)}`));
+      });
+      const send = async ({
+        host,
+        key,
+        dies,
+        isRefused,
+      }: (typeof calls)[number]): Promise<Told> => {
+        const ledger = ledgers[host];
+        if (!ledger) throw new Error('no such host');
+        const claimed = await ledger.claim('farms', key, 'hash');
+        if (claimed.isErr) {
+          const isUnknown = claimed.error.code === 'key_in_progress';
+          return { kind: isUnknown ? 'unknown' : 'not_run', hasRun: false };
+        }
+        if (claimed.value.kind === 'ran_before') {
+          return { kind: 'replayed', hasRun: false, answer: claimed.value.answer.body };
+        }
+        if (dies === 'before') return { kind: 'died', hasRun: false };
+        await scheduler.schedule(Promise.resolve(), 'dispatch');
+        if (isRefused) {
+          ledger.recordNotRun(claimed.value.claim);
+          return { kind: 'not_run', hasRun: false };
+        }
+        runs.set(key, (runs.get(key) ?? 0) + 1);
+        const body = `${key}-receipt`;
+        if (dies === 'after') return { kind: 'died', hasRun: true };
+        ledger.recordRan(claimed.value.claim, { status: 200, contentType: 'text/plain', body });
+        return { kind: 'ran', hasRun: true, answer: body };
+      };
+      const results = await scheduler.waitFor(Promise.all(calls.map(send)));
+      for (const count of runs.values()) expect(count).toBeLessThanOrEqual(1);
+      for (const result of results) {
+        if (result.kind === 'not_run') expect(result.hasRun).toBe(false);
+        if (result.kind === 'replayed') expect(result.answer).toMatch(/-receipt$/);
+      }
+    },
+  );
+}
+
+describe('AtMostOnceLedger', () => {
+  it('runs each key at most once, and tells nobody wrongly that it was not run', async () => {
+    await fc.assert(
+      historyProperty(() => new MemoryRows()),
+      { seed: SEED, numRuns: RUNS },
+    );
+  });
+
+  it('is found out by the checker when the store does not check', async () => {
+    const planted = await fc.check(
+      historyProperty(() => new UncheckedRows()),
+      { seed: SEED },
+    );
+    expect(planted.failed).toBe(true);
+  });
+
+  it('refuses a key that comes again with another request, and frees one that was not run', async () => {
+    const rows = new MemoryRows();
+    const scheduler = { schedule: <Value>(task: Promise<Value>) => task };
+    const clock = new ScheduledClock(scheduler);
+    const ledger = new AtMostOnceLedger(new MemoryTable(rows), clock, newOwner('host-1'));
+    const first = await ledger.claim('farms', 'k', 'one');
+    if (first.isErr || first.value.kind !== 'claimed') throw new Error('not claimed');
+    ledger.recordRan(first.value.claim, { status: 200, contentType: 'text/plain', body: 'r' });
+    const other = await ledger.claim('farms', 'k', 'two');
+    expect(other.isErr && other.error.code).toBe('key_reused');
+    const second = await ledger.claim('farms', 'k2', 'one');
+    if (second.isErr || second.value.kind !== 'claimed') throw new Error('not claimed');
+    ledger.recordNotRun(second.value.claim);
+    while (ledger.pendingOutcomes > 0) await new Promise((resolve) => setImmediate(resolve));
+    const again = await ledger.claim('farms', 'k2', 'one');
+    expect(again.isOk && again.value.kind).toBe('claimed');
+  });
+});
