--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -35,6 +35,7 @@
   reportPeriodMs: 100,
   reportLagMs: 100,
   models: ['general'],
+  printRuns: false,
   checksFencing: true,
 };
 
--- a/packages/launch/src/fleet.ts
+++ b/packages/launch/src/fleet.ts
@@ -134,6 +134,28 @@
     return { name: `engine-${String(number).padStart(3, '0')}`, url: program.url, zone, program };
   }
 
+  /** Ends an engine at once and starts another at the same address. */
+  async replaceEngine(engine: FleetServer): Promise<FleetServer> {
+    await engine.program.kill();
+    const program = await startProgram('standin', ['engine'], {
+      'platform-url': this.platform.url,
+      ...this.options.engineFlags,
+      'listen-port': new URL(engine.url).port,
+    });
+    const next = { ...engine, program };
+    this.engines[this.engines.indexOf(engine)] = next;
+    for (const request of engine.program.ran) program.ran.add(request);
+    return next;
+  }
+
+  /** Puts a new gateway in the place of one that has ended or is about to. */
+  async replaceGateway(gateway: RunningProgram): Promise<RunningProgram> {
+    const next = await this.startGateway();
+    this.gateways.pop();
+    this.gateways[this.gateways.indexOf(gateway)] = next;
+    return next;
+  }
+
   async startGateway(flags: Flags = {}): Promise<RunningProgram> {
     this.#started += 1;
     const seeds = this.gateways
--- a/packages/launch/src/program.ts
+++ b/packages/launch/src/program.ts
@@ -10,6 +10,7 @@
 
 const START_TIMEOUT_MS = 20_000;
 const MAX_LOG_CHARACTERS = 200_000;
+const RAN_PREFIX = 'ran request=';
 
 function programPath(name: ProgramName): string {
   return fileURLToPath(new URL(`../../${name}/dist/main.js`, import.meta.url));
@@ -26,6 +27,8 @@
 /** A program that runs as a process of its own. */
 export class RunningProgram {
   log = '';
+  /** Requests that the program said it ran; known even after it was killed. */
+  readonly ran = new Set<string>();
   #exit: Promise<number | null>;
 
   constructor(
@@ -43,6 +46,14 @@
       this.log = (this.log + chunk.toString('utf8')).slice(-MAX_LOG_CHARACTERS);
     };
     child.stderr?.on('data', keep);
+    let rest = '';
+    child.stdout?.on('data', (chunk: Buffer) => {
+      const lines = (rest + chunk.toString('utf8')).split('\n');
+      rest = lines.pop() ?? '';
+      for (const line of lines) {
+        if (line.startsWith(RAN_PREFIX)) this.ran.add(line.slice(RAN_PREFIX.length));
+      }
+    });
   }
 
   get url(): string {
@@ -99,7 +110,6 @@
       clearTimeout(timer);
       child.stdout.removeListener('data', onOutput);
       child.removeListener('exit', onExit);
-      child.stdout.resume();
       resolve(new RunningProgram(name, child, parseListening(line)));
     };
     const onError = (chunk: Buffer) => (output += chunk.toString('utf8'));
--- /dev/null
+++ b/packages/proof/src/checkers/checkers.ts
@@ -0,0 +1,127 @@
+import { isResultName, outcomeOf } from '@poppypond/core';
+import type {
+  AcceptedRevision,
+  CompletionCall,
+  RevisionSeen,
+  ServiceCall,
+  ServiceRun,
+} from '../history.js';
+
+/** What a checker found; empty where the promise held. */
+export type Violations = readonly string[];
+
+function isNotRun(code: string): boolean {
+  return isResultName(code) && outcomeOf(code) === 'not_run';
+}
+
+/**
+ * Every call had its final word within its limit and a grace. A call whose gateway was ended or
+ * stopped under it can't get one.
+ */
+export function checkWithinLimit(
+  calls: readonly CompletionCall[],
+  disturbedGateways: ReadonlySet<string>,
+  graceMs: number,
+): Violations {
+  return calls.flatMap((call) => {
+    if (call.isCancelled || disturbedGateways.has(call.gateway)) return [];
+    const tookMs = call.endedAtMs - call.startedAtMs;
+    if (call.code === 'lost') return [`${call.requestId}: no final word`];
+    if (tookMs <= call.limitMs + graceMs) return [];
+    return [`${call.requestId}: took ${tookMs.toFixed(0)} of ${String(call.limitMs)} ms`];
+  });
+}
+
+/** Whoever was told `ok` has the whole answer to its own request; others have at most its start. */
+export function checkWholeAnswers(calls: readonly CompletionCall[]): Violations {
+  return calls.flatMap((call) => {
+    if (call.code === 'ok' && call.text !== call.expected) {
+      return [
+        `${call.requestId}: told ok with ${String(call.text.length)} of ${String(call.expected.length)} characters`,
+      ];
+    }
+    return call.expected.startsWith(call.text)
+      ? []
+      : [`${call.requestId}: foreign or repeated text`];
+  });
+}
+
+/** Whoever was told not run was not run. */
+export function checkNotRun(
+  calls: readonly { readonly requestId: string; readonly code: string }[],
+  ran: ReadonlySet<string>,
+): Violations {
+  return calls.flatMap(({ requestId, code }) =>
+    isNotRun(code) && ran.has(requestId) ? [`${requestId}: told ${code} and was run`] : [],
+  );
+}
+
+/** Each key ran at most once, and every receipt is that of its key's one run. */
+export function checkAtMostOnce(
+  calls: readonly ServiceCall[],
+  runs: readonly ServiceRun[],
+): Violations {
+  const byKey = new Map<string, ServiceRun[]>();
+  for (const run of runs) byKey.set(run.body, [...(byKey.get(run.body) ?? []), run]);
+  const twice = [...byKey].flatMap(([key, found]) =>
+    found.length > 1 ? [`${key}: ran ${String(found.length)} times`] : [],
+  );
+  const wrong = calls.flatMap(({ key, code, receipt }) => {
+    const run = byKey.get(key)?.[0];
+    if (code !== 'ok') return [];
+    return run?.receipt === receipt ? [] : [`${key}: receipt ${String(receipt)} is not its own`];
+  });
+  return [...twice, ...wrong];
+}
+
+/** A host's revision never falls, and each accepted revision is in force in time. */
+export function checkRevisions(
+  seen: readonly RevisionSeen[],
+  accepted: readonly AcceptedRevision[],
+  withinMs: number,
+): Violations {
+  const violations: string[] = [];
+  const newest = new Map<string, RevisionSeen>();
+  for (const now of seen) {
+    const run = `${now.host}/${now.incarnation}`;
+    const before = newest.get(run);
+    if (before && now.revision < before.revision) {
+      violations.push(`${run}: went from ${String(before.revision)} to ${String(now.revision)}`);
+    }
+    newest.set(run, now);
+  }
+  for (const { atMs, revision } of accepted) {
+    const late = seen.filter((one) => one.atMs > atMs + withinMs && one.revision < revision);
+    for (const { host, atMs: lateAtMs } of late) {
+      violations.push(
+        `${host}: without ${String(revision)} after ${(lateAtMs - atMs).toFixed(0)} ms`,
+      );
+    }
+  }
+  return violations;
+}
+
+/** No work started on a server that had been leaving for longer than the allowed time. */
+export function checkLeaving(
+  startsMs: readonly number[],
+  leavingSinceMs: number,
+  allowedMs: number,
+): Violations {
+  return startsMs
+    .filter((startMs) => startMs > leavingSinceMs + allowedMs)
+    .map(
+      (startMs) => `started ${(startMs - leavingSinceMs).toFixed(0)} ms after it began to leave`,
+    );
+}
+
+/** After everything has ended, no engine holds memory. */
+export function checkMemory(heldTokens: ReadonlyMap<string, number>): Violations {
+  return [...heldTokens].flatMap(([engine, tokens]) =>
+    tokens === 0 ? [] : [`${engine}: still holds ${String(tokens)} tokens`],
+  );
+}
+
+/** During planned stops nobody got an error. */
+export function checkNoErrors(calls: readonly CompletionCall[]): Violations {
+  return calls.flatMap(({ requestId, code }) => (code === 'ok' ? [] : [`${requestId}: ${code}`]));
+}
--- /dev/null
+++ b/packages/proof/src/proof.ts
@@ -0,0 +1,18 @@
+import type { Fleet, FleetOptions } from '@poppypond/launch';
+import type { Violations } from './checkers/checkers.js';
+import type { ScenarioRandom } from './random.js';
+
+/** What one run of a proof provoked and found. */
+export interface ProofRun {
+  readonly faults: readonly string[];
+  readonly calls: number;
+  readonly violations: Violations;
+}
+
+/** A proof of one promise: runs of a scenario on a fleet of processes, each checked afterwards. */
+export interface Proof {
+  readonly name: string;
+  readonly promise: string;
+  readonly fleet: FleetOptions;
+  run(fleet: Fleet, random: ScenarioRandom): Promise<ProofRun>;
+}
--- /dev/null
+++ b/packages/proof/src/run-proof.ts
@@ -0,0 +1,59 @@
+import { Fleet } from '@poppypond/launch';
+import type { Proof, ProofRun } from './proof.js';
+import { ScenarioRandom } from './random.js';
+
+/** The sum of a proof's runs. */
+export interface ProofResult {
+  readonly name: string;
+  readonly promise: string;
+  readonly runs: number;
+  readonly calls: number;
+  /** Fault to how often it was provoked. */
+  readonly faults: ReadonlyMap<string, number>;
+  readonly violations: readonly string[];
+}
+
+/** When to stop. */
+export interface ProofBounds {
+  readonly runs: number;
+  readonly seed: number;
+  readonly timeLimitMs: number;
+}
+
+function countFaults(runs: readonly ProofRun[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const fault of runs.flatMap((run) => run.faults)) {
+    counts.set(fault, (counts.get(fault) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/** Runs a proof on one fleet. Run n of seed s is the same as run 0 of seed s + n. */
+export async function runProof(
+  proof: Proof,
+  bounds: ProofBounds,
+  onRun: (index: number, run: ProofRun) => void = () => undefined,
+): Promise<ProofResult> {
+  const fleet = await Fleet.start(proof.fleet);
+  const startedAt = performance.now();
+  const runs: ProofRun[] = [];
+  try {
+    while (runs.length < bounds.runs && performance.now() - startedAt < bounds.timeLimitMs) {
+      const seed = bounds.seed + runs.length;
+      const run = await proof.run(fleet, new ScenarioRandom(seed));
+      const violations = run.violations.map((violation) => `seed ${String(seed)}: ${violation}`);
+      runs.push({ ...run, violations });
+      onRun(runs.length, { ...run, violations });
+    }
+  } finally {
+    await fleet.stop();
+  }
+  return {
+    name: proof.name,
+    promise: proof.promise,
+    runs: runs.length,
+    calls: runs.reduce((sum, run) => sum + run.calls, 0),
+    faults: countFaults(runs),
+    violations: runs.flatMap((run) => run.violations),
+  };
+}
--- /dev/null
+++ b/packages/proof/src/scenarios/callers.ts
@@ -0,0 +1,78 @@
+import { callStream, expectedAnswer, makePrompt, SAMPLE_MODEL, sampleKey } from '@poppypond/load';
+import type { CompletionCall } from '../history.js';
+import type { ScenarioRandom } from '../random.js';
+
+/** What a caller asks. */
+export interface Question {
+  readonly gateway: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly limitMs: number;
+  /** The caller closes the connection after this time. */
+  readonly cancelAfterMs?: number;
+}
+
+let questions = 0;
+
+const ANSWER_GRACE_MS = 20_000;
+
+/** Asks one question and records the call. */
+export async function ask(question: Question, random: ScenarioRandom): Promise<CompletionCall> {
+  questions += 1;
+  const head = `question ${String(questions)} ${String(random.next())} `;
+  const prompt = makePrompt(head, question.promptTokens);
+  const abort = new AbortController();
+  const closeAfterMs = question.cancelAfterMs ?? question.limitMs + ANSWER_GRACE_MS;
+  const timer = setTimeout(() => {
+    abort.abort();
+  }, closeAfterMs);
+  const startedAtMs = performance.now();
+  const outcome = await callStream({
+    url: question.gateway,
+    key: sampleKey('members'),
+    model: SAMPLE_MODEL,
+    prompt,
+    maxTokens: question.maxTokens,
+    timeLimitMs: question.limitMs,
+    signal: abort.signal,
+  });
+  clearTimeout(timer);
+  return {
+    gateway: question.gateway,
+    startedAtMs,
+    endedAtMs: performance.now(),
+    limitMs: question.limitMs,
+    requestId: outcome.requestId,
+    code: outcome.code,
+    text: outcome.text,
+    expected: expectedAnswer(prompt, question.maxTokens),
+    offset: 0,
+    isCancelled: abort.signal.aborted && question.cancelAfterMs !== undefined,
+  };
+}
+
+/** A question of random size; one in `longEvery` is long, one in `groupEvery` needs a group. */
+export function randomQuestion(
+  gateways: readonly string[],
+  random: ScenarioRandom,
+  sizes: { readonly longEvery: number; readonly groupEvery: number },
+): Question {
+  const isGroup = random.chance(1 / sizes.groupEvery);
+  const isLong = random.chance(1 / sizes.longEvery);
+  const promptTokens = isGroup
+    ? random.between(45_000, 90_000)
+    : isLong
+      ? random.between(8000, 36_000)
+      : random.between(100, 3000);
+  return {
+    gateway: random.pick(gateways),
+    promptTokens,
+    maxTokens: random.between(4, 48),
+    limitMs: random.between(400, 3000),
+  };
+}
+
+/** Waits on the wall clock; used only to spread calls and faults over a run. */
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/proof/src/scenarios/configuration.ts
@@ -0,0 +1,124 @@
+import { getJson, setFaults } from '@poppypond/launch';
+import type { Fleet, FleetOptions } from '@poppypond/launch';
+import { z } from 'zod';
+import { checkRevisions } from '../checkers/checkers.js';
+import type { AcceptedRevision, RevisionSeen } from '../history.js';
+import type { Proof } from '../proof.js';
+import type { ScenarioRandom } from '../random.js';
+import { pause } from './callers.js';
+import { freeze } from './faults.js';
+
+const FLEET: FleetOptions = {
+  gateways: 5,
+  engines: 1,
+  services: 0,
+  gatewayFlags: { 'store-timeout-ms': 300, 'config-poll-ms': 500 },
+};
+
+const OPERATORS = 3;
+const CHANGES_EACH = 3;
+/** In force everywhere within seconds. */
+const IN_FORCE_MS = 3000;
+const WATCH_GAP_MS = 40;
+const SETTLE_MS = 1200;
+const FAULTS = [
+  'store-down',
+  'write-answer-lost',
+  'gateway-kill',
+  'gateway-freeze',
+  'late-start',
+] as const;
+
+const statusSchema = z.object({
+  host: z.string(),
+  incarnation: z.string(),
+  revision: z.number(),
+});
+
+async function watch(fleet: Fleet, seen: RevisionSeen[], isOver: () => boolean): Promise<void> {
+  while (!isOver()) {
+    await Promise.all(
+      fleet.gateways.map(async (gateway) => {
+        const askedAtMs = performance.now();
+        const status = statusSchema.safeParse(await getJson(`${gateway.url}/status`));
+        if (status.success) seen.push({ ...status.data, atMs: askedAtMs });
+      }),
+    );
+    await pause(WATCH_GAP_MS);
+  }
+}
+
+/** One operator changes the same few workspaces as the others. */
+async function operate(
+  fleet: Fleet,
+  accepted: AcceptedRevision[],
+  random: ScenarioRandom,
+): Promise<void> {
+  for (let change = 0; change < CHANGES_EACH; change += 1) {
+    const name = random.pick(['members', 'audit']);
+    const spec = { weight: random.between(1, 50) };
+    const object = { kind: 'workspace', name, labels: { team: 'assistant' }, spec };
+    const revision = await fleet.apply([object], 'race').catch(() => undefined);
+    if (revision !== undefined) accepted.push({ atMs: performance.now(), revision });
+    await pause(random.between(0, 150));
+  }
+}
+
+async function provoke(
+  fleet: Fleet,
+  fault: (typeof FAULTS)[number],
+  random: ScenarioRandom,
+): Promise<void> {
+  const gateway = random.pick(fleet.gateways);
+  const platform = (faults: Readonly<Record<string, unknown>>) =>
+    setFaults(fleet.platform.url, faults);
+  switch (fault) {
+    case 'store-down':
+      await platform({ down: true });
+      await pause(random.between(100, 600));
+      return platform({ down: false });
+    case 'write-answer-lost':
+      return platform({ loseWriteAnswers: 1, lostPrefix: 'config/', lostEffectDelayMs: 0 });
+    case 'gateway-kill':
+      await gateway.kill();
+      await fleet.replaceGateway(gateway);
+      return;
+    case 'gateway-freeze':
+      return freeze(gateway, random.between(100, 800));
+    case 'late-start':
+      await platform({ down: true });
+      await gateway.kill();
+      await fleet.replaceGateway(gateway);
+      await pause(random.between(100, 500));
+      return platform({ down: false });
+  }
+}
+
+/** An accepted configuration is in force on every host within seconds and never reverts. */
+export const configuration: Proof = {
+  name: 'configuration',
+  promise: 'an accepted configuration is in force everywhere within seconds and never reverts',
+  fleet: FLEET,
+  run: async (fleet, random) => {
+    const seen: RevisionSeen[] = [];
+    const accepted: AcceptedRevision[] = [];
+    let isOver = false;
+    const watching = watch(fleet, seen, () => isOver);
+    const operating = Array.from({ length: OPERATORS }, () => operate(fleet, accepted, random));
+    const faults: string[] = [];
+    for (let count = random.between(1, 2); count > 0; count -= 1) {
+      const fault = random.pick(FAULTS);
+      faults.push(fault);
+      await provoke(fleet, fault, random);
+    }
+    await Promise.all(operating);
+    await setFaults(fleet.platform.url, { down: false, loseWriteAnswers: 0 });
+    await pause(SETTLE_MS);
+    await fleet.waitReady();
+    await pause(WATCH_GAP_MS * 2);
+    isOver = true;
+    await watching;
+    const violations = checkRevisions(seen, accepted, IN_FORCE_MS);
+    return { faults, calls: accepted.length, violations };
+  },
+};
--- /dev/null
+++ b/packages/proof/src/scenarios/faults.ts
@@ -0,0 +1,108 @@
+import { setFaults, waitUntil, getJson } from '@poppypond/launch';
+import type { Fleet, FleetServer, RunningProgram } from '@poppypond/launch';
+import { z } from 'zod';
+import type { ScenarioRandom } from '../random.js';
+import { pause } from './callers.js';
+
+/** Faults of engines. */
+export const ENGINE_FAULTS = [
+  'cut-stream',
+  'lose-answer',
+  'refuse',
+  'repeat-frames',
+  'engine-pause',
+  'engine-slow',
+  'engine-kill',
+  'engine-freeze',
+] as const;
+
+/** A fault of an engine. */
+export type EngineFault = (typeof ENGINE_FAULTS)[number];
+
+const HEALTHY = {
+  slowdown: 1,
+  cutStreams: 0,
+  loseAnswers: 0,
+  refuseCalls: 0,
+  repeatFrames: 0,
+  leaving: false,
+};
+
+/** Provokes a fault of an engine; resolves when it is over or set. */
+export async function provokeEngineFault(
+  fleet: Fleet,
+  engine: FleetServer,
+  fault: EngineFault,
+  random: ScenarioRandom,
+): Promise<void> {
+  const set = (faults: Readonly<Record<string, unknown>>) => setFaults(engine.url, faults);
+  switch (fault) {
+    case 'cut-stream':
+      return set({ cutStreams: random.between(1, 3), cutAfterTokens: random.between(0, 10) });
+    case 'lose-answer':
+      return set({ loseAnswers: random.between(1, 3) });
+    case 'refuse':
+      return set({ refuseCalls: random.between(1, 5) });
+    case 'repeat-frames':
+      return set({ repeatFrames: random.between(1, 8) });
+    case 'engine-pause':
+      return set({ pauseMs: random.between(50, 500) });
+    case 'engine-slow':
+      return set({ slowdown: random.between(2, 10) });
+    case 'engine-kill':
+      await fleet.replaceEngine(engine);
+      return;
+    case 'engine-freeze':
+      return freeze(engine.program, random.between(50, 500));
+  }
+}
+
+/** Stops a process for a time. */
+export async function freeze(program: RunningProgram, durationMs: number): Promise<void> {
+  program.signal('SIGSTOP');
+  await pause(durationMs);
+  program.signal('SIGCONT');
+}
+
+/** Ends all faults of all engines. */
+export async function heal(fleet: Fleet): Promise<void> {
+  await Promise.all(fleet.engines.map((engine) => setFaults(engine.url, HEALTHY)));
+}
+
+const truthSchema = z.object({
+  heldTokens: z.number(),
+  runs: z.array(
+    z.object({ requestId: z.string(), startedAtMs: z.number(), prefillOnly: z.boolean() }),
+  ),
+});
+
+/** Ground truth of an engine. */
+export async function engineTruth(engine: FleetServer): Promise<z.infer<typeof truthSchema>> {
+  return truthSchema.parse(await getJson(`${engine.url}/truth`));
+}
+
+/** Every request that any engine ran, also those that were killed since. */
+export function allRan(fleet: Fleet): ReadonlySet<string> {
+  return new Set(fleet.engines.flatMap((engine) => [...engine.program.ran]));
+}
+
+/** Tokens held by each engine. */
+export async function heldByEngine(fleet: Fleet): Promise<ReadonlyMap<string, number>> {
+  const held = await Promise.all(
+    fleet.engines.map(
+      async (engine) => [engine.name, (await engineTruth(engine)).heldTokens] as const,
+    ),
+  );
+  return new Map(held);
+}
+
+/** Waits until no engine holds memory, at most this long; then says what is still held. */
+export async function heldAfter(
+  fleet: Fleet,
+  withinMs: number,
+): Promise<ReadonlyMap<string, number>> {
+  const isFree = async () =>
+    [...(await heldByEngine(fleet)).values()].every((tokens) => tokens === 0);
+  await waitUntil('memory is free', isFree, withinMs).catch(() => undefined);
+  return heldByEngine(fleet);
+}
--- /dev/null
+++ b/packages/proof/src/scenarios/planned.ts
@@ -0,0 +1,155 @@
+import { setFaults, waitUntil, getJson } from '@poppypond/launch';
+import type { Fleet, FleetOptions, RunningProgram } from '@poppypond/launch';
+import { callHttp } from '@poppypond/web';
+import { z } from 'zod';
+import { checkLeaving, checkNoErrors } from '../checkers/checkers.js';
+import type { CompletionCall } from '../history.js';
+import type { Proof } from '../proof.js';
+import type { ScenarioRandom } from '../random.js';
+import { ask, pause } from './callers.js';
+import { engineTruth } from './faults.js';
+
+const ENGINE_FLAGS = { 'step-base-ms': 1, 'prefill-ms': 0.002, 'kv-tokens': 40_000 };
+const GATEWAY_FLAGS = { 'prefill-tokens-per-ms': 300, 'decode-step-ms': 2, 'step-ms': 4 };
+
+const FLEET: FleetOptions = {
+  gateways: 3,
+  engines: 5,
+  services: 0,
+  engineFlags: ENGINE_FLAGS,
+  gatewayFlags: GATEWAY_FLAGS,
+  platformFlags: { 'host-list-lag-ms': 1500 },
+};
+
+/** A few seconds, in which a leaving server may still get new work. */
+const LEAVING_ALLOWED_MS = 3000;
+const LEAVING_WATCH_MS = 4500;
+const CALL_GAP_MS = 15;
+const QUESTION = { maxTokens: 16, limitMs: 20_000 };
+
+/** Callers that the balancer sends only to gateways that are ready. */
+class Balancer {
+  #ready: readonly RunningProgram[];
+  #isStopped = false;
+
+  constructor(readonly fleet: Fleet) {
+    this.#ready = fleet.gateways;
+    void this.#probe();
+  }
+
+  async #probe(): Promise<void> {
+    while (!this.#isStopped) {
+      const checks = await Promise.all(
+        this.fleet.gateways.map(async (gateway) => ({
+          gateway,
+          isReady: (await getJson(`${gateway.url}/readyz`)) !== undefined,
+        })),
+      );
+      this.#ready = checks.filter(({ isReady }) => isReady).map(({ gateway }) => gateway);
+      await pause(CALL_GAP_MS);
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  choose(random: ScenarioRandom): string {
+    return random.pick(this.#ready).url;
+  }
+}
+
+/** Asks short and long questions, one after another, until `isOver`. */
+async function askUntil(
+  choose: () => string,
+  random: ScenarioRandom,
+  isOver: () => boolean,
+): Promise<readonly CompletionCall[]> {
+  const asking: Promise<CompletionCall>[] = [];
+  while (!isOver()) {
+    const isReview = random.chance(0.06);
+    const promptTokens = isReview ? random.between(45_000, 90_000) : random.between(200, 3000);
+    asking.push(ask({ gateway: choose(), promptTokens, ...QUESTION }, random));
+    await pause(CALL_GAP_MS);
+  }
+  return Promise.all(asking);
+}
+
+/** Lets an engine leave, waits until it is idle, ends it, and starts another in its place. */
+async function replaceEnginePlanned(fleet: Fleet, random: ScenarioRandom): Promise<void> {
+  const engine = random.pick(fleet.engines);
+  await setFaults(engine.url, { leaving: true });
+  const loadSchema = z.object({ running: z.number(), waiting: z.number(), heldTokens: z.number() });
+  await waitUntil('the engine is idle', async () => {
+    const load = loadSchema.parse(await getJson(`${engine.url}/load`));
+    return load.running === 0 && load.waiting === 0 && load.heldTokens === 0;
+  });
+  await fleet.replaceEngine(engine);
+}
+
+/** Stops a gateway as a planned stop does; its replacement serves first. */
+async function replaceGatewayPlanned(fleet: Fleet, random: ScenarioRandom): Promise<void> {
+  const gateway = random.pick(fleet.gateways);
+  await fleet.replaceGateway(gateway);
+  await fleet.waitReady();
+  gateway.signal('SIGTERM');
+  const code = await gateway.ended();
+  if (code !== 0) throw new Error(`the gateway ended with ${String(code)}: ${gateway.log}`);
+}
+
+/** A planned stop of an engine or host cuts off no request in progress. */
+export const plannedStop: Proof = {
+  name: 'planned-stop',
+  promise: 'a planned stop cuts off no request in progress',
+  fleet: FLEET,
+  run: async (fleet, random) => {
+    const balancer = new Balancer(fleet);
+    let isOver = false;
+    const asking = askUntil(
+      () => balancer.choose(random),
+      random,
+      () => isOver,
+    );
+    const isEngine = random.chance(0.5);
+    await pause(random.between(50, 200));
+    if (isEngine) await replaceEnginePlanned(fleet, random);
+    else await replaceGatewayPlanned(fleet, random);
+    isOver = true;
+    const calls = await asking;
+    balancer.stop();
+    await fleet.waitReady();
+    const faults = [isEngine ? 'engine-planned-stop' : 'gateway-planned-stop'];
+    return { faults, calls: calls.length, violations: checkNoErrors(calls) };
+  },
+};
+
+async function listAs(fleet: Fleet, host: string, state: 'leaving' | 'live'): Promise<void> {
+  const body = JSON.stringify({ host, state });
+  await callHttp({ method: 'POST', url: `${fleet.platform.url}/hosts`, body, timeoutMs: 2000 });
+}
+
+/** A leaving backend server receives no new work after a few seconds. */
+export const leavingServer: Proof = {
+  name: 'leaving-server',
+  promise: 'a leaving backend server receives no new work after a few seconds',
+  fleet: FLEET,
+  run: async (fleet, random) => {
+    const engine = random.pick(fleet.engines);
+    const byList = random.chance(0.5);
+    const sinceMs = Date.now();
+    if (byList) await listAs(fleet, engine.name, 'leaving');
+    else await setFaults(engine.url, { leaving: true });
+    const choose = () => random.pick(fleet.gateways).url;
+    const calls = await askUntil(choose, random, () => Date.now() - sinceMs > LEAVING_WATCH_MS);
+    const starts = (await engineTruth(engine)).runs.map((run) => run.startedAtMs);
+    if (byList) await listAs(fleet, engine.name, 'live');
+    else await setFaults(engine.url, { leaving: false });
+    await pause(byList ? LEAVING_ALLOWED_MS : CALL_GAP_MS);
+    const faults = [byList ? 'leaving-by-late-list' : 'leaving-by-own-word'];
+    const violations = [
+      ...checkLeaving(starts, sinceMs, LEAVING_ALLOWED_MS),
+      ...checkNoErrors(calls),
+    ];
+    return { faults, calls: calls.length, violations };
+  },
+};
--- a/packages/standin/src/engine/engine.ts
+++ b/packages/standin/src/engine/engine.ts
@@ -209,6 +209,7 @@
       end: 'running',
     };
     this.runs.push(run);
+    if (this.settings.printRuns) process.stdout.write(`ran request=${call.requestId}\n`);
     if (this.runs.length > MAX_RUNS_KEPT) this.runs.splice(0, MAX_RUNS_KEPT / 2);
     return run;
   }
--- a/packages/standin/src/engine/model-settings.ts
+++ b/packages/standin/src/engine/model-settings.ts
@@ -23,6 +23,9 @@
   reportPeriodMs: millisecondsSetting.default(100).describe('time between load reports'),
   reportLagMs: numberSetting.default(100).describe('how old a load report is when it is sent'),
   models: listSetting.default(['general']).describe('models held at the start, comma separated'),
+  printRuns: yesNoSetting
+    .default(false)
+    .describe('print each request that runs, as a ground truth that outlives the process'),
   checksFencing: yesNoSetting.default(true).describe('refuse orders with an older fencing token'),
 };
 
@@ -38,5 +41,6 @@
   readonly reportPeriodMs: number;
   readonly reportLagMs: number;
   readonly models: readonly string[];
+  readonly printRuns: boolean;
   readonly checksFencing: boolean;
 }
