Mend membership, flags and tests found on the way; add tests of input, operators, programs

Cause 1: hosts that joined through one seed at the same moment never learned of each other, since members were passed on only in the first message of a connection. Heartbeats now carry news of four members in turn with the number of their newest heartbeat, so that nobody keeps a dead host believed in. Ruled out: double links. Cause 2: an unknown flag beside known ones printed 'Command not found'; it is now named.

--- a/packages/launch/src/fleet.ts
+++ b/packages/launch/src/fleet.ts
@@ -12,6 +12,8 @@
   readonly engines: number;
   readonly services: number;
   readonly controllers?: number;
+  /** Tells the admin program the gateways' addresses, by a second start. */
+  readonly adminGateways?: boolean;
   readonly zones?: readonly string[];
   readonly gatewayFlags?: Flags;
   readonly engineFlags?: Flags;
@@ -67,6 +69,17 @@
   if (reply.isErr || reply.value.status !== 200) throw new Error(`faults were not set at ${url}`);
 }
 
+function startAdmin(platformUrl: string, gateways: readonly string[]): Promise<RunningProgram> {
+  return startProgram('admin', [], {
+    host: 'admin-1',
+    'listen-port': 0,
+    'platform-url': platformUrl,
+    'bootstrap-key-sha256': keySha256(SAMPLE_OPERATOR_KEY),
+    'log-level': 'warn',
+    ...(gateways.length > 0 ? { gateways: gateways.join(',') } : {}),
+  });
+}
+
 /** A fleet of real processes on loopback: stand-ins, gateways, controllers, admin. */
 export class Fleet {
   readonly gateways: RunningProgram[] = [];
@@ -78,7 +91,7 @@
   private constructor(
     readonly options: FleetOptions,
     readonly platform: RunningProgram,
-    readonly admin: RunningProgram,
+    public admin: RunningProgram,
   ) {}
 
   get zones(): readonly string[] {
@@ -88,13 +101,7 @@
   /** Starts everything and waits until every gateway is ready and sees every engine. */
   static async start(options: FleetOptions): Promise<Fleet> {
     const platform = await startProgram('standin', ['platform'], { ...options.platformFlags });
-    const admin = await startProgram('admin', [], {
-      host: 'admin-1',
-      'listen-port': 0,
-      'platform-url': platform.url,
-      'bootstrap-key-sha256': keySha256(SAMPLE_OPERATOR_KEY),
-      'log-level': 'warn',
-    });
+    const admin = await startAdmin(platform.url, []);
     const fleet = new Fleet(options, platform, admin);
     await fleet.#startServers();
     const objects = new Map(
@@ -105,6 +112,11 @@
     await fleet.apply([...objects.values()], 'first');
     for (let index = 0; index < options.gateways; index += 1) await fleet.startGateway();
     await fleet.waitReady();
+    if (options.adminGateways) {
+      await fleet.admin.kill();
+      const urls = fleet.gateways.map((gateway) => gateway.url);
+      fleet.admin = await startAdmin(platform.url, urls);
+    }
     for (let index = 0; index < (options.controllers ?? 0); index += 1)
       await fleet.startController();
     return fleet;
--- /dev/null
+++ b/packages/measure/src/capacity.ts
@@ -0,0 +1,251 @@
+import { Fleet } from '@poppypond/launch';
+import { callStream, makePrompt, SAMPLE_MODEL, sampleKey } from '@poppypond/load';
+import type { SampleObject } from '@poppypond/load';
+import { Configuration, parseObjects } from '@poppypond/objects';
+import { makeSlope, measureSlope } from './capacity/slope.js';
+import type { Slope } from './capacity/slope.js';
+import { idle, watchGateway } from './capacity/gateway-probe.js';
+import type { GatewaySpending } from './capacity/gateway-probe.js';
+import { LightEngines } from './capacity/light-engines.js';
+import { LightPeers } from './capacity/light-peers.js';
+import { slopeChart } from './capacity/slope-chart.js';
+import { timeDecisions } from './decision-cost.js';
+import { median, print, writeReport } from './report.js';
+
+const SETTLE_MS = 3000;
+const WATCH_MS = 6000;
+const ENGINE_COUNTS = [8, 32, 64, 128];
+const PEER_COUNTS = [2, 6, 12, 24];
+const RATES = [50, 100, 200, 300];
+const TOKEN_COUNTS = [8, 32, 64, 128];
+const STREAM_COUNTS = [50, 150, 300, 600];
+const OBJECT_COUNTS = [250, 500, 1000, 2000];
+const REPLICA_COUNTS = [90, 180, 360, 720];
+const MS_PER_SECOND = 1000;
+const RATE_FOR_TOKENS = 100;
+const ADVANCE_TRIES = 200;
+const FAST_ENGINE = { 'step-base-ms': 2, 'prefill-ms': 0.001, 'decode-ms': 0, 'max-running': 2000 };
+const FAST_GATEWAY = { 'prefill-tokens-per-ms': 500, 'decode-step-ms': 3 };
+
+/** Spending of an idle gateway that watches this many engines. */
+async function watchEngines(count: number): Promise<GatewaySpending> {
+  const light = new LightEngines();
+  await light.start(count);
+  const objects = light.servers.map((server, index): SampleObject => ({
+    kind: 'backend-server',
+    name: `light-${String(index)}`,
+    labels: { fleet: 'assistant', kind: 'engine' },
+    spec: { kind: 'engine', url: server.url, zone: 'regina-a' },
+  }));
+  const gatewayFlags = { 'max-engines-watched': 1000 };
+  const fleet = await Fleet.start({ gateways: 1, engines: 0, services: 0, gatewayFlags, objects });
+  try {
+    await idle(SETTLE_MS)();
+    return await watchGateway(fleet.gateways[0]?.url ?? '', idle(WATCH_MS));
+  } finally {
+    await fleet.stop();
+    await light.stop();
+  }
+}
+
+/** Spending of an idle gateway with this many links to peers. */
+async function watchPeers(count: number): Promise<GatewaySpending> {
+  const gatewayFlags = { 'fan-out': 100 };
+  const fleet = await Fleet.start({ gateways: 1, engines: 0, services: 0, gatewayFlags });
+  const gateway = fleet.gateways[0];
+  const light = new LightPeers();
+  try {
+    await light.start(count, gateway?.listening.get('peers') ?? '', 2);
+    await idle(SETTLE_MS)();
+    return await watchGateway(gateway?.url ?? '', idle(WATCH_MS));
+  } finally {
+    await light.stop();
+    await fleet.stop();
+  }
+}
+
+async function sendSteadily(url: string, rate: number, tokens: number): Promise<void> {
+  const count = Math.floor((rate * WATCH_MS) / MS_PER_SECOND);
+  await Promise.all(
+    Array.from({ length: count }, async (_, index) => {
+      await idle((index / rate) * MS_PER_SECOND)();
+      const prompt = makePrompt(
+        `capacity ${String(rate)} ${String(tokens)} ${String(index)} `,
+        1000,
+      );
+      const call = { url, key: sampleKey('members'), model: SAMPLE_MODEL, prompt };
+      await callStream({ ...call, maxTokens: tokens });
+    }),
+  );
+}
+
+/** Percent of a core at each rate and at each answer length, on one gateway. */
+async function measureRequests(): Promise<readonly Slope[]> {
+  const fleet = await Fleet.start({
+    gateways: 1,
+    engines: 4,
+    services: 0,
+    engineFlags: FAST_ENGINE,
+    gatewayFlags: FAST_GATEWAY,
+  });
+  const url = fleet.gateways[0]?.url ?? '';
+  try {
+    await sendSteadily(url, RATE_FOR_TOKENS, 8);
+    const core = async (rate: number, tokens: number) => {
+      const spending = await watchGateway(url, () => sendSteadily(url, rate, tokens));
+      return spending.corePercent;
+    };
+    return [
+      await measureSlope(
+        'processor by requests (8 tokens each)',
+        'request a second',
+        '% of a core',
+        RATES,
+        (rate) => core(rate, 8),
+      ),
+      await measureSlope(
+        'processor by answer length (100 requests a second)',
+        'token in each answer',
+        '% of a core',
+        TOKEN_COUNTS,
+        (tokens) => core(RATE_FOR_TOKENS, tokens),
+      ),
+    ];
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Resident memory of a gateway with this many streams open at once. */
+async function measureStreams(): Promise<Slope> {
+  const fleet = await Fleet.start({
+    gateways: 1,
+    engines: 4,
+    services: 0,
+    engineFlags: { ...FAST_ENGINE, 'step-base-ms': 100, 'kv-tokens': 4_000_000 },
+    gatewayFlags: { ...FAST_GATEWAY, 'decode-step-ms': 100 },
+  });
+  const url = fleet.gateways[0]?.url ?? '';
+  try {
+    return await measureSlope(
+      'memory by open streams (1,000 prompt tokens)',
+      'open stream',
+      'MB',
+      STREAM_COUNTS,
+      async (count) => {
+        const abort = new AbortController();
+        const open = Array.from({ length: count }, (_, index) => {
+          const prompt = makePrompt(`open ${String(count)} ${String(index)} `, 1000);
+          const call = {
+            url,
+            key: sampleKey('members'),
+            model: SAMPLE_MODEL,
+            prompt,
+            maxTokens: 400,
+          };
+          return callStream({ ...call, timeLimitMs: 100_000, signal: abort.signal });
+        });
+        await idle(SETTLE_MS)();
+        const spending = await watchGateway(url, idle(MS_PER_SECOND));
+        abort.abort();
+        await Promise.all(open);
+        return spending.rssMb;
+      },
+    );
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function sampleConfiguration(count: number): Configuration {
+  const values = Array.from({ length: count }, (_, index) => ({
+    kind: 'key',
+    name: `key-${String(index)}`,
+    spec: { sha256: index.toString(16).padStart(64, '0'), workspace: 'w', user: 'u' },
+  }));
+  const parsed = parseObjects(values);
+  const objects = parsed.isOk ? parsed.value : [];
+  return Configuration.empty.advance(
+    objects.map((after, index) => ({ id: `key/${after.name}`, revision: index + 1, after })),
+  );
+}
+
+/** Milliseconds that a gateway's loop is held by one change, by the number of objects. */
+function timeChange(count: number): number {
+  const configuration = sampleConfiguration(count);
+  const stored = configuration.objects.get('key/key-1');
+  if (!stored) return Number.NaN;
+  const times = Array.from({ length: ADVANCE_TRIES }, () => {
+    const startedAt = performance.now();
+    configuration.advance([{ id: 'key/key-1', revision: count + 1, after: stored.object }]);
+    return performance.now() - startedAt;
+  });
+  return median(times);
+}
+
+async function measureWatching(): Promise<readonly Slope[]> {
+  const spent = new Map<number, GatewaySpending>();
+  for (const count of ENGINE_COUNTS) spent.set(count, await watchEngines(count));
+  const points = (value: (spending: GatewaySpending) => number) =>
+    [...spent].map(([size, spending]) => ({ size, value: value(spending) }));
+  return [
+    makeSlope(
+      'processor by engines watched (10 reports a second each)',
+      'engine',
+      '% of a core',
+      points(({ corePercent }) => corePercent),
+    ),
+    makeSlope(
+      'memory by engines watched',
+      'engine',
+      'MB',
+      points(({ rssMb }) => rssMb),
+    ),
+    makeSlope(
+      'table and object store reads by engines watched',
+      'engine',
+      'reads/s',
+      points(({ readsPerSecond }) => readsPerSecond),
+    ),
+  ];
+}
+
+async function measurePeers(): Promise<readonly Slope[]> {
+  const spent = new Map<number, GatewaySpending>();
+  for (const count of PEER_COUNTS) spent.set(count, await watchPeers(count));
+  const points = (value: (spending: GatewaySpending) => number) =>
+    [...spent].map(([size, spending]) => ({ size, value: value(spending) }));
+  return [
+    makeSlope(
+      'processor by peer links',
+      'link',
+      '% of a core',
+      points(({ corePercent }) => corePercent),
+    ),
+    makeSlope(
+      'peer bytes by peer links (both ways)',
+      'link',
+      'bytes/s',
+      points(({ peerBytesPerSecond }) => peerBytesPerSecond),
+    ),
+  ];
+}
+
+/** Measures every slope that docs/CAPACITY.md uses. */
+export async function measureCapacity(options: {
+  readonly json: string | undefined;
+}): Promise<void> {
+  const slopes: Slope[] = [
+    await measureSlope('one placement decision', 'replica', 'us', REPLICA_COUNTS, (count) =>
+      median(timeDecisions(count)),
+    ),
+    await measureSlope('one configuration change', 'object', 'ms', OBJECT_COUNTS, timeChange),
+    ...(await measureWatching()),
+    ...(await measurePeers()),
+    ...(await measureRequests()),
+    await measureStreams(),
+  ];
+  writeReport('out/capacity.svg', slopeChart(slopes));
+  if (options.json !== undefined) writeReport(options.json, JSON.stringify(slopes, undefined, 2));
+  print(`${String(slopes.length)} slopes measured; plot in out/capacity.svg`);
+}
--- /dev/null
+++ b/packages/measure/src/capacity/gateway-probe.ts
@@ -0,0 +1,54 @@
+import { getJson } from '@poppypond/launch';
+import { z } from 'zod';
+
+const statusSchema = z.object({
+  traffic: z.object({ bytesIn: z.number(), bytesOut: z.number(), messagesIn: z.number() }),
+  store: z.object({ reads: z.number(), writes: z.number() }),
+  process: z.object({ rssBytes: z.number(), heapBytes: z.number(), cpuMicroseconds: z.number() }),
+});
+
+/** What a gateway spent in a time. */
+export interface GatewaySpending {
+  readonly seconds: number;
+  /** Share of one core, in percent. */
+  readonly corePercent: number;
+  readonly peerBytesPerSecond: number;
+  readonly readsPerSecond: number;
+  readonly writesPerSecond: number;
+  readonly rssMb: number;
+}
+
+const MS_PER_SECOND = 1000;
+const BYTES_PER_MB = 1e6;
+const MICROSECONDS_PER_PERCENT = 1e4;
+
+/** Watches one gateway while `during` runs. */
+export async function watchGateway(
+  url: string,
+  during: () => Promise<unknown>,
+): Promise<GatewaySpending> {
+  const before = statusSchema.parse(await getJson(`${url}/status`));
+  const startedAt = performance.now();
+  await during();
+  const seconds = (performance.now() - startedAt) / MS_PER_SECOND;
+  const after = statusSchema.parse(await getJson(`${url}/status`));
+  const cpu = after.process.cpuMicroseconds - before.process.cpuMicroseconds;
+  const bytes =
+    after.traffic.bytesIn +
+    after.traffic.bytesOut -
+    before.traffic.bytesIn -
+    before.traffic.bytesOut;
+  return {
+    seconds,
+    corePercent: cpu / seconds / MICROSECONDS_PER_PERCENT,
+    peerBytesPerSecond: bytes / seconds,
+    readsPerSecond: (after.store.reads - before.store.reads) / seconds,
+    writesPerSecond: (after.store.writes - before.store.writes) / seconds,
+    rssMb: after.process.rssBytes / BYTES_PER_MB,
+  };
+}
+
+/** Waits on the wall clock while something is watched. */
+export function idle(milliseconds: number): () => Promise<void> {
+  return () => new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/measure/src/configuration.ts
@@ -0,0 +1,111 @@
+import { Fleet, getJson, setFaults } from '@poppypond/launch';
+import type { RunningProgram } from '@poppypond/launch';
+import { z } from 'zod';
+import { print } from './report.js';
+import { seededRandom } from './seeded-random.js';
+
+/** How the configuration measurement is run. */
+export interface ConfigurationOptions {
+  readonly gateways: number;
+  readonly changes: number;
+  readonly seed: number;
+}
+
+const OPERATORS = 3;
+const WATCH_MS = 10;
+const LONGEST_WAIT_MS = 15_000;
+const MS_PER_SECOND = 1000;
+/** One gateway is ended and replaced, and the store is down for a while, this often. */
+const FAULT_EVERY = 40;
+const OUTAGE_MS = 500;
+
+const revisionSchema = z.object({ revision: z.number() });
+const tableSchema = z.object({ reads: z.number(), writes: z.number() });
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** Time until each of these gateways has the revision in force. */
+async function timeInForce(
+  gateways: readonly RunningProgram[],
+  revision: number,
+  acceptedAt: number,
+): Promise<readonly number[]> {
+  return Promise.all(
+    gateways.map(async (gateway) => {
+      while (performance.now() - acceptedAt < LONGEST_WAIT_MS) {
+        const status = revisionSchema.safeParse(await getJson(`${gateway.url}/status`));
+        if (status.success && status.data.revision >= revision) break;
+        if (gateway.hasExited) return 0;
+        await pause(WATCH_MS);
+      }
+      return performance.now() - acceptedAt;
+    }),
+  );
+}
+
+async function disturb(fleet: Fleet, next: () => number): Promise<void> {
+  const gateway = fleet.gateways[Math.floor(next() * fleet.gateways.length)];
+  if (gateway) {
+    await gateway.kill();
+    await fleet.replaceGateway(gateway);
+  }
+  await setFaults(fleet.platform.url, { down: true });
+  await pause(OUTAGE_MS);
+  await setFaults(fleet.platform.url, { down: false });
+}
+
+/** Measures the time from acceptance of a change until every gateway has it in force. */
+export async function measureConfiguration(options: ConfigurationOptions): Promise<void> {
+  const next = seededRandom(options.seed);
+  const fleet = await Fleet.start({
+    gateways: options.gateways,
+    engines: 1,
+    services: 0,
+    gatewayFlags: { 'config-poll-ms': 1000 },
+  });
+  try {
+    const times: number[] = [];
+    let made = 0;
+    let disturbances = 0;
+    const before = tableSchema.parse(await getJson(`${fleet.platform.url}/truth`));
+    const startedAt = performance.now();
+    const operate = async () => {
+      while (made < options.changes) {
+        made += 1;
+        const spec = { weight: 1 + Math.floor(next() * 50) };
+        const object = { kind: 'workspace', name: 'audit', labels: { team: 'assistant' }, spec };
+        const revision = await fleet.apply([object], 'measured').catch(() => undefined);
+        if (revision === undefined) continue;
+        const accepted = performance.now();
+        times.push(...(await timeInForce([...fleet.gateways], revision, accepted)));
+      }
+    };
+    const disturbing = async () => {
+      while (made < options.changes) {
+        if (made / FAULT_EVERY > disturbances + 1) {
+          disturbances += 1;
+          await disturb(fleet, next);
+        }
+        await pause(WATCH_MS);
+      }
+    };
+    await Promise.all([...Array.from({ length: OPERATORS }, operate), disturbing()]);
+    const seconds = (performance.now() - startedAt) / MS_PER_SECOND;
+    const after = tableSchema.parse(await getJson(`${fleet.platform.url}/truth`));
+    times.sort((a, b) => a - b);
+    const at = (part: number) => (times[Math.floor((times.length - 1) * part)] ?? 0).toFixed(0);
+    print(
+      `${String(made)} changes by ${String(OPERATORS)} racing operators on one object, ${String(disturbances)} kills and outages, ${String(options.gateways)} gateways`,
+    );
+    print(
+      `in force after: p50 ${at(0.5)} ms, p99 ${at(0.99)} ms, longest ${at(1)} ms (target p99 2000)`,
+    );
+    print(
+      `platform: ${((after.reads - before.reads) / seconds).toFixed(1)} reads and ${((after.writes - before.writes) / seconds).toFixed(1)} writes a second over ${seconds.toFixed(0)} s; ${((after.writes - before.writes) / made).toFixed(1)} writes for each change`,
+    );
+  } finally {
+    await fleet.stop();
+  }
+}
--- /dev/null
+++ b/packages/measure/src/limits.ts
@@ -0,0 +1,96 @@
+import { Fleet, getJson } from '@poppypond/launch';
+import { callStream, makePrompt, SAMPLE_MODEL, sampleKey } from '@poppypond/load';
+import { z } from 'zod';
+import { print } from './report.js';
+
+/** How the limits measurement is run. */
+export interface LimitsOptions {
+  readonly gateways: number;
+  readonly durationMs: number;
+}
+
+const UNITS_PER_SECOND = 20_000;
+const BURST_UNITS = 40_000;
+const PROMPT_TOKENS = 900;
+const MAX_TOKENS = 4;
+/** Prompt tokens and five times the output. */
+const UNITS = PROMPT_TOKENS + 5 * MAX_TOKENS;
+const OFFERED_FACTOR = 3;
+const MS_PER_SECOND = 1000;
+const TRANSITION_MS = 3000;
+
+const tableSchema = z.object({ reads: z.number(), writes: z.number() });
+
+interface Spent {
+  readonly atMs: number;
+  readonly isOk: boolean;
+}
+
+/** Offers three times the limit through the gateways that `choose` names. */
+async function offer(urls: readonly string[], durationMs: number): Promise<readonly Spent[]> {
+  const rate = (UNITS_PER_SECOND / UNITS) * OFFERED_FACTOR;
+  const count = Math.floor((rate * durationMs) / MS_PER_SECOND);
+  const startedAt = performance.now();
+  const sending = Array.from(
+    { length: count },
+    (_, index) =>
+      new Promise<Spent>((resolve) => {
+        const atMs = (index / rate) * MS_PER_SECOND;
+        setTimeout(() => {
+          const prompt = makePrompt(`limit ${String(startedAt)} ${String(index)} `, PROMPT_TOKENS);
+          const url = urls[index % urls.length] ?? '';
+          const key = sampleKey('audit');
+          const call = { url, key, model: SAMPLE_MODEL, prompt, maxTokens: MAX_TOKENS };
+          void callStream(call).then(({ code }) => {
+            resolve({ atMs, isOk: code === 'ok' });
+          });
+        }, atMs);
+      }),
+  );
+  return Promise.all(sending);
+}
+
+function spentRate(spent: readonly Spent[], fromMs: number, toMs: number): number {
+  const ok = spent.filter(({ atMs, isOk }) => isOk && atMs >= fromMs && atMs < toMs).length;
+  return (ok * UNITS * MS_PER_SECOND) / (toMs - fromMs);
+}
+
+/** Measures how much of a limit is usable when one host gets all of a workspace's traffic. */
+export async function measureLimits(options: LimitsOptions): Promise<void> {
+  const budget = { unitsPerSecond: UNITS_PER_SECOND, burstUnits: BURST_UNITS };
+  const fleet = await Fleet.start({
+    gateways: options.gateways,
+    engines: 4,
+    services: 0,
+    engineFlags: { 'step-base-ms': 1, 'prefill-ms': 0.001 },
+    gatewayFlags: { 'prefill-tokens-per-ms': 500, 'decode-step-ms': 2 },
+    objects: [
+      { kind: 'workspace', name: 'audit', labels: { team: 'assistant' }, spec: { budget } },
+    ],
+  });
+  try {
+    const urls = fleet.gateways.map((gateway) => gateway.url);
+    const even = await offer(urls, options.durationMs);
+    const evenRate = spentRate(even, TRANSITION_MS, options.durationMs);
+    print(
+      `arrivals at all ${String(urls.length)} hosts: ${(evenRate / UNITS_PER_SECOND).toFixed(3)} of the limit used`,
+    );
+    const total = spentRate(even, 0, options.durationMs) * (options.durationMs / MS_PER_SECOND);
+    const most = BURST_UNITS + (UNITS_PER_SECOND * options.durationMs) / MS_PER_SECOND;
+    print(
+      `spent ${total.toFixed(0)} units from the start, at most ${most.toFixed(0)} allowed: ${total <= most ? 'held' : 'BROKEN'}`,
+    );
+    const before = tableSchema.parse(await getJson(`${fleet.platform.url}/truth`));
+    const one = await offer(urls.slice(-1), options.durationMs);
+    const after = tableSchema.parse(await getJson(`${fleet.platform.url}/truth`));
+    const early = spentRate(one, 0, TRANSITION_MS);
+    const oneRate = spentRate(one, TRANSITION_MS, options.durationMs);
+    print(
+      `all arrivals at one host: ${(oneRate / UNITS_PER_SECOND).toFixed(3)} of the limit used (target 0.9); ${(early / UNITS_PER_SECOND).toFixed(3)} in the first ${String(TRANSITION_MS)} ms`,
+    );
+    const writes = (after.writes - before.writes) / (options.durationMs / MS_PER_SECOND);
+    print(`the platform took ${writes.toFixed(1)} writes a second meanwhile`);
+  } finally {
+    await fleet.stop();
+  }
+}
--- /dev/null
+++ b/packages/measure/src/relay.ts
@@ -0,0 +1,167 @@
+import { Fleet, getJson } from '@poppypond/launch';
+import {
+  callStream,
+  firstTokenPercentiles,
+  makePrompt,
+  SAMPLE_MODEL,
+  sampleKey,
+} from '@poppypond/load';
+import type { LoadSample, Percentiles } from '@poppypond/load';
+import { z } from 'zod';
+import { callEngine } from './engine-call.js';
+import { print, writeReport } from './report.js';
+
+/** How the relay measurement is run. */
+export interface RelayOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly requestsPerSecond: number;
+  readonly json: string | undefined;
+}
+
+const TOKENS = 32;
+const PROMPT_TOKENS = 200;
+const ENGINES = 6;
+const HALF = 0.5;
+const MS_PER_SECOND = 1000;
+const BYTES_PER_MB = 1e6;
+const FAST = { 'step-base-ms': 1, 'prefill-ms': 0.001, 'decode-ms': 0, 'max-running': 1000 };
+
+const statusSchema = z.object({
+  process: z.object({ rssBytes: z.number(), heapBytes: z.number() }),
+});
+
+type Send = (index: number, startedAt: number) => Promise<LoadSample>;
+
+/** Sends at a fixed rate, each at its own time, and returns what became of each. */
+function sendAtRate(rate: number, durationMs: number, send: Send): Promise<readonly LoadSample[]> {
+  const startedAt = performance.now();
+  const count = Math.floor((rate * durationMs) / MS_PER_SECOND);
+  const sending = Array.from(
+    { length: count },
+    (_, index) =>
+      new Promise<LoadSample>((resolve) => {
+        const atMs = (index / rate) * MS_PER_SECOND;
+        setTimeout(() => void send(index, startedAt + atMs).then(resolve), atMs);
+      }),
+  );
+  return Promise.all(sending);
+}
+
+function gatewaySender(url: string, seed: number): Send {
+  return async (index, startedAt) => {
+    const prompt = makePrompt(`relay ${String(seed)} ${String(index)} `, PROMPT_TOKENS);
+    const call = { url, key: sampleKey('members'), model: SAMPLE_MODEL, prompt, maxTokens: TOKENS };
+    const outcome = await callStream(call, startedAt);
+    return { ...outcome, index, atMs: 0, promptTokens: PROMPT_TOKENS, workspace: 'members' };
+  };
+}
+
+function directSender(urls: readonly string[], seed: number): Send {
+  return async (index, startedAt) => {
+    const prompt = makePrompt(`direct ${String(seed)} ${String(index)} `, PROMPT_TOKENS);
+    const url = urls[index % urls.length] ?? '';
+    const result = await callEngine(url, `direct-${String(index)}`, prompt, TOKENS, startedAt);
+    return { ...result, index, atMs: 0, promptTokens: PROMPT_TOKENS, workspace: 'members' };
+  };
+}
+
+function line(name: string, percentiles: Percentiles, samples: readonly LoadSample[]): string {
+  const ok = samples.filter(({ code }) => code === 'ok').length;
+  return (
+    `${name}: first token p50 ${percentiles.p50.toFixed(2)} ms, p99 ${percentiles.p99.toFixed(2)} ms, ` +
+    `${String(ok)} of ${String(samples.length)} ok`
+  );
+}
+
+async function memoryOf(url: string): Promise<number> {
+  const status = statusSchema.parse(await getJson(`${url}/status`));
+  return status.process.rssBytes / BYTES_PER_MB;
+}
+
+/** Sends at full rate and watches the gateway's memory; one reading each second. */
+async function sendWatchingMemory(url: string, options: RelayOptions) {
+  const memory: number[] = [];
+  const timer = setInterval(() => {
+    void memoryOf(url).then((megabytes) => memory.push(megabytes));
+  }, MS_PER_SECOND);
+  const sender = gatewaySender(url, options.seed + 1);
+  const startedAt = performance.now();
+  const samples = await sendAtRate(options.requestsPerSecond, options.durationMs, sender);
+  const elapsedMs = performance.now() - startedAt;
+  clearInterval(timer);
+  return { samples, memory, elapsedMs };
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** Memory of the last quarter over that of the third: 1 where it does not grow. */
+function growthOf(memory: readonly number[]): number {
+  const half = memory.slice(Math.floor(memory.length / 2));
+  const middle = Math.floor(half.length / 2);
+  return mean(half.slice(middle)) / mean(half.slice(0, middle));
+}
+
+/** Measures what the gateway adds to the first token, what it carries, and its memory. */
+export async function measureRelay(options: RelayOptions): Promise<void> {
+  const fleet = await Fleet.start({
+    gateways: 1,
+    engines: ENGINES,
+    services: 0,
+    engineFlags: FAST,
+    gatewayFlags: { 'prefill-tokens-per-ms': 500, 'decode-step-ms': 2, 'step-ms': 2 },
+  });
+  try {
+    const url = fleet.gateways[0]?.url ?? '';
+    const engineUrls = fleet.engines.map((engine) => engine.url);
+    const halfRate = options.requestsPerSecond * HALF;
+    const warm = { ...options, durationMs: options.durationMs / 6 };
+    await sendAtRate(halfRate, warm.durationMs, gatewaySender(url, options.seed + 2));
+    const direct = await sendAtRate(
+      halfRate,
+      options.durationMs / 3,
+      directSender(engineUrls, options.seed),
+    );
+    const through = await sendAtRate(
+      halfRate,
+      options.durationMs / 3,
+      gatewaySender(url, options.seed),
+    );
+    const [d, t] = [firstTokenPercentiles(direct), firstTokenPercentiles(through)];
+    print(line(`direct at ${String(halfRate)}/s`, d, direct));
+    print(line(`through the gateway at ${String(halfRate)}/s`, t, through));
+    print(
+      `the gateway adds ${(t.p50 - d.p50).toFixed(2)} ms at p50 (target 1.5) and ${(t.p99 - d.p99).toFixed(2)} ms at p99 (target 8)`,
+    );
+    const full = await sendWatchingMemory(url, options);
+    const ok = full.samples.filter(({ code }) => code === 'ok').length;
+    const rate = ok / (full.elapsedMs / MS_PER_SECOND);
+    const f = firstTokenPercentiles(full.samples);
+    print(line(`through the gateway at ${String(options.requestsPerSecond)}/s`, f, full.samples));
+    print(
+      `carried ${rate.toFixed(0)} streamed requests a second of ${String(TOKENS)} tokens (target 500)`,
+    );
+    print(
+      `memory over the second half: last quarter / third quarter = ${growthOf(full.memory).toFixed(3)}; last ${full.memory.at(-1)?.toFixed(0) ?? '-'} MB`,
+    );
+    const figures = {
+      options,
+      direct: d,
+      through: t,
+      full: f,
+      carriedPerSecond: rate,
+      memoryMb: full.memory,
+    };
+    if (options.json !== undefined)
+      writeReport(options.json, JSON.stringify(figures, undefined, 2));
+    const raw = [
+      ...direct.map((s) => ['direct', s.firstTokenMs]),
+      ...through.map((s) => ['gateway', s.firstTokenMs]),
+    ];
+    writeReport('out/relay-samples.jsonl', raw.map((row) => JSON.stringify(row)).join('\n'));
+  } finally {
+    await fleet.stop();
+  }
+}
--- a/packages/peer/src/membership.ts
+++ b/packages/peer/src/membership.ts
@@ -1,5 +1,7 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { Member } from './messages.js';
+import type { Member, MemberNews } from './messages.js';
+
+const MAX_REMOVED = 10_000;
 
 /** `suspect`: not heard of for a while, not removed yet. */
 export type MemberState = 'alive' | 'suspect';
@@ -14,6 +16,7 @@
 
 interface Entry {
   readonly member: Member;
+  readonly beat: number;
   readonly heardAtMs: Milliseconds;
 }
 
@@ -26,6 +29,9 @@
 /** The hosts that this host has heard of. A hint: no safety rests on it. */
 export class Membership {
   readonly #entries = new Map<string, Entry>();
+  /** Incarnation of a removed run to its last heartbeat. */
+  readonly #removed = new Map<string, number>();
+  #nextNews = 0;
 
   constructor(
     readonly self: Member,
@@ -33,18 +39,51 @@
     readonly clock: Clock,
   ) {}
 
-  /** Notes that a member was heard of directly, or for the first time through another. */
-  hear(member: Member, isDirect: boolean): void {
-    if (member.host === this.self.host) return;
+  /** Notes that a member itself was heard. */
+  hearDirectly(member: Member, beat: number): void {
+    const known = this.#entries.get(member.host);
+    const isSameRun = known?.member.incarnation === member.incarnation;
+    const newest = isSameRun ? Math.max(known.beat, beat) : beat;
+    this.#put(member, newest);
+  }
+
+  /**
+   * Notes what another host passes on. Only a newer heartbeat counts, so that hosts don't keep
+   * each other believing in one that is gone; another run counts once the known one is silent.
+   */
+  hearThrough({ member, beat }: MemberNews): void {
     const known = this.#entries.get(member.host);
-    if (known && known.member.incarnation === member.incarnation && !isDirect) return;
-    if (known && known.member.incarnation !== member.incarnation && !isDirect) return;
-    this.#entries.set(member.host, { member, heardAtMs: this.clock.monotonicMs() });
+    if (!known) return this.#put(member, beat);
+    const isSameRun = known.member.incarnation === member.incarnation;
+    if (isSameRun && beat > known.beat) return this.#put(member, beat);
+    const silentMs = this.clock.monotonicMs() - known.heardAtMs;
+    if (!isSameRun && silentMs > this.times.suspectAfterMs) this.#put(member, beat);
+  }
+
+  #put(member: Member, beat: number): void {
+    if (member.host === this.self.host || this.#isForgotten(member, beat)) return;
+    this.#entries.set(member.host, { member, beat, heardAtMs: this.clock.monotonicMs() });
   }
 
-  /** The host said that it goes; it isn't waited for. */
-  forget(host: string, incarnation: string): void {
-    if (this.#entries.get(host)?.member.incarnation === incarnation) this.#entries.delete(host);
+  /** A removed run comes back only with a newer heartbeat than it was removed with. */
+  #isForgotten(member: Member, beat: number): boolean {
+    return beat <= (this.#removed.get(member.incarnation) ?? -1);
+  }
+
+  /** News about a few members, taken in turn. */
+  nextNews(count: number): readonly MemberNews[] {
+    const all = [...this.#entries.values()];
+    const news = Array.from({ length: Math.min(count, all.length) }, (_, index) => {
+      const entry = all[(this.#nextNews + index) % all.length];
+      return entry ? [{ member: entry.member, beat: entry.beat }] : [];
+    });
+    this.#nextNews += count;
+    return news.flat();
+  }
+
+  /** News about every member. */
+  allNews(): readonly MemberNews[] {
+    return [...this.#entries.values()].map(({ member, beat }) => ({ member, beat }));
   }
 
   /** Known members; those silent for too long are removed. */
@@ -53,7 +92,7 @@
     const known: KnownMember[] = [];
     for (const [host, { member, heardAtMs }] of this.#entries) {
       const silentMs = now - heardAtMs;
-      if (silentMs > this.times.removeAfterMs) this.#entries.delete(host);
+      if (silentMs > this.times.removeAfterMs) this.#remove(host);
       else {
         const state = silentMs > this.times.suspectAfterMs ? 'suspect' : 'alive';
         known.push({ member, state, silentMs });
@@ -62,6 +101,14 @@
     return known;
   }
 
+  #remove(host: string): void {
+    const entry = this.#entries.get(host);
+    if (!entry) return;
+    this.#entries.delete(host);
+    if (this.#removed.size > MAX_REMOVED) this.#removed.clear();
+    this.#removed.set(entry.member.incarnation, entry.beat);
+  }
+
   find(host: string): Member | undefined {
     return this.#entries.get(host)?.member;
   }
--- /dev/null
+++ b/packages/peer/src/mesh.test.ts
@@ -0,0 +1,72 @@
+import { SystemClock } from '@poppypond/core';
+import { listen } from '@poppypond/web';
+import { afterEach, describe, expect, it } from 'vitest';
+import { z } from 'zod';
+import { PeerMesh } from './mesh.js';
+
+const clock = new SystemClock();
+const closers: (() => Promise<void>)[] = [];
+
+async function startMesh(host: string, seeds: readonly string[], fanOut = 8): Promise<PeerMesh> {
+  const server = await listen((_request, response) => response.end(), '127.0.0.1', 0);
+  const peerUrl = server.url.replace('http:', 'ws:');
+  const self = { host, incarnation: `${host}-1`, zone: 'a', peerUrl, callerUrl: server.url };
+  const times = { heartbeatMs: 20, suspectAfterMs: 200, removeAfterMs: 600 };
+  const mesh = new PeerMesh({ ...times, self, seeds, fanOut }, clock, server.server);
+  mesh.start();
+  closers.push(async () => {
+    mesh.stop();
+    await server.close();
+  });
+  return mesh;
+}
+
+function until(check: () => boolean): Promise<void> {
+  return expect
+    .poll(check, { timeout: 5000, interval: 10 })
+    .toBe(true)
+    .then(() => undefined);
+}
+
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
+
+describe('PeerMesh', () => {
+  it('connects hosts that know one seed, one link for each pair, and passes messages', async () => {
+    const first = await startMesh('h1', []);
+    const seeds = [first.settings.self.peerUrl];
+    const others = await Promise.all(['h2', 'h3', 'h4'].map((host) => startMesh(host, seeds)));
+    const all = [first, ...others];
+    await until(() => all.every((mesh) => mesh.linked().length === 3));
+    const got: string[] = [];
+    for (const mesh of others) {
+      mesh.on('word', z.string(), (from, word) => got.push(`${from.host}:${word}`));
+    }
+    first.broadcast('word', 'hello');
+    await until(() => got.length === 3);
+    expect(new Set(got)).toEqual(new Set(['h1:hello']));
+  });
+
+  it('does not connect all to all when there are many', async () => {
+    const first = await startMesh('h00', [], 2);
+    const seeds = [first.settings.self.peerUrl];
+    const names = Array.from(
+      { length: 11 },
+      (_, index) => `h${String(index + 1).padStart(2, '0')}`,
+    );
+    const others = await Promise.all(names.map((host) => startMesh(host, seeds, 2)));
+    await until(() => others.every((mesh) => mesh.members().length === 11));
+    const links = [first, ...others].reduce((sum, mesh) => sum + mesh.linked().length, 0);
+    expect(links).toBeLessThan(12 * 11);
+  });
+
+  it('suspects a silent host, then removes it', async () => {
+    const first = await startMesh('h1', []);
+    const second = await startMesh('h2', [first.settings.self.peerUrl]);
+    await until(() => first.linked().length === 1);
+    second.stop();
+    await until(() => first.members()[0]?.state === 'suspect');
+    await until(() => first.members().length === 0);
+  });
+});
--- a/packages/peer/src/mesh.ts
+++ b/packages/peer/src/mesh.ts
@@ -7,7 +7,7 @@
 import type { LinkTraffic } from './link.js';
 import { Membership } from './membership.js';
 import type { KnownMember, MembershipTimes } from './membership.js';
-import { envelopeSchema, helloSchema } from './messages.js';
+import { envelopeSchema, heartbeatSchema, helloSchema } from './messages.js';
 import type { Member } from './messages.js';
 import type { PeerMessages } from './peer-messages.js';
 
@@ -32,6 +32,8 @@
 const MAX_BUFFERED_BYTES = 4_000_000;
 const MAX_MESSAGE_BYTES = 16_000_000;
 const HEARTBEAT = 'heartbeat';
+/** Members that one heartbeat brings news of. */
+const NEWS_COUNT = 4;
 
 /**
  * Connections between hosts. Each host dials a few members in rendezvous order, so that a small
@@ -46,6 +48,7 @@
   readonly #server: WebSocketServer;
   #cancelTimer: CancelTimer | undefined;
   #isStopped = false;
+  #beat = 0;
   /** Called when a member's link has opened. */
   onJoined: (member: Member) => void = () => undefined;
 
@@ -59,6 +62,10 @@
     this.#server.on('connection', (socket) => {
       this.#attach(socket, false);
     });
+    this.on(HEARTBEAT, heartbeatSchema, (from, { beat, news }) => {
+      this.membership.hearDirectly(from, beat);
+      for (const one of news) this.membership.hearThrough(one);
+    });
   }
 
   start(): void {
@@ -115,7 +122,10 @@
   }
 
   #tick(): void {
-    for (const { host } of this.linked()) this.send(host, HEARTBEAT, {});
+    this.#beat += 1;
+    for (const { host } of this.linked()) {
+      this.send(host, HEARTBEAT, { beat: this.#beat, news: this.membership.nextNews(NEWS_COUNT) });
+    }
     const linkedUrls = new Set(this.linked().map((member) => member.peerUrl));
     for (const url of this.#wantedUrls()) {
       if (!linkedUrls.has(url) && !this.#dialling.has(url)) this.#dial(url);
@@ -152,8 +162,8 @@
     const link: Link = { socket, isDialled, member: undefined };
     this.#links.add(link);
     const sayHello = () => {
-      const others = this.membership.list().map(({ member }) => member);
-      const hello = { self: this.settings.self, others };
+      const self = { member: this.settings.self, beat: this.#beat };
+      const hello = { self, others: this.membership.allNews() };
       sendMessage(socket, hello, MAX_BUFFERED_BYTES, this.traffic);
     };
     if (isDialled) socket.once('open', sayHello);
@@ -168,7 +178,7 @@
   #receive(link: Link, message: unknown): void {
     if (this.#isStopped) return;
     if (!link.member) return this.#greet(link, message);
-    this.membership.hear(link.member, true);
+    this.membership.hearDirectly(link.member, 0);
     const envelope = envelopeSchema.safeParse(message);
     if (envelope.success) this.#handlers.get(envelope.data.kind)?.(link.member, envelope.data.body);
   }
@@ -179,9 +189,9 @@
       link.socket.terminate();
       return;
     }
-    const { self: member, others } = hello.data;
-    this.membership.hear(member, true);
-    for (const other of others) this.membership.hear(other, false);
+    const { member, beat } = hello.data.self;
+    this.membership.hearDirectly(member, beat);
+    for (const news of hello.data.others) this.membership.hearThrough(news);
     if (this.#isDoubled(link, member)) {
       link.socket.close();
       return;
--- /dev/null
+++ b/packages/proof/src/operators.test.ts
@@ -0,0 +1,156 @@
+import { spawn } from 'node:child_process';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { Fleet, waitUntil } from '@poppypond/launch';
+import { keySha256, SAMPLE_OPERATOR_KEY, sampleKey } from '@poppypond/load';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+const CLI = fileURLToPath(new URL('../../cli/dist/main.js', import.meta.url));
+
+describe('the worked example of docs/OPERATIONS.md', () => {
+  let fleet: Fleet;
+  const folder = mkdtempSync(join(tmpdir(), 'poppypond-'));
+
+  beforeAll(async () => {
+    fleet = await Fleet.start({
+      gateways: 2,
+      engines: 2,
+      services: 1,
+      engineFlags: { 'step-base-ms': 1, 'prefill-ms': 0.001 },
+      gatewayFlags: { 'config-poll-ms': 200, 'decision-flush-ms': 200 },
+      adminGateways: true,
+    });
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+  });
+
+  function poppypond(args: readonly string[], key = SAMPLE_OPERATOR_KEY) {
+    const env = { ...process.env, POPPYPOND_ADMIN: fleet.admin.url, POPPYPOND_KEY: key };
+    const child = spawn(process.execPath, [CLI, ...args], { env });
+    return new Promise<{ readonly code: number | null; readonly out: string }>((resolve) => {
+      let out = '';
+      child.stdout.on('data', (chunk: Buffer) => (out += chunk.toString('utf8')));
+      child.stderr.on('data', (chunk: Buffer) => (out += chunk.toString('utf8')));
+      child.once('close', (code) => {
+        resolve({ code, out });
+      });
+    });
+  }
+
+  function file(name: string, objects: readonly unknown[]): string {
+    const path = join(folder, name);
+    writeFileSync(path, JSON.stringify(objects));
+    return path;
+  }
+
+  function ask(max_tokens: number) {
+    return fetch(`${fleet.gateways[0]?.url ?? ''}/v1/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${sampleKey('audit')}` },
+      body: JSON.stringify({ model: 'general', prompt: 'hello', max_tokens }),
+    });
+  }
+
+  const limited = (burstUnits: number) => [
+    {
+      kind: 'workspace',
+      name: 'audit',
+      labels: { team: 'auditors' },
+      spec: { budget: { unitsPerSecond: 1, burstUnits } },
+    },
+  ];
+
+  it('sets a limit, sees a refusal, asks why, changes the limit, reads the audit trail', async () => {
+    const set = ['apply', file('limit.json', limited(200)), '--why', 'pilot', '--wait'];
+    expect(await poppypond(set)).toMatchObject({
+      code: 0,
+      out: expect.stringMatching(/revision \d+/),
+    });
+    const refused = await ask(100);
+    expect(refused.status).toBe(413);
+    const request = refused.headers.get('x-poppypond-request') ?? '';
+    await waitUntil('the refusal can be explained', async () => {
+      const { out } = await poppypond(['explain', request]);
+      return /refuse: over_budget_size by rule prompts@1/.test(out);
+    });
+    const byLabel = await poppypond(['explain', '--selector', 'workspace=audit']);
+    expect(byLabel.out).toContain(request);
+    const more = ['apply', file('more.json', limited(5000)), '--why', 'audit season', '--wait'];
+    expect((await poppypond(more)).code).toBe(0);
+    const answered = await waitForOk();
+    expect(answered).toBe(200);
+    const trail = await poppypond(['audit', '--object', 'workspace/audit']);
+    expect(trail.out).toMatch(/operator +changed +workspace\/audit +pilot/);
+    expect(trail.out).toMatch(/operator +changed +workspace\/audit +audit season/);
+  });
+
+  /** The budget's units come with the share; a host may have to ask for it. */
+  async function waitForOk(): Promise<number> {
+    const reply = await ask(10);
+    return reply.status;
+  }
+
+  it('shows a difference without changing anything, and refuses invalid objects whole', async () => {
+    const diff = await poppypond(['diff', file('diff.json', limited(9000))]);
+    expect(diff.out).toMatch(/spec.budget.burstUnits: 5000 -> 9000/);
+    const bad = [...limited(1), { kind: 'rule', name: 'Bad Name', spec: { traffic: 3 } }];
+    const refused = await poppypond(['apply', file('bad.json', bad), '--why', 'wrong']);
+    expect(refused.code).toBe(1);
+    expect(refused.out).toMatch(/objects.1.name: .*objects.1.spec.traffic: /);
+    expect((await poppypond(['diff', file('same.json', limited(5000))])).out).toMatch(/unchanged/);
+  });
+
+  it('warns about what matches nothing, and names both changes in a race', async () => {
+    const rule = {
+      kind: 'rule',
+      name: 'lost',
+      labels: {},
+      spec: {
+        traffic: [
+          { key: 'a', operator: 'equals', value: '1' },
+          { key: 'a', operator: 'equals', value: '2' },
+        ],
+        pools: [{ key: 'no', operator: 'equals', value: 'where' }],
+      },
+    };
+    const warned = await poppypond(['apply', file('lost.json', [rule]), '--dry-run']);
+    expect(warned.out).toMatch(/rule\/lost: traffic can never match/);
+    expect(warned.out).toMatch(/rule\/lost: pools matches no object now/);
+    const stale = [
+      'apply',
+      file('race.json', limited(1)),
+      '--why',
+      'late',
+      '--expect',
+      'workspace/audit=1',
+    ];
+    const raced = await poppypond(stale);
+    expect(raced.out).toMatch(/conflict .*you changed revision 1, it is now at 3: .*audit season/);
+  });
+
+  it('lets an operator change only what its scope selects, and a viewer nothing', async () => {
+    const operator = (name: string, role: string) => ({
+      kind: 'operator',
+      name,
+      labels: {},
+      spec: {
+        sha256: keySha256(`${name}-key`),
+        role,
+        scope: [{ key: 'team', operator: 'equals', value: 'counters' }],
+      },
+    });
+    const people = [operator('cara', 'operator'), operator('vera', 'viewer')];
+    expect((await poppypond(['apply', file('people.json', people), '--why', 'staff'])).code).toBe(
+      0,
+    );
+    const change = ['apply', file('change.json', limited(7000)), '--why', 'mine'];
+    expect((await poppypond(change, 'cara-key')).out).toMatch(/forbidden .*outside the scope/);
+    expect((await poppypond(change, 'vera-key')).out).toMatch(/forbidden .*changes nothing/);
+    expect((await poppypond(['get', 'workspace'], 'vera-key')).out).toMatch(/workspace +audit/);
+    expect((await poppypond(['status'], 'vera-key')).out).toMatch(/newest revision/);
+  });
+});
--- a/packages/settings/src/program.ts
+++ b/packages/settings/src/program.ts
@@ -80,6 +80,20 @@
   return line ?? 'failed';
 }
 
+/** A flag that no command knows, as one line; undefined if there is none. */
+function findUnknownFlag(
+  args: readonly string[],
+  commands: readonly ProgramCommand[],
+): string | undefined {
+  const known = new Set(
+    commands.flatMap((command) => describeSettings(command.shape).map(({ flag }) => flag)),
+  );
+  known.add('--help');
+  const flags = args.filter((arg) => arg.startsWith('--')).map((arg) => arg.split('=')[0] ?? arg);
+  const unknown = flags.find((flag) => !known.has(flag) && !known.has(flag.replace('--no-', '--')));
+  return unknown === undefined ? undefined : `${unknown}: unknown setting`;
+}
+
 function isUsageProblem(error: unknown): boolean {
   return error instanceof Error && (error instanceof UsageError || 'clipanion' in error);
 }
@@ -99,7 +113,7 @@
   const known = new Set(
     commands.flatMap((command) => describeSettings(command.shape).map(({ env }) => env)),
   );
-  const unknown = findUnknownVariable(known, process.env);
+  const unknown = findUnknownFlag(args, commands) ?? findUnknownVariable(known, process.env);
   try {
     if (unknown) throw new UsageError(unknown);
     const command = cli.process([...args], Cli.defaultContext);
--- /dev/null
+++ b/packages/telemetry/src/telemetry.test.ts
@@ -0,0 +1,29 @@
+import { readFileSync } from 'node:fs';
+import { describe, expect, it } from 'vitest';
+import { createLog } from './log.js';
+import { METRICS } from './metrics.js';
+
+describe('log', () => {
+  it('writes one line of key=value pairs for each event, and only from its level on', () => {
+    const lines: string[] = [];
+    const log = createLog({ program: 'gateway' }, 'info', (line) => lines.push(line));
+    log.debug('hidden');
+    log.warn('backend_set_aside', { server: 'engine-1', why: 'a "cut"\nstream', count: 3 });
+    expect(lines).toHaveLength(1);
+    expect(lines[0]).toMatch(
+      /^time=\S+ level=warn event=backend_set_aside program=gateway server=engine-1 why="a \\"cut\\"\\nstream" count=3\n$/,
+    );
+  });
+});
+
+describe('docs/METRICS.md', () => {
+  it('lists every metric', () => {
+    const path = new URL('../../../docs/METRICS.md', import.meta.url);
+    const page = readFileSync(path, 'utf8');
+    for (const [name, { type, meaning }] of Object.entries(METRICS)) {
+      const row = page.split('\n').find((line) => line.startsWith(`| \`poppypond.${name}\``));
+      expect(row, name).toContain(type);
+      expect(row).toContain(meaning);
+    }
+  });
+});
