Record transfers of shares in batches; a part given on is not lost

Transfers are now recorded once in two seconds. Now a giver's row may go below zero for a while, free parts are counted as if it were zero, and only givers that were reclaimed void their gifts.

--- a/packages/gateway/src/shares/share-keeper.test.ts
+++ b/packages/gateway/src/shares/share-keeper.test.ts
@@ -63,6 +63,14 @@
     expect(await spend(fleet, 2, 15_000)).toBe(true);
   });
 
+  it('loses nothing when a part is given on before the table knows of the first gift', async () => {
+    const fleet = makeFleet();
+    for (const host of [0, 1, 2, 3]) await spend(fleet, host, 19_000);
+    await fleet.clock.advance(30_000);
+    expect(fleet.total()).toBeGreaterThan(0.99);
+    expect(await spend(fleet, 3, 19_000)).toBe(true);
+  });
+
   it('never holds or spends more than the limit, whatever is lost, repeated or down', async () => {
     const step = fc.record({
       kind: fc.constantFrom('spend', 'spend', 'spend', 'drop', 'repeat', 'wait'),
--- a/packages/gateway/src/shares/share-keeper.ts
+++ b/packages/gateway/src/shares/share-keeper.ts
@@ -42,7 +42,9 @@
 const QUIET_MS = 300;
 const RESEND_MS = 500;
 const RECLAIM_PERIOD_MS = 5000;
-const RECORD_RETRY_MS = 1000;
+/** A run that was replaced: long enough for what it gave away to be recorded. */
+const REPLACED_AFTER_MS = 10_000;
+const RECORD_PERIOD_MS = 2000;
 const MAX_TAKEN_IDS = 10_000;
 const MS_PER_SECOND = 1000;
 
@@ -60,6 +62,8 @@
   readonly #takenIds = new Set<string>();
   readonly #opening = new Map<string, Promise<void>>();
   readonly #gathering = new Map<string, Promise<void>>();
+  /** Budget to giver to the part that the table doesn't know of yet. */
+  readonly #unrecorded = new Map<string, Map<string, number>>();
   readonly #missingSince = new Map<string, Milliseconds>();
 
   constructor(
@@ -85,6 +89,7 @@
     clock.every(RESEND_MS, () => {
       for (const { host, grant } of this.#outgoing.values()) mesh.send(host, SHARE_GRANT, grant);
     });
+    clock.every(RECORD_PERIOD_MS, () => void this.#recordGifts());
     clock.every(RECLAIM_PERIOD_MS, () => void this.#reclaim());
   }
 
@@ -196,12 +201,36 @@
     this.#takenIds.add(grant.id);
     if (this.#takenIds.size > MAX_TAKEN_IDS) this.#takenIds.clear();
     this.#add(grant.budgetId, grant.share, grant.units);
-    void this.#record(grant);
+    this.#noteGift(grant);
   }
 
-  async #record(grant: ShareGrant): Promise<void> {
-    if (await this.#table.recordTransfer(grant.budgetId, grant.giver, grant.share)) return;
-    this.clock.after(RECORD_RETRY_MS, () => void this.#record(grant));
+  #noteGift({ budgetId, giver, share }: ShareGrant): void {
+    const gifts = this.#unrecorded.get(budgetId) ?? new Map<string, number>();
+    gifts.set(giver, (gifts.get(giver) ?? 0) + share);
+    this.#unrecorded.set(budgetId, gifts);
+  }
+
+  /** Records what was given to this host, one write for each budget. */
+  async #recordGifts(): Promise<void> {
+    for (const [budgetId, gifts] of this.#unrecorded) {
+      this.#unrecorded.delete(budgetId);
+      const missing = await this.#table.recordTransfers(budgetId, gifts);
+      if (missing === undefined) this.#keepGifts(budgetId, gifts);
+      else if (missing > 0) this.#drop(budgetId, missing);
+    }
+  }
+
+  #keepGifts(budgetId: string, gifts: ReadonlyMap<string, number>): void {
+    for (const [giver, share] of gifts) {
+      this.#noteGift({ id: '', budgetId, giver, share, units: 0 });
+    }
+  }
+
+  #drop(budgetId: string, share: number): void {
+    const held = this.#held.get(budgetId);
+    if (!held) return;
+    held.share = Math.max(0, held.share - share);
+    this.budgets.onShareChanged(held.applied, this.clock.monotonicMs());
   }
 
   /** Frees the parts of holders that are surely gone; one host looks after each budget. */
@@ -215,7 +244,7 @@
       if (!row) continue;
       for (const holder of Object.keys(row.holders)) {
         if (!this.#isGone(holder, members)) continue;
-        if (await this.#table.free(id, holder, 0)) this.log.info('share_reclaimed', { id, holder });
+        if (await this.#table.reclaim(id, holder)) this.log.info('share_reclaimed', { id, holder });
       }
       await this.#takeFree(held);
     }
@@ -226,22 +255,23 @@
     const owner = parseOwner(holder);
     if (!owner || holder === this.#self) return false;
     const member = members.find(({ host }) => host === owner.host);
-    if (member) {
+    if (member?.incarnation === owner.incarnation) {
       this.#missingSince.delete(holder);
-      return member.incarnation !== owner.incarnation;
+      return false;
     }
     const now = this.clock.monotonicMs();
     const since = this.#missingSince.get(holder) ?? now;
     this.#missingSince.set(holder, since);
-    return now - since > this.times.reclaimAfterMs;
+    return now - since > (member ? REPLACED_AFTER_MS : this.times.reclaimAfterMs);
   }
 
   /** Gives every part back, for a planned stop. */
   async returnAll(): Promise<void> {
+    await this.#recordGifts();
     const now = this.clock.monotonicMs();
     for (const [id, held] of this.#held) {
       const units = Math.max(0, this.budgets.available(held.applied, now));
-      if (await this.#table.freeOwn(id, units)) held.share = 0;
+      if (await this.#table.giveBack(id, held.share, units)) held.share = 0;
     }
   }
 
--- a/packages/gateway/src/shares/share-table.ts
+++ b/packages/gateway/src/shares/share-table.ts
@@ -4,8 +4,13 @@
 import { z } from 'zod';
 
 const rowSchema = z.object({
-  /** Owner to its part of the limit; the parts never sum to more than 1. */
+  /**
+   * Owner to its part of the limit. Below zero where a host has given on what it was given
+   * and the first transfer isn't recorded yet.
+   */
   holders: z.record(z.string(), z.number()),
+  /** Owners whose part was reclaimed, newest last; what they gave away before is void. */
+  reclaimed: z.array(z.string()),
   /** Units that were given back with parts that nobody holds. */
   freeUnits: z.number(),
 });
@@ -22,9 +27,13 @@
 const MAX_TRIES = 6;
 const RETRY_MS = 20;
 const LEAST_FREE = 0.001;
+const MAX_RECLAIMED = 100;
+
+const EMPTY_ROW: ShareRow = { holders: {}, reclaimed: [], freeUnits: 0 };
 
+/** What nobody holds. Parts below zero count as none, so that it is never too much. */
 function freeOf(row: ShareRow): number {
-  return 1 - Object.values(row.holders).reduce((sum, share) => sum + share, 0);
+  return 1 - Object.values(row.holders).reduce((sum, share) => sum + Math.max(0, share), 0);
 }
 
 /** The record of who holds which part of a budget, in the platform's table. */
@@ -74,41 +83,62 @@
   async takeFree(budgetId: string, burstUnits: number): Promise<TakenShare | undefined> {
     let taken: TakenShare | undefined;
     const written = await this.#change(budgetId, (row) => {
-      const current = row ?? { holders: {}, freeUnits: burstUnits };
+      const current = row ?? { ...EMPTY_ROW, freeUnits: burstUnits };
       const free = freeOf(current);
       if (free < LEAST_FREE) return undefined;
       taken = { share: free, units: Math.max(0, current.freeUnits) };
       const own = (current.holders[this.#self] ?? 0) + free;
-      return { holders: { ...current.holders, [this.#self]: own }, freeUnits: 0 };
+      return { ...current, holders: { ...current.holders, [this.#self]: own }, freeUnits: 0 };
     });
     return written ? taken : undefined;
   }
 
-  /** Records a transfer from `giver` to this host; false while the table doesn't answer. */
-  async recordTransfer(budgetId: string, giver: string, share: number): Promise<boolean> {
+  /**
+   * Records transfers to this host. What a giver no longer holds, because its part was reclaimed
+   * before this was recorded, is returned: this host must give it up. Undefined while the table
+   * doesn't answer.
+   */
+  async recordTransfers(
+    budgetId: string,
+    gifts: ReadonlyMap<string, number>,
+  ): Promise<number | undefined> {
+    let missing = 0;
     const written = await this.#change(budgetId, (row) => {
-      const holders = { ...row?.holders };
-      holders[giver] = Math.max(0, (holders[giver] ?? 0) - share);
-      holders[this.#self] = (holders[this.#self] ?? 0) + share;
-      return { holders, freeUnits: row?.freeUnits ?? 0 };
+      const current = row ?? EMPTY_ROW;
+      const holders = { ...current.holders };
+      missing = 0;
+      for (const [giver, share] of gifts) {
+        if (current.reclaimed.includes(giver)) {
+          missing += share;
+          continue;
+        }
+        holders[giver] = (holders[giver] ?? 0) - share;
+        holders[this.#self] = (holders[this.#self] ?? 0) + share;
+      }
+      return { ...current, holders };
     });
-    return written !== undefined;
+    return written ? missing : undefined;
   }
 
-  /** Makes the part of a holder free; units are what it gives back. */
-  async free(budgetId: string, holder: string, units: number): Promise<boolean> {
+  /** Makes the part of a holder that is surely gone free. */
+  async reclaim(budgetId: string, holder: string): Promise<boolean> {
     const written = await this.#change(budgetId, (row) => {
       if (!row || !(holder in row.holders)) return undefined;
-      const holders = Object.fromEntries(
-        Object.entries(row.holders).filter(([name]) => name !== holder),
-      );
-      return { holders, freeUnits: row.freeUnits + units };
+      const others = Object.entries(row.holders).filter(([name]) => name !== holder);
+      const reclaimed = [...row.reclaimed, holder].slice(-MAX_RECLAIMED);
+      return { ...row, holders: Object.fromEntries(others), reclaimed };
     });
     return written !== undefined;
   }
 
-  /** Makes this host's own part free. */
-  freeOwn(budgetId: string, units: number): Promise<boolean> {
-    return this.free(budgetId, this.#self, units);
+  /** Gives back what this host holds; what it gave away before stays recorded until it is taken. */
+  async giveBack(budgetId: string, share: number, units: number): Promise<boolean> {
+    const written = await this.#change(budgetId, (row) => {
+      if (!row) return undefined;
+      const own = (row.holders[this.#self] ?? 0) - share;
+      const holders = { ...row.holders, [this.#self]: own };
+      return { ...row, holders, freeUnits: row.freeUnits + units };
+    });
+    return written !== undefined;
   }
 }
--- a/packages/policy/src/limits/share-split.ts
+++ b/packages/policy/src/limits/share-split.ts
@@ -6,7 +6,7 @@
 }
 
 /** Least part that is worth a transfer. */
-export const LEAST_TRANSFER = 0.002;
+export const LEAST_TRANSFER = 0.01;
 
 /** A host keeps a little more than its demand, so that it needn't ask at once again. */
 const HEADROOM = 1.25;
