--- a/packages/gateway/src/completions/completion-run.ts
+++ b/packages/gateway/src/completions/completion-run.ts
@@ -25,6 +25,8 @@
 export class CompletionRun {
   #nextToken: number;
   #hasRun = false;
+  /** Attempts that an engine was given and that have not ended. */
+  #inFlight = 0;
   #isEnded = false;
   #attempt = 0;
   #actualPromptTokens: number | undefined;
@@ -63,16 +65,32 @@
     this.#hasRun = true;
   }
 
+  /**
+   * Watches an attempt. While it is in flight an engine may have begun it although its word has
+   * not come yet; only its end can confirm that it was not run.
+   */
+  async watchAttempt(attempt: Promise<AttemptEnd>): Promise<AttemptEnd> {
+    this.#inFlight += 1;
+    const end = await attempt;
+    this.#inFlight -= 1;
+    if (end.kind === 'cut') this.#hasRun = true;
+    return end;
+  }
+
+  get #mayHaveRun(): boolean {
+    return this.#hasRun || this.#inFlight > 0;
+  }
+
   /** The caller closed the connection. */
   onCallerGone(): void {
-    this.#end(fault(this.#hasRun ? 'cancelled_running' : 'cancelled_waiting', ''));
+    this.#end(fault(this.#mayHaveRun ? 'cancelled_running' : 'cancelled_waiting', ''));
     this.#abort.abort();
   }
 
   async run(charge: Charge): Promise<void> {
     const { clock } = this.context;
     const cancelTimer = clock.after(Math.max(0, this.remainingMs), () => {
-      this.#end(fault(this.#hasRun ? 'time_limit' : 'wait_expired', '', this.#ruleField()));
+      this.#end(fault(this.#mayHaveRun ? 'time_limit' : 'wait_expired', '', this.#ruleField()));
       this.#abort.abort();
     });
     this.context.retries.onFirstAttempt();
@@ -129,7 +147,7 @@
     const { context, request } = this;
     const { engine, dispatch } = placed;
     let isFirst = true;
-    const end = await runAttempt(
+    const attempt = runAttempt(
       {
         engineUrl: engine.url,
         requestId: request.id,
@@ -156,6 +174,7 @@
       },
       this.signal,
     );
+    const end = await this.watchAttempt(attempt);
     engine.load.onEnd(dispatch);
     return end;
   }
@@ -197,8 +216,7 @@
         this.#onEngineFailure(engine);
         return this.#tryAgain(engine.name, reason);
       })
-      .with({ kind: P.union('not_sent', 'cut') }, ({ kind, detail }) => {
-        if (kind === 'cut') this.#hasRun = true;
+      .with({ kind: P.union('not_sent', 'cut') }, ({ detail }) => {
         this.#onEngineFailure(engine);
         return this.#tryAgain(engine.name, detail);
       })
@@ -268,7 +286,7 @@
   #end(given: Fault): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    const isBlurred = this.#hasRun && outcomeOf(given.code) === 'not_run';
+    const isBlurred = this.#mayHaveRun && outcomeOf(given.code) === 'not_run';
     const end = isBlurred
       ? fault('incomplete', `${given.code}: ${given.detail}`, this.#ruleField())
       : given;
--- a/packages/gateway/src/groups/group-run.ts
+++ b/packages/gateway/src/groups/group-run.ts
@@ -128,7 +128,7 @@
     const promptTokens = estimateTokens(part.text);
     const work = { prefillTokens: promptTokens, heldTokens: 0, priority: request.priority };
     const dispatch = part.engine.load.onDispatch(work, now);
-    const end = await runAttempt(
+    const attempt = runAttempt(
       {
         engineUrl: part.engineUrl,
         requestId: request.id,
@@ -155,6 +155,7 @@
       },
       run.signal,
     );
+    const end = await run.watchAttempt(attempt);
     part.engine.load.onEnd(dispatch);
     if (end.kind === 'time_limit') return fault('time_limit', '', { rule: request.rule });
     if (end.kind === 'cancelled') return fault('cancelled_running', '');
--- a/packages/launch/src/fleet.ts
+++ b/packages/launch/src/fleet.ts
@@ -30,9 +30,11 @@
 
 const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 25;
+const REPORT_FRESH_MS = 2000;
 const CALL_TIMEOUT_MS = 10_000;
 const DEFAULT_ZONES = ['regina-a', 'saskatoon-b', 'brandon-c'];
 
+const statusSchema = z.object({ engines: z.array(z.object({ reportAgeMs: z.number() })) });
 const appliedSchema = z.object({ revision: z.int() });
 
 /** Polls until `check` holds; an event that can be seen, not a fixed time, ends the wait. */
@@ -206,18 +208,31 @@
 
   /** Waits until each live gateway is ready and has a report of each engine. */
   async waitReady(): Promise<void> {
-    const statusSchema = z.object({ engines: z.array(z.object({ reportAgeMs: z.number() })) });
-    await waitUntil('gateways ready', async () => {
-      for (const gateway of this.gateways) {
-        if (gateway.hasExited) continue;
-        if ((await getJson(`${gateway.url}/readyz`)) === undefined) return false;
-        const status = statusSchema.safeParse(await getJson(`${gateway.url}/status`));
-        if (!status.success || status.data.engines.length < this.engines.length) return false;
-      }
-      return true;
+    const isReady = async () => (await this.#findNotReady()) === undefined;
+    await waitUntil('gateways ready', isReady).catch(async () => {
+      throw new Error(`not ready: ${(await this.#findNotReady()) ?? 'late'}`);
     });
   }
 
+  /** Says which gateway is not ready and why; undefined when all are. */
+  async #findNotReady(): Promise<string | undefined> {
+    for (const gateway of this.gateways) {
+      if (gateway.hasExited) continue;
+      const url = `${gateway.url}/readyz`;
+      const reply = await callHttp({ method: 'GET', url, timeoutMs: CALL_TIMEOUT_MS });
+      if (reply.isErr || reply.value.status !== 200) {
+        return `${gateway.url}: ${reply.isErr ? reply.error.detail : reply.value.body} ${gateway.log}`;
+      }
+      const status = statusSchema.safeParse(await getJson(`${gateway.url}/status`));
+      if (!status.success) return `${gateway.url}: no status`;
+      const fresh = status.data.engines.filter(({ reportAgeMs }) => reportAgeMs < REPORT_FRESH_MS);
+      if (fresh.length < this.engines.length) {
+        return `${gateway.url}: reports of ${String(fresh.length)} engines`;
+      }
+    }
+    return undefined;
+  }
+
   /** Applies objects as the sample operator; the revision that accepted them. */
   async apply(objects: readonly SampleObject[], why: string): Promise<number> {
     const reply = await callHttp({
