--- a/packages/admin/src/admin.ts
+++ b/packages/admin/src/admin.ts
@@ -7,7 +7,7 @@
   PlatformTable,
 } from '@poppypond/state';
 import type { Log } from '@poppypond/telemetry';
-import { listen, Router, sendJson } from '@poppypond/web';
+import { listen, Router, sendJson, tlsFilesOf } from '@poppypond/web';
 import type { ListeningServer } from '@poppypond/web';
 import { addAuditRoutes } from './audit/app.js';
 import type { AdminContext } from './context.js';
@@ -15,6 +15,21 @@
 import { addObjectRoutes } from './objects/app.js';
 import type { AdminSettings } from './settings.js';
 
+/** Every path of the operators' API; openapi.json describes them. */
+export function createRouter(context: AdminContext): Router {
+  const router = new Router((error) => {
+    const detail = error instanceof Error ? error.message : String(error);
+    context.log.error('handler_failed', { detail });
+  });
+  addObjectRoutes(router, context);
+  addAuditRoutes(router, context);
+  addFleetRoutes(router, context);
+  router.on('GET', '/healthz', ({ response }) => {
+    sendJson(response, 200, {});
+  });
+  return router;
+}
+
 /** Starts the operators' HTTP API. */
 export async function startAdmin(
   settings: AdminSettings,
@@ -26,16 +41,9 @@
   const reader = new ConfigurationReader(new ConfigurationHolder(), table, clock);
   const writer = new ConfigurationWriter(table, clock);
   const context: AdminContext = { settings, clock, log, table, reader, writer };
-  const router = new Router((error) => {
-    log.error('handler_failed', { detail: error instanceof Error ? error.message : String(error) });
-  });
-  addObjectRoutes(router, context);
-  addAuditRoutes(router, context);
-  addFleetRoutes(router, context);
-  router.on('GET', '/healthz', ({ response }) => {
-    sendJson(response, 200, {});
-  });
-  const server = await listen(router.handle, settings.listenAddress, settings.listenPort);
+  const router = createRouter(context);
+  const { listenAddress, listenPort } = settings;
+  const server = await listen(router.handle, listenAddress, listenPort, tlsFilesOf(settings));
   log.info('serving', { url: server.url });
   return server;
 }
--- a/packages/admin/src/settings.ts
+++ b/packages/admin/src/settings.ts
@@ -21,6 +21,11 @@
     .regex(/^[0-9a-f]{64}$/)
     .optional()
     .describe('SHA-256 of a key that is an admin while there is no operator object'),
+  tlsCertificateFile: z
+    .string()
+    .optional()
+    .describe('certificate for operators in PEM form; read again when it changes'),
+  tlsKeyFile: z.string().optional().describe('key of the certificate'),
   storeTimeoutMs: millisecondsSetting.default(2000).describe('limit of one call to the platform'),
   logLevel: z
     .enum(['debug', 'info', 'warn', 'error'])
--- a/packages/backend/src/service-call.ts
+++ b/packages/backend/src/service-call.ts
@@ -10,6 +10,8 @@
   readonly body: Buffer;
   readonly timeoutMs: Milliseconds;
   readonly signal: AbortSignal;
+  /** Whether the call may be made twice; one that may not takes a new connection. */
+  readonly mayRepeat: boolean;
 }
 
 /** How a call to a plain service ended; the three outcomes are never blurred. */
@@ -35,6 +37,7 @@
     body: call.body,
     timeoutMs: call.timeoutMs,
     signal: call.signal,
+    isFresh: !call.mayRepeat,
   });
   if (reply.isErr) {
     const { mayHaveArrived, detail } = reply.error;
--- a/packages/gateway/src/engines/engine-directory.ts
+++ b/packages/gateway/src/engines/engine-directory.ts
@@ -4,11 +4,11 @@
 import type { EngineState } from '@poppypond/policy';
 import type { PlacedEngine } from '../completions/run-context.js';
 import { WatchedEngine } from './watched-engine.js';
+import type { WatchSettings } from './watched-engine.js';
 
 /** Settings of the directory. */
-export interface EngineDirectorySettings {
+export interface EngineDirectorySettings extends WatchSettings {
   readonly host: string;
-  readonly prefillTokensPerMs: number;
   readonly maxEnginesWatched: number;
   readonly engineReportMaxAgeMs: Milliseconds;
 }
@@ -53,15 +53,9 @@
     }
     for (const [name, server] of wanted) {
       if (this.#engines.has(name)) continue;
-      const watched = new WatchedEngine(
-        server,
-        this.settings.prefillTokensPerMs,
-        this.owner,
-        this.clock,
-        () => {
-          this.onChange();
-        },
-      );
+      const watched = new WatchedEngine(server, this.settings, this.owner, this.clock, () => {
+        this.onChange();
+      });
       this.#engines.set(name, watched);
     }
   }
--- a/packages/gateway/src/engines/watched-engine.ts
+++ b/packages/gateway/src/engines/watched-engine.ts
@@ -5,6 +5,14 @@
 import { EngineLoad, PrefixIndex, ServerHealth } from '@poppypond/policy';
 import { cacheLineSchema } from './cache-line-schema.js';
 
+/** How an engine is watched. */
+export interface WatchSettings {
+  /** The prefill rate before it was observed. */
+  readonly prefillTokensPerMs: number;
+  /** Least time between two load reports. */
+  readonly engineReportPeriodMs: Milliseconds;
+}
+
 /** One engine as this host sees it: reports, own dispatches, health and cache hints. */
 export class WatchedEngine {
   readonly load: EngineLoad;
@@ -15,14 +23,17 @@
 
   constructor(
     readonly server: Versioned<'backend-server'>,
-    prefillTokensPerMs: number,
+    settings: WatchSettings,
     owner: Owner,
     readonly clock: Clock,
     onReport: () => void,
   ) {
     const { name, spec } = server.object;
-    this.load = new EngineLoad(name, spec.zone, prefillTokensPerMs);
-    const query = new URLSearchParams({ owner: ownerText(owner) }).toString();
+    this.load = new EngineLoad(name, spec.zone, settings.prefillTokensPerMs);
+    const query = new URLSearchParams({
+      owner: ownerText(owner),
+      period: String(settings.engineReportPeriodMs),
+    }).toString();
     this.#loadFeed = new LineFeed(
       `${spec.url}/load/stream?${query}`,
       {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,7 +23,7 @@
   PlatformTable,
 } from '@poppypond/state';
 import type { Log, Metrics } from '@poppypond/telemetry';
-import { listen, Router } from '@poppypond/web';
+import { listen, Router, tlsFilesOf } from '@poppypond/web';
 import type { ListeningServer } from '@poppypond/web';
 import { match } from 'ts-pattern';
 import { addCompletionRoutes } from './completions/app.js';
@@ -202,7 +202,8 @@
   const router = new Router((error) => {
     log.error('handler_failed', { detail: error instanceof Error ? error.message : String(error) });
   });
-  const server = await listen(router.handle, settings.listenAddress, settings.listenPort);
+  const { listenAddress, listenPort } = settings;
+  const server = await listen(router.handle, listenAddress, listenPort, tlsFilesOf(settings));
   const peerServer = await listen(
     (_request, response) => response.writeHead(404).end(),
     settings.listenAddress,
--- a/packages/gateway/src/services/app.ts
+++ b/packages/gateway/src/services/app.ts
@@ -148,6 +148,7 @@
       body: call.bytes,
       timeoutMs: remainingMs,
       signal,
+      mayRepeat: isSafe,
     });
     replica.outstanding -= 1;
     if (end.kind === 'answered') {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -58,6 +58,9 @@
     .default(50)
     .describe('prefill rate of an engine before it has been observed'),
   maxEnginesWatched: countSetting.default(64).describe('engines of a pool that this host uses'),
+  engineReportPeriodMs: millisecondsSetting
+    .default(100)
+    .describe('least time between two load reports of one engine'),
   engineReportMaxAgeMs: millisecondsSetting
     .default(3000)
     .describe('an engine whose report is older takes no new work'),
@@ -65,6 +68,11 @@
   retryReserve: numberSetting.default(20).describe('retries that can be saved up'),
   decisionRing: countSetting.default(20_000).describe('decisions kept in memory'),
   decisionFlushMs: millisecondsSetting.default(1000).describe('time between writes of decisions'),
+  tlsCertificateFile: z
+    .string()
+    .optional()
+    .describe('certificate for callers in PEM form; read again when it changes'),
+  tlsKeyFile: z.string().optional().describe('key of the certificate'),
   statsdAddress: z.string().optional().describe('StatsD address, HOST:PORT'),
   logLevel: z
     .enum(['debug', 'info', 'warn', 'error'])
--- a/packages/load/src/stream-client.ts
+++ b/packages/load/src/stream-client.ts
@@ -30,7 +30,9 @@
 }
 
 const MAX_SOCKETS = 4096;
-const agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS });
+/** Shorter than the gateway keeps an idle connection. */
+const IDLE_MS = 30_000;
+const agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, timeout: IDLE_MS });
 
 const chunkSchema = z.object({ choices: z.array(z.object({ text: z.string() })).min(1) });
 const errorSchema = z.object({
--- a/packages/measure/src/engine-call.ts
+++ b/packages/measure/src/engine-call.ts
@@ -1,7 +1,9 @@
 import { Agent, request as startHttp } from 'node:http';
 import type { LoadSample } from '@poppypond/load';
 
-const agent = new Agent({ keepAlive: true, maxSockets: 4096 });
+const MAX_SOCKETS = 4096;
+const IDLE_MS = 30_000;
+const agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, timeout: IDLE_MS });
 const TOKEN_FRAME = 'id: ';
 const DONE_FRAME = 'event: done';
 
--- a/packages/proof/src/checkers/checkers.test.ts
+++ b/packages/proof/src/checkers/checkers.test.ts
@@ -2,9 +2,11 @@
 import type { CompletionCall } from '../history.js';
 import {
   checkAtMostOnce,
+  checkFences,
   checkLeaving,
   checkMemory,
   checkNoErrors,
+  checkNoGap,
   checkNotRun,
   checkRevisions,
   checkWholeAnswers,
@@ -65,6 +67,13 @@
     expect(checkRevisions([later, restarted], [], 2000)).toEqual([]);
   });
 
+  it('fences and gaps', () => {
+    expect(checkFences(new Map([['e', [1, 1, 3]]]))).toEqual([]);
+    expect(checkFences(new Map([['e', [1, 3, 2]]]))).toHaveLength(1);
+    expect(checkNoGap([3, 1, 2])).toEqual([]);
+    expect(checkNoGap([3, 0, 2])).toHaveLength(1);
+  });
+
   it('leaving, memory, planned stops', () => {
     expect(checkLeaving([100, 2000], 0, 3000)).toEqual([]);
     expect(checkLeaving([100, 3500], 0, 3000)).toHaveLength(1);
--- a/packages/proof/src/checkers/checkers.ts
+++ b/packages/proof/src/checkers/checkers.ts
@@ -121,6 +121,22 @@
   );
 }
 
+/** An engine that checks fencing tokens never follows an older order after a newer one. */
+export function checkFences(fencesByEngine: ReadonlyMap<string, readonly number[]>): Violations {
+  return [...fencesByEngine].flatMap(([engine, fences]) =>
+    fences.flatMap((fence, index) => {
+      const before = fences[index - 1] ?? 0;
+      return fence < before ? [`${engine}: followed ${String(fence)} after ${String(before)}`] : [];
+    }),
+  );
+}
+
+/** At every look at least one engine held the model. */
+export function checkNoGap(holdersSeen: readonly number[]): Violations {
+  const gaps = holdersSeen.filter((holders) => holders === 0).length;
+  return gaps === 0 ? [] : [`no engine held the model at ${String(gaps)} looks`];
+}
+
 /** During planned stops nobody got an error. */
 export function checkNoErrors(calls: readonly CompletionCall[]): Violations {
   return calls.flatMap(({ requestId, code }) => (code === 'ok' ? [] : [`${requestId}: ${code}`]));
--- a/packages/standin/src/engine/app.ts
+++ b/packages/standin/src/engine/app.ts
@@ -130,7 +130,8 @@
       response.end(JSON.stringify(engine.feeds.loadNow(query.get('owner') ?? '')));
     })
     .on('GET', '/load/stream', ({ response, query }) => {
-      engine.feeds.subscribeLoad(response, query.get('owner') ?? '');
+      const periodMs = Number(query.get('period') ?? 0);
+      engine.feeds.subscribeLoad(response, query.get('owner') ?? '', periodMs);
     })
     .on('GET', '/cache/stream', ({ response }) => {
       engine.feeds.subscribeCache(response);
--- a/packages/standin/src/engine/feeds.ts
+++ b/packages/standin/src/engine/feeds.ts
@@ -1,11 +1,13 @@
 import type { ServerResponse } from 'node:http';
-import type { Clock } from '@poppypond/core';
+import type { Clock, Milliseconds } from '@poppypond/core';
 import type { Engine } from './engine.js';
 import type { CacheEvent } from './kv-memory.js';
 
 interface Subscriber {
   readonly response: ServerResponse;
   readonly owner: string;
+  /** Every how many reports one is sent. */
+  readonly every: number;
 }
 
 /** Sends load reports with a lag, and cache events late and with gaps, as lines of JSON. */
@@ -42,9 +44,11 @@
     };
   }
 
-  subscribeLoad(response: ServerResponse, owner: string): void {
+  /** Sends reports to a host, no more often than each `periodMs`. */
+  subscribeLoad(response: ServerResponse, owner: string, periodMs: Milliseconds): void {
     this.#open(response);
-    const subscriber = { response, owner };
+    const every = Math.max(1, Math.round(periodMs / this.engine.settings.reportPeriodMs));
+    const subscriber = { response, owner, every };
     this.#load.add(subscriber);
     response.write(`${JSON.stringify(this.loadNow(owner))}\n`);
     response.once('close', () => this.#load.delete(subscriber));
@@ -79,7 +83,8 @@
 
   #report(): void {
     this.#reportSequence += 1;
-    for (const { response, owner } of this.#load) {
+    for (const { response, owner, every } of this.#load) {
+      if (this.#reportSequence % every !== 0) continue;
       const line = `${JSON.stringify(this.loadNow(owner))}\n`;
       this.clock.after(this.engine.settings.reportLagMs, () => {
         response.write(line);
--- a/packages/web/src/client.ts
+++ b/packages/web/src/client.ts
@@ -1,5 +1,6 @@
 import { Agent, request as startHttp } from 'node:http';
 import type { IncomingMessage } from 'node:http';
+import { Agent as TlsAgent, request as startHttps } from 'node:https';
 import type { Milliseconds } from '@poppypond/core';
 import { Result } from 'true-myth';
 
@@ -20,6 +21,11 @@
   /** Limit for the answer's headers, and for the whole answer in `callHttp`. */
   readonly timeoutMs: Milliseconds;
   readonly signal?: AbortSignal;
+  /**
+   * Takes a new connection. A kept one may be closed by the other side at the moment it is used,
+   * and then nobody knows whether the call arrived.
+   */
+  readonly isFresh?: boolean;
 }
 
 /** A whole answer. */
@@ -30,11 +36,22 @@
 }
 
 const MAX_SOCKETS = 512;
-const agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, scheduling: 'lifo' });
+/** Shorter than a server of ours keeps an idle connection. */
+const IDLE_MS = 30_000;
+const AGENT_OPTIONS = {
+  keepAlive: true,
+  maxSockets: MAX_SOCKETS,
+  scheduling: 'lifo',
+  timeout: IDLE_MS,
+} as const;
+const agent = new Agent(AGENT_OPTIONS);
+/** Trusts what Node trusts; `NODE_EXTRA_CA_CERTS` adds the operators' own authority. */
+const tlsAgent = new TlsAgent(AGENT_OPTIONS);
 
 /** Closes the connections that are kept for reuse. */
 export function closeIdleConnections(): void {
   agent.destroy();
+  tlsAgent.destroy();
 }
 
 /** Starts a call and returns when the answer's headers are here; the caller reads the stream. */
@@ -42,9 +59,11 @@
   return new Promise((resolve) => {
     let isConnected = false;
     let isTimedOut = false;
-    const outgoing = startHttp(call.url, {
+    const isTls = call.url.startsWith('https:');
+    const start = isTls ? startHttps : startHttp;
+    const outgoing = start(call.url, {
       method: call.method,
-      agent,
+      agent: call.isFresh ? false : isTls ? tlsAgent : agent,
       headers: {
         ...(call.body === undefined ? {} : { 'content-length': Buffer.byteLength(call.body) }),
         ...call.headers,
@@ -61,7 +80,8 @@
       return isConnected ? 'closed' : 'connect';
     };
     outgoing.once('socket', (socket) => {
-      if (socket.connecting) socket.once('connect', () => (isConnected = true));
+      const connected = isTls ? 'secureConnect' : 'connect';
+      if (socket.connecting) socket.once(connected, () => (isConnected = true));
       else isConnected = true;
     });
     outgoing.once('response', (response) => {
--- a/packages/web/src/index.ts
+++ b/packages/web/src/index.ts
@@ -3,3 +3,4 @@
 export * from './reply.js';
 export * from './router.js';
 export * from './server.js';
+export * from './tls-files.js';
--- a/packages/web/src/router.ts
+++ b/packages/web/src/router.ts
@@ -51,6 +51,11 @@
     return this;
   }
 
+  /** `METHOD path` of every route. */
+  get paths(): readonly string[] {
+    return this.#routes.map(({ method, parts }) => `${method} ${parts.join('/')}`);
+  }
+
   /** Answers a request; use as the listener of an http server. */
   readonly handle = (request: IncomingMessage, response: ServerResponse): void => {
     const [path = '/', query] = (request.url ?? '/').split('?', 2);
