Learn an engine's rate only from much work; write decisions line by line

Cause: the relay measurement put all requests on one of six alike engines. The prefill rate was learned from requests of 200 tokens, whose first token shows the time of a step: the busier engine looked faster and drew ever more. Ruled out: the loop (76% of a core at 400/s), the client (a lighter one gave the same), lanes (one size, one lane). Now only 8,192 tokens or more of work ahead teach the rate, and each running sequence counts 0.05 ms.

--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -66,7 +66,7 @@
     .describe('an engine whose report is older takes no new work'),
   retryShare: numberSetting.default(0.1).describe('retries for each first attempt'),
   retryReserve: numberSetting.default(20).describe('retries that can be saved up'),
-  decisionRing: countSetting.default(20_000).describe('decisions kept in memory'),
+  decisionRing: countSetting.default(10_000).describe('decisions kept in memory'),
   decisionFlushMs: millisecondsSetting.default(1000).describe('time between writes of decisions'),
   tlsCertificateFile: z
     .string()
--- a/packages/measure/src/relay.ts
+++ b/packages/measure/src/relay.ts
@@ -1,15 +1,9 @@
 import { Fleet, getJson } from '@poppypond/launch';
-import {
-  callStream,
-  firstTokenPercentiles,
-  makePrompt,
-  SAMPLE_MODEL,
-  sampleKey,
-} from '@poppypond/load';
+import { firstTokenPercentiles, makePrompt, SAMPLE_MODEL, sampleKey } from '@poppypond/load';
 import type { LoadSample, Percentiles } from '@poppypond/load';
 import { z } from 'zod';
-import { callEngine } from './engine-call.js';
 import { print, writeReport } from './report.js';
+import { timeStream } from './timed-stream.js';
 
 /** How the relay measurement is run. */
 export interface RelayOptions {
@@ -48,20 +42,39 @@
   return Promise.all(sending);
 }
 
+function bodyOf(head: string): string {
+  const prompt = makePrompt(head, PROMPT_TOKENS);
+  return JSON.stringify({ model: SAMPLE_MODEL, prompt, max_tokens: TOKENS, stream: true });
+}
+
 function gatewaySender(url: string, seed: number): Send {
   return async (index, startedAt) => {
-    const prompt = makePrompt(`relay ${String(seed)} ${String(index)} `, PROMPT_TOKENS);
-    const call = { url, key: sampleKey('members'), model: SAMPLE_MODEL, prompt, maxTokens: TOKENS };
-    const outcome = await callStream(call, startedAt);
-    return { ...outcome, index, atMs: 0, promptTokens: PROMPT_TOKENS, workspace: 'members' };
+    const result = await timeStream(
+      {
+        url: `${url}/v1/completions`,
+        headers: { authorization: `Bearer ${sampleKey('members')}` },
+        body: bodyOf(`relay ${String(seed)} ${String(index)} `),
+        tokens: TOKENS,
+        doneMark: '[DONE]',
+      },
+      startedAt,
+    );
+    return { ...result, index, atMs: 0, promptTokens: PROMPT_TOKENS, workspace: 'members' };
   };
 }
 
 function directSender(urls: readonly string[], seed: number): Send {
   return async (index, startedAt) => {
-    const prompt = makePrompt(`direct ${String(seed)} ${String(index)} `, PROMPT_TOKENS);
-    const url = urls[index % urls.length] ?? '';
-    const result = await callEngine(url, `direct-${String(index)}`, prompt, TOKENS, startedAt);
+    const result = await timeStream(
+      {
+        url: `${urls[index % urls.length] ?? ''}/generate`,
+        headers: { 'x-request': `direct-${String(index)}`, 'x-attempt': '1' },
+        body: bodyOf(`direct ${String(seed)} ${String(index)} `),
+        tokens: TOKENS,
+        doneMark: 'event: done',
+      },
+      startedAt,
+    );
     return { ...result, index, atMs: 0, promptTokens: PROMPT_TOKENS, workspace: 'members' };
   };
 }
--- a/packages/policy/src/decisions.test.ts
+++ b/packages/policy/src/decisions.test.ts
@@ -45,6 +45,19 @@
   });
 });
 
+describe('EngineLoad rate', () => {
+  it('is not learned from little work, which only shows the time of a step', () => {
+    const load = new EngineLoad('e', 'a', 100);
+    load.onReport(report(), 0);
+    const little = load.onDispatch({ prefillTokens: 2000, heldTokens: 0, priority: 5 }, 0);
+    load.onFirstToken(little, 2);
+    expect(load.state(2).prefillTokensPerMs).toBe(100);
+    const much = load.onDispatch({ prefillTokens: 20_000, heldTokens: 0, priority: 5 }, 10);
+    load.onFirstToken(much, 120);
+    expect(load.state(120).prefillTokensPerMs).toBeCloseTo(110);
+  });
+});
+
 describe('lanes', () => {
   it('gives short requests a few engines and long ones the rest, by work', () => {
     const sizes = new SizeHistogram();
--- a/packages/policy/src/engine-load.ts
+++ b/packages/policy/src/engine-load.ts
@@ -51,7 +51,11 @@
 }
 
 const RATE_SMOOTHING = 0.1;
-const MIN_SAMPLE_TOKENS = 512;
+/**
+ * Less work says more about the time of a step than about the rate: then the busier of two alike
+ * engines looked faster and drew ever more requests.
+ */
+const MIN_SAMPLE_TOKENS = 8192;
 
 /** Stands in until the first report has come. */
 const EMPTY_REPORT: LoadReport = {
--- a/packages/policy/src/placement/predicted-start.ts
+++ b/packages/policy/src/placement/predicted-start.ts
@@ -39,6 +39,9 @@
   memoryMargin: 0.02,
 };
 
+/** What each running sequence adds to a step; spreads short work over engines that are alike. */
+const RUNNING_MS = 0.05;
+
 interface Scored {
   readonly engine: EngineState;
   readonly startMs: Milliseconds;
@@ -118,7 +121,9 @@
     const zoneMs = engine.zone === job.zone ? 0 : this.settings.otherZoneMs;
     const hasLowerWork = engine.prefillTokens > aheadTokens;
     const stepMs = hasLowerWork ? this.settings.stepMs : 0;
-    return { engine, startMs: aheadMs + ownMs + zoneMs + stepMs, aheadMs, cachedTokens };
+    const runningMs = engine.running * RUNNING_MS;
+    const startMs = aheadMs + ownMs + zoneMs + stepMs + runningMs;
+    return { engine, startMs, aheadMs, cachedTokens };
   }
 
   /** The best of a few at random, and of those that the cache favours. */
--- a/packages/state/src/decisions/decision-log.ts
+++ b/packages/state/src/decisions/decision-log.ts
@@ -51,7 +51,8 @@
  */
 export class DecisionLog {
   readonly #ring: Decision[] = [];
-  #unsaved: Decision[] = [];
+  /** Lines that no segment holds yet; written out at once, so that a flush is no long pause. */
+  #unsaved: string[] = [];
   #uncopied: Decision[] = [];
   readonly #copies = new Map<string, Decision[]>();
   lost = 0;
@@ -71,7 +72,7 @@
   record(decision: Decision): void {
     this.#ring.push(decision);
     if (this.#ring.length > this.ringSize * 2) this.#ring.splice(0, this.ringSize);
-    this.#unsaved.push(decision);
+    this.#unsaved.push(JSON.stringify(decision));
     this.#uncopied.push(decision);
     if (this.#unsaved.length > this.ringSize) {
       this.#unsaved.shift();
@@ -98,7 +99,7 @@
     const batch = this.#unsaved;
     this.#unsaved = [];
     const name = segmentName(this.host, this.clock.wallMs());
-    const body = batch.map((decision) => JSON.stringify(decision)).join('\n');
+    const body = batch.join('\n');
     const stored = await this.objects.put(name, body);
     if (stored.isOk) this.saved += batch.length;
     else this.#unsaved = [...batch, ...this.#unsaved].slice(-this.ringSize);
