--- a/packages/measure/src/configuration.ts
+++ b/packages/measure/src/configuration.ts
@@ -67,24 +67,28 @@
   });
   try {
     const times: number[] = [];
-    let made = 0;
+    let accepted = 0;
+    let refused = 0;
     let disturbances = 0;
     const before = tableSchema.parse(await getJson(`${fleet.platform.url}/truth`));
     const startedAt = performance.now();
     const operate = async () => {
-      while (made < options.changes) {
-        made += 1;
+      while (accepted < options.changes) {
         const spec = { weight: 1 + Math.floor(next() * 50) };
         const object = { kind: 'workspace', name: 'audit', labels: { team: 'assistant' }, spec };
         const revision = await fleet.apply([object], 'measured').catch(() => undefined);
-        if (revision === undefined) continue;
-        const accepted = performance.now();
-        times.push(...(await timeInForce([...fleet.gateways], revision, accepted)));
+        if (revision === undefined) {
+          refused += 1;
+          await pause(WATCH_MS);
+          continue;
+        }
+        accepted += 1;
+        times.push(...(await timeInForce([...fleet.gateways], revision, performance.now())));
       }
     };
     const disturbing = async () => {
-      while (made < options.changes) {
-        if (made / FAULT_EVERY > disturbances + 1) {
+      while (accepted < options.changes) {
+        if (accepted / FAULT_EVERY > disturbances + 1) {
           disturbances += 1;
           await disturb(fleet, next);
         }
@@ -97,13 +101,13 @@
     times.sort((a, b) => a - b);
     const at = (part: number) => (times[Math.floor((times.length - 1) * part)] ?? 0).toFixed(0);
     print(
-      `${String(made)} changes by ${String(OPERATORS)} racing operators on one object, ${String(disturbances)} kills and outages, ${String(options.gateways)} gateways`,
+      `${String(accepted)} changes accepted and ${String(refused)} refused by races and outages, ${String(OPERATORS)} operators on one object, ${String(disturbances)} kills and outages, ${String(options.gateways)} gateways`,
     );
     print(
       `in force after: p50 ${at(0.5)} ms, p99 ${at(0.99)} ms, longest ${at(1)} ms (target p99 2000)`,
     );
     print(
-      `platform: ${((after.reads - before.reads) / seconds).toFixed(1)} reads and ${((after.writes - before.writes) / seconds).toFixed(1)} writes a second over ${seconds.toFixed(0)} s; ${((after.writes - before.writes) / made).toFixed(1)} writes for each change`,
+      `platform: ${((after.reads - before.reads) / seconds).toFixed(1)} reads and ${((after.writes - before.writes) / seconds).toFixed(1)} writes a second over ${seconds.toFixed(0)} s; ${((after.writes - before.writes) / accepted).toFixed(1)} writes for each change`,
     );
   } finally {
     await fleet.stop();
