Let groups of one host take turns to reserve memory

Every waiting group tried at once, took parts from the others and released them again, so that few ever had all. Ruled out: the promise itself (no work started on a leaving server), memory not given back (the engines held none afterwards). Groups of one host now assemble one at a time, in order; hosts still back off from each other.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -5,6 +5,7 @@
 import type { EngineDirectory } from './engines/engine-directory.js';
 import type { LaneTuner } from './engines/lane-tuner.js';
 import type { ReservationKeeper } from './engines/reservation-keeper.js';
+import type { Turns } from './groups/turns.js';
 import type { Lifecycle } from './lifecycle/lifecycle.js';
 import type { ServiceDirectory } from './services/service-directory.js';
 import type { ShareKeeper } from './shares/share-keeper.js';
@@ -20,6 +21,8 @@
   readonly dispatcher: Dispatcher;
   readonly lanes: LaneTuner;
   readonly reservations: ReservationKeeper;
+  /** Groups of this host reserve one after another. */
+  readonly groupTurns: Turns;
   readonly shares: ShareKeeper;
   readonly decisions: DecisionLog;
   readonly ledger: AtMostOnceLedger;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import { ReservationKeeper } from './engines/reservation-keeper.js';
 import { addExplainRoutes } from './explain/app.js';
 import { startDecisionCopies } from './explain/decision-copies.js';
+import { Turns } from './groups/turns.js';
 import { LeavingWatch } from './hosts/leaving-watch.js';
 import { Lifecycle } from './lifecycle/lifecycle.js';
 import { createRandom } from './random.js';
@@ -145,6 +146,7 @@
     dispatcher,
     lanes: new LaneTuner(engines, predictedStart, clock),
     reservations: new ReservationKeeper(owner, clock),
+    groupTurns: new Turns(),
     shares,
     correction: new TokenCorrection(),
     retries: new RetryAllowance(settings.retryShare, settings.retryReserve),
--- a/packages/gateway/src/groups/group-run.ts
+++ b/packages/gateway/src/groups/group-run.ts
@@ -202,22 +202,37 @@
   return fault('prompt_too_long', detail, { rule: request.rule, path: 'prompt' });
 }
 
+/** Plans and reserves until it succeeds; undefined when the time is up. */
+async function assemble(run: GroupRun): Promise<readonly ReservedPart[] | undefined> {
+  const { context } = run;
+  const endTurn = await context.groupTurns.take();
+  try {
+    let backOffMs = FIRST_BACK_OFF_MS;
+    for (let tries = 1; !run.signal.aborted; tries += 1) {
+      const plan = await waitForPlan(run);
+      const parts = plan ? await reserveAll(run, plan) : undefined;
+      if (parts) {
+        recordPlan(run, parts, tries);
+        return parts;
+      }
+      await delay(context.clock, backOffMs * context.random.next());
+      backOffMs = Math.min(LONGEST_BACK_OFF_MS, backOffMs * 2);
+    }
+    return undefined;
+  } finally {
+    context.dispatcher.keepFor(new Set());
+    endTurn();
+  }
+}
+
 /** Runs a prompt that is larger than one engine's memory on several engines. */
 export async function runGroup(run: GroupRun): Promise<'finished' | Fault> {
   const { context } = run;
   const tooLong = checkFits(run);
   if (tooLong) return tooLong;
-  let backOffMs = FIRST_BACK_OFF_MS;
-  for (let tries = 1; !run.signal.aborted; tries += 1) {
-    const plan = await waitForPlan(run);
-    context.dispatcher.keepFor(new Set());
-    const parts = plan ? await reserveAll(run, plan) : undefined;
-    if (!parts) {
-      await delay(context.clock, backOffMs * context.random.next());
-      backOffMs = Math.min(LONGEST_BACK_OFF_MS, backOffMs * 2);
-      continue;
-    }
-    recordPlan(run, parts, tries);
+  for (;;) {
+    const parts = await assemble(run);
+    if (!parts) break;
     const end = await runParts(run, parts);
     await context.reservations.release(parts);
     context.dispatcher.pump();
