--- a/packages/admin/src/access/operator.ts
+++ b/packages/admin/src/access/operator.ts
@@ -7,7 +7,7 @@
 import { Result } from 'true-myth';
 
 /** `viewer` reads, `operator` changes what its scope selects, `admin` changes everything. */
-export type Role = 'viewer' | 'operator' | 'admin';
+type Role = 'viewer' | 'operator' | 'admin';
 
 /** Who is calling. */
 export interface Operator {
--- a/packages/cli/src/format.ts
+++ b/packages/cli/src/format.ts
@@ -8,7 +8,7 @@
 }
 
 /** Lines of columns, padded to the widest entry of each. */
-export function columns(rows: readonly (readonly string[])[]): string {
+function columns(rows: readonly (readonly string[])[]): string {
   const widths: number[] = [];
   for (const row of rows) {
     row.forEach((cell, index) => {
--- a/packages/gateway/src/completions/admit.ts
+++ b/packages/gateway/src/completions/admit.ts
@@ -42,7 +42,7 @@
 }
 
 /** The budgets that a request is charged to: user, workspace, pool. */
-export function budgetsOf(
+function budgetsOf(
   configuration: Configuration,
   caller: CompletionRequest['caller'],
   pools: Resolution['pools'],
--- a/packages/gateway/src/status/app.ts
+++ b/packages/gateway/src/status/app.ts
@@ -18,7 +18,7 @@
 }
 
 /** Why this host is not ready; undefined when it is. */
-export function whyNotReady({ context }: StatusSources): string | undefined {
+function whyNotReady({ context }: StatusSources): string | undefined {
   if (context.lifecycle.state !== 'serving') return context.lifecycle.state;
   if (context.configuration.current.revision === 0) return 'no_configuration';
   return context.isCutOff() ? 'cut_off' : undefined;
--- a/packages/proof/src/scenarios/faults.ts
+++ b/packages/proof/src/scenarios/faults.ts
@@ -87,7 +87,7 @@
 }
 
 /** Tokens held by each engine. */
-export async function heldByEngine(fleet: Fleet): Promise<ReadonlyMap<string, number>> {
+async function heldByEngine(fleet: Fleet): Promise<ReadonlyMap<string, number>> {
   const held = await Promise.all(
     fleet.engines.map(
       async (engine) => [engine.name, (await engineTruth(engine)).heldTokens] as const,
