Use one seeded generator, one reading of bearer keys; remove dead state

The seeded generator stood three times (load, measure, proof), the reading and hashing of a bearer key twice (gateway, admin); a set in the leaving watch and a margin of 1 in admission did nothing. Behaviour is unchanged: the same sequences, checks and bounds. Ruled out for now: joining the settings that admin and controller share, and the open engines that one request looks up three times (the sequences between await points differ).

--- a/packages/admin/src/access/operator.ts
+++ b/packages/admin/src/access/operator.ts
@@ -1,9 +1,9 @@
-import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import { fault } from '@poppypond/core';
 import type { Fault } from '@poppypond/core';
 import { isSelected, objectId } from '@poppypond/objects';
 import type { ConfigObject, Configuration, Selector } from '@poppypond/objects';
+import { bearerKey, hashKey } from '@poppypond/web';
 import { Result } from 'true-myth';
 
 /** `viewer` reads, `operator` changes what its scope selects, `admin` changes everything. */
@@ -16,7 +16,6 @@
   readonly scope: Selector;
 }
 
-const BEARER = /^Bearer (\S+)$/;
 const ADMIN_KINDS: ReadonlySet<string> = new Set(['operator', 'key']);
 const BOOTSTRAP_NAME = 'bootstrap';
 
@@ -26,9 +25,9 @@
   configuration: Configuration,
   bootstrapSha256: string | undefined,
 ): Result<Operator, Fault> {
-  const key = BEARER.exec(request.headers.authorization ?? '')?.[1];
+  const key = bearerKey(request);
   if (key === undefined) return Result.err(fault('unauthenticated', 'send Authorization: Bearer'));
-  const sha256 = createHash('sha256').update(key).digest('hex');
+  const sha256 = hashKey(key);
   const operators = configuration.list('operator');
   const found = operators.find((operator) => operator.object.spec.sha256 === sha256);
   if (found) {
--- a/packages/gateway/src/callers/authenticate.ts
+++ b/packages/gateway/src/callers/authenticate.ts
@@ -1,8 +1,8 @@
-import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import { fault } from '@poppypond/core';
 import type { Fault, Labels } from '@poppypond/core';
 import type { Configuration } from '@poppypond/objects';
+import { bearerKey, hashKey } from '@poppypond/web';
 import { Result } from 'true-myth';
 
 /** Who sent a request. */
@@ -13,18 +13,6 @@
   readonly labels: Labels;
 }
 
-const BEARER = /^Bearer (\S+)$/;
-
-/** SHA-256 of a key in hexadecimal, as key objects hold it. */
-export function hashKey(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
-}
-
-/** The key in the `Authorization` header. */
-export function bearerKey(request: IncomingMessage): string | undefined {
-  return BEARER.exec(request.headers.authorization ?? '')?.[1];
-}
-
 /** Finds the caller by key; the key fixes the workspace. */
 export function authenticate(
   request: IncomingMessage,
--- a/packages/gateway/src/explain/app.ts
+++ b/packages/gateway/src/explain/app.ts
@@ -4,11 +4,10 @@
 import type { PeerMesh } from '@poppypond/peer';
 import { decisionSchema, mergeDecisions } from '@poppypond/state';
 import type { Decision } from '@poppypond/state';
-import { callHttp, sendFault, sendJson } from '@poppypond/web';
+import { bearerKey, callHttp, hashKey, sendFault, sendJson } from '@poppypond/web';
 import type { RouteContext, Router } from '@poppypond/web';
 import { Result } from 'true-myth';
 import { z } from 'zod';
-import { bearerKey, hashKey } from '../callers/authenticate.js';
 import type { GatewayContext } from '../context.js';
 
 const PEER_TIMEOUT_MS = 1000;
--- a/packages/gateway/src/hosts/leaving-watch.ts
+++ b/packages/gateway/src/hosts/leaving-watch.ts
@@ -19,7 +19,6 @@
 export class LeavingWatch {
   #listed: ReadonlySet<string> = new Set();
   readonly #byPeers = new Map<string, Milliseconds>();
-  #told: ReadonlySet<string> = new Set();
 
   constructor(
     readonly hosts: PlatformHosts,
@@ -51,12 +50,6 @@
   #tell(): void {
     const own = [...this.engines.leavingByOwnWord(), ...this.services.leavingByOwnWord()];
     if (own.length > 0) this.mesh.broadcast(LEAVING, { servers: own });
-    this.#told = new Set(own);
-  }
-
-  /** Servers that this host itself heard to be leaving. */
-  get heardDirectly(): ReadonlySet<string> {
-    return this.#told;
   }
 
   #apply(): void {
--- a/packages/load/src/workload.ts
+++ b/packages/load/src/workload.ts
@@ -1,6 +1,6 @@
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { CHARACTERS_PER_TOKEN } from '@poppypond/hashing';
 import { makePrompt } from './prompt.js';
+import { seededRandom } from './seeded-random.js';
 import { SAMPLE_WORKSPACES } from './sample-objects.js';
 
 /** One request of a workload, at its time of arrival. */
@@ -29,9 +29,6 @@
 /** Prompts below this are short questions. */
 export const SHORT_TOKENS = 8192;
 
-const RANGE = 2 ** 32;
-/** The first numbers of neighbouring seeds are alike. */
-const SKIPPED = 64;
 const MIDDLE_SHARE = 0.18;
 const SHORT_RANGE = [800, 4000] as const;
 const MIDDLE_RANGE = [4000, 100_000] as const;
@@ -46,12 +43,6 @@
 
 type Uniform = () => number;
 
-function uniformSource(seed: number): Uniform {
-  const generator = xoroshiro128plus(seed);
-  for (let skipped = 0; skipped < SKIPPED; skipped += 1) generator.next();
-  return () => (generator.next() >>> 0) / RANGE;
-}
-
 function logUniform(range: readonly [number, number], uniform: Uniform): number {
   const [low, high] = range;
   return Math.round(low * (high / low) ** uniform());
@@ -75,7 +66,7 @@
 
 /** The arrivals of a workload: a Poisson process, the same for the same seed. */
 export function makeWorkload(options: WorkloadOptions): readonly Arrival[] {
-  const uniform = uniformSource(options.seed);
+  const uniform = seededRandom(options.seed);
   const arrivals: Arrival[] = [];
   let atMs = 0;
   while (atMs < options.durationMs) {
--- a/packages/measure/src/configuration.ts
+++ b/packages/measure/src/configuration.ts
@@ -1,8 +1,8 @@
+import { seededRandom } from '@poppypond/load';
 import { Fleet, getJson, setFaults } from '@poppypond/launch';
 import type { RunningProgram } from '@poppypond/launch';
 import { z } from 'zod';
 import { print } from './report.js';
-import { seededRandom } from './seeded-random.js';
 
 /** How the configuration measurement is run. */
 export interface ConfigurationOptions {
--- a/packages/measure/src/decision-cost.ts
+++ b/packages/measure/src/decision-cost.ts
@@ -1,7 +1,7 @@
+import { seededRandom } from '@poppypond/load';
 import { DEFAULT_PREDICTED_START, PredictedStartPlacement } from '@poppypond/policy';
 import type { EngineState, PlacementJob } from '@poppypond/policy';
 import { median, print } from './report.js';
-import { seededRandom } from './seeded-random.js';
 
 const REPLICAS = [20, 90, 360, 720];
 const DECISIONS = 20_000;
--- a/packages/policy/src/waiting/admission.ts
+++ b/packages/policy/src/waiting/admission.ts
@@ -17,9 +17,6 @@
   readonly stepMs: Milliseconds;
 }
 
-/** Share of the predicted time that a prediction may be short by and still be admitted. */
-const PREDICTION_MARGIN = 1;
-
 /** When a request would have its last token if it were admitted now. */
 export function predictFinishMs(input: AdmissionInput): Milliseconds {
   const queueMs = input.queuedTokens / Math.max(Number.EPSILON, input.laneTokensPerMs);
@@ -30,7 +27,7 @@
 /** Refuses at once what can't finish in its limit, and says when to come back. */
 export function checkAdmission(input: AdmissionInput): Fault | undefined {
   const finishMs = predictFinishMs(input);
-  if (finishMs * PREDICTION_MARGIN <= input.timeRemainingMs) return undefined;
+  if (finishMs <= input.timeRemainingMs) return undefined;
   const withoutQueueMs = predictFinishMs({ ...input, queuedTokens: 0, leastAheadMs: 0 });
   const detail = `would need ${finishMs.toFixed(0)} ms of ${input.timeRemainingMs.toFixed(0)} ms`;
   if (withoutQueueMs > input.timeRemainingMs) return fault('cannot_finish', detail);
--- a/packages/proof/src/random.ts
+++ b/packages/proof/src/random.ts
@@ -1,21 +1,16 @@
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-
-const RANGE = 2 ** 32;
-/** The first numbers of neighbouring seeds are alike. */
-const SKIPPED = 64;
+import { seededRandom } from '@poppypond/load';
 
 /** Seeded random choices of a scenario. */
 export class ScenarioRandom {
-  readonly #generator: ReturnType<typeof xoroshiro128plus>;
+  readonly #uniform: () => number;
 
   constructor(seed: number) {
-    this.#generator = xoroshiro128plus(seed);
-    for (let skipped = 0; skipped < SKIPPED; skipped += 1) this.#generator.next();
+    this.#uniform = seededRandom(seed);
   }
 
   /** In [0, 1). */
   next(): number {
-    return (this.#generator.next() >>> 0) / RANGE;
+    return this.#uniform();
   }
 
   /** A whole number from `low` to `high`, both included. */
--- /dev/null
+++ b/packages/web/src/bearer-key.ts
@@ -0,0 +1,14 @@
+import { createHash } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
+
+const BEARER = /^Bearer (\S+)$/;
+
+/** The key in the `Authorization` header. */
+export function bearerKey(request: IncomingMessage): string | undefined {
+  return BEARER.exec(request.headers.authorization ?? '')?.[1];
+}
+
+/** SHA-256 of a key in hexadecimal, as key and operator objects hold it. */
+export function hashKey(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
--- a/packages/web/src/index.ts
+++ b/packages/web/src/index.ts
@@ -1,3 +1,4 @@
+export * from './bearer-key.js';
 export * from './body.js';
 export * from './client.js';
 export * from './reply.js';
