--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { EngineFigures } from '@poppypond/routing';
 import { passTimeMs } from './engine-times.js';
+import { streamWorth } from './stream-worth.js';
 
 /** One life of a backend server, as the platform lists it. */
 export interface BackendServer {
@@ -24,11 +25,13 @@
   readonly readerIds: readonly string[];
   /** Time that each engine concerned spends reading. */
   readonly partMs: Milliseconds;
+  /** Whether its first event has not come yet. */
+  readonly isReading: boolean;
+  /** When it was placed, on this process's clock. */
+  readonly placedAtMs: Milliseconds;
   readonly contextTokens: number;
   /** The longest pause that its caller takes. */
   readonly gapAimMs: Milliseconds;
-  /** When reading should be over, on this process's clock. */
-  readonly readUntilMs: Milliseconds;
   /** When it is dropped from the view whatever was heard, on this process's clock. */
   readonly expiresAtMs: Milliseconds;
 }
@@ -39,6 +42,8 @@
   readonly writers: number;
   /** Writers whose pause a read of medium length would overrun. */
   readonly impatientWriters: number;
+  /** What the writers' answers are worth together. */
+  readonly writersWorth: number;
   readonly contextTokens: number;
   /** Time of a pass without reading; 0 while nothing writes. */
   readonly passMs: Milliseconds;
@@ -55,6 +60,30 @@
 /** Stands for "no writer to disturb": longer than any read that is worth placing. */
 const UNDISTURBED_SLACK_MS = 60_000;
 
+/** Prompts that take longer than this to read are read one at a time, each by many engines. */
+export const LONG_READ_MS: Milliseconds = 800;
+/** A read on fewer engines than this leaves enough of them for the next. */
+const ENGINES_OF_A_TURN = 5;
+/** A part waits for the end of a pass before it is read; about one pass of a full engine. */
+const READ_START_MS: Milliseconds = 40;
+
+/** Reading that lies before an engine: reads follow each other, each with a pass of the writers. */
+function pendingRead(
+  uses: Iterable<AttemptUse>,
+  passMs: Milliseconds,
+  nowMs: Milliseconds,
+): Milliseconds {
+  let freeAtMs = nowMs;
+  let isFirst = true;
+  for (const use of uses) {
+    if (!use.isReading) continue;
+    const beginsAtMs = isFirst ? use.placedAtMs : Math.max(freeAtMs, use.placedAtMs);
+    isFirst = false;
+    freeAtMs = beginsAtMs + use.partMs + Math.min(passMs, use.partMs);
+  }
+  return Math.max(0, freeAtMs - nowMs);
+}
+
 /** Every attempt that is known to run, on whichever host, and what follows for each engine. */
 export class FleetView {
   readonly #attempts = new Map<string, AttemptUse>();
@@ -73,10 +102,9 @@
   }
 
   /** The first event came, so reading is over on all engines concerned. */
-  onReadDone(attemptId: string, nowMs: Milliseconds): void {
+  onReadDone(attemptId: string): void {
     const use = this.#attempts.get(attemptId);
-    if (!use || use.readUntilMs <= nowMs) return;
-    this.begin({ ...use, readUntilMs: nowMs });
+    if (use?.isReading) this.begin({ ...use, isReading: false });
   }
 
   end(attemptId: string): void {
@@ -110,6 +138,17 @@
     }
   }
 
+  /** Whether a prompt that takes the engines to itself is being read, as far as can be foreseen. */
+  isLongReadRunning(nowMs: Milliseconds): boolean {
+    for (const use of this.#attempts.values()) {
+      const engines = use.readerIds.length + 1;
+      if (!use.isReading || engines < ENGINES_OF_A_TURN) continue;
+      if (use.partMs * engines < LONG_READ_MS) continue;
+      if (nowMs < use.placedAtMs + use.partMs + READ_START_MS) return true;
+    }
+    return false;
+  }
+
   /** Avoids a server until `untilMs`, unless there is no other. */
   suspect(serverId: string, untilMs: Milliseconds): void {
     this.#suspectUntil.set(serverId, untilMs);
@@ -133,22 +172,25 @@
     let writers = 0;
     let impatientWriters = 0;
     let contextTokens = 0;
-    let pendingReadMs = 0;
+    let writersWorth = 0;
     let shortestGapMs = Number.POSITIVE_INFINITY;
-    for (const use of this.#byEngine.get(server.id) ?? []) {
-      if (use.readUntilMs > nowMs) pendingReadMs += use.partMs;
+    const uses = this.#byEngine.get(server.id) ?? [];
+    for (const use of uses) {
       if (use.writerId !== server.id) continue;
       writers += 1;
       contextTokens += use.contextTokens;
+      writersWorth += streamWorth(use.contextTokens);
       if (use.gapAimMs < IMPATIENT_GAP_MS) impatientWriters += 1;
       shortestGapMs = Math.min(shortestGapMs, use.gapAimMs);
     }
     const passMs = writers > 0 ? passTimeMs(figures, writers, contextTokens) : 0;
     const allowedMs = writers > 0 ? shortestGapMs * GAP_SHARE_PLANNED : UNDISTURBED_SLACK_MS;
+    const pendingReadMs = pendingRead(uses, passMs, nowMs);
     return {
       server,
       writers,
       impatientWriters,
+      writersWorth,
       contextTokens,
       passMs,
       pendingReadMs,
--- /dev/null
+++ b/packages/fleet/src/read-queue.ts
@@ -0,0 +1,74 @@
+import type { Milliseconds } from '@poppypond/core';
+
+/** A long prompt that waits until the engines are free to read it. */
+export interface WaitingRead {
+  readonly requestId: string;
+  /** The host that holds it. */
+  readonly host: string;
+  /** Time to read it on one engine. */
+  readonly readMs: Milliseconds;
+  /** When its first event comes too late for its aim, on this process's clock. */
+  readonly aimAtMs: Milliseconds;
+  /** When it is dropped whatever was heard, on this process's clock. */
+  readonly expiresAtMs: Milliseconds;
+}
+
+/** Engines among which a long prompt is taken to be split, to tell whether it can be in time. */
+const ASSUMED_PARTS = 12;
+
+function latestStartMs(read: WaitingRead): Milliseconds {
+  return read.aimAtMs - read.readMs / ASSUMED_PARTS;
+}
+
+/** Prompts that can still be in time come first, the most pressing before others; then the short. */
+function precedes(left: WaitingRead, right: WaitingRead, nowMs: Milliseconds): boolean {
+  const isLeftInTime = latestStartMs(left) >= nowMs;
+  const isRightInTime = latestStartMs(right) >= nowMs;
+  if (isLeftInTime !== isRightInTime) return isLeftInTime;
+  const difference = isLeftInTime
+    ? latestStartMs(left) - latestStartMs(right)
+    : left.readMs - right.readMs;
+  if (difference !== 0) return difference < 0;
+  return left.requestId < right.requestId;
+}
+
+/** All long prompts that are known to wait, on whichever host, and their order. */
+export class ReadQueue {
+  readonly #reads = new Map<string, WaitingRead>();
+
+  get size(): number {
+    return this.#reads.size;
+  }
+
+  has(requestId: string): boolean {
+    return this.#reads.has(requestId);
+  }
+
+  add(read: WaitingRead): void {
+    this.#reads.set(read.requestId, read);
+  }
+
+  remove(requestId: string): void {
+    this.#reads.delete(requestId);
+  }
+
+  ofHost(host: string): readonly WaitingRead[] {
+    return [...this.#reads.values()].filter((read) => read.host === host);
+  }
+
+  /** Replaces all that is known of `host`, which has sent its whole list. */
+  replaceHost(host: string, reads: readonly WaitingRead[]): void {
+    for (const read of this.ofHost(host)) this.#reads.delete(read.requestId);
+    for (const read of reads) this.add(read);
+  }
+
+  /** Whether no other waiting prompt comes before this one. */
+  isFirst(read: WaitingRead, nowMs: Milliseconds): boolean {
+    for (const other of this.#reads.values()) {
+      if (other.requestId === read.requestId) continue;
+      if (other.expiresAtMs <= nowMs) this.#reads.delete(other.requestId);
+      else if (precedes(other, read, nowMs)) return false;
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/stream-plan.ts
@@ -0,0 +1,56 @@
+import type { Milliseconds } from '@poppypond/core';
+import type { EngineLoad } from './fleet-view.js';
+
+/** What is asked of a placement. */
+export interface StreamDemand {
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+  readonly aimMs: Milliseconds;
+  /** Time since the request came. */
+  readonly waitedMs: Milliseconds;
+  /** Whether it may start a long read now: none runs and no other waits before it. */
+  readonly mayReadLong: boolean;
+}
+
+/** The rule by which a stream was placed, made to wait or refused. */
+export type PlacementRule =
+  | 'packed'
+  | 'least_busy'
+  | 'parts_without_harm'
+  | 'parts_with_least_harm'
+  | 'waits_for_turn'
+  | 'waits_for_slack'
+  | 'waits_for_memory'
+  | 'too_large'
+  | 'no_engine';
+
+/** Where a stream runs. */
+export interface StreamPlacement {
+  readonly kind: 'place';
+  readonly rule: PlacementRule;
+  readonly writer: EngineLoad;
+  /** Engines that read parts beside the writer; empty where it reads alone. */
+  readonly readers: readonly EngineLoad[];
+  /** Reading time on each engine concerned. */
+  readonly partMs: Milliseconds;
+  /** When the first event is expected, from now. */
+  readonly expectedFirstMs: Milliseconds;
+}
+
+/** What to do with a stream now. `wait`: ask again when the view has changed or a little later. */
+export type StreamPlan =
+  | StreamPlacement
+  | { readonly kind: 'wait'; readonly rule: PlacementRule }
+  | { readonly kind: 'refuse'; readonly rule: PlacementRule };
+
+/** Makes a placement; the first event follows the slowest engine's reading and one pass. */
+export function placement(
+  rule: PlacementRule,
+  writer: EngineLoad,
+  readers: readonly EngineLoad[],
+  partMs: Milliseconds,
+): StreamPlacement {
+  const beforeMs = Math.max(...[writer, ...readers].map((load) => load.passMs + load.pendingReadMs));
+  const expectedFirstMs = beforeMs + partMs + writer.passMs;
+  return { kind: 'place', rule, writer, readers, partMs, expectedFirstMs };
+}
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -1,9 +1,9 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
-import type { AttemptUse, FleetView } from '@poppypond/fleet';
+import type { AttemptUse, FleetView, ReadQueue, WaitingRead } from '@poppypond/fleet';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { Log } from '@poppypond/telemetry';
 import { match } from 'ts-pattern';
-import { fromWireUse, toWireUse } from './peer-messages.js';
+import { fromWireUse, fromWireWait, toWireUse, toWireWait } from './peer-messages.js';
 import type { Beat, PeerMessage } from './peer-messages.js';
 
 /** Sends one message to a peer; may lose it. */
@@ -45,6 +45,7 @@
   readonly sender: PeerSender;
   readonly self: PeerAddress & { readonly incarnation: string };
   readonly fleet: FleetView;
+  readonly queue: ReadQueue;
   readonly inForce: ConfigurationInForce;
   readonly freshness: Freshness;
 }
@@ -87,15 +88,30 @@
     return [...this.#peers.values()].filter((peer) => this.#isAlive(peer)).length;
   }
 
-  begin(use: AttemptUse): void {
+  /** An attempt of `request` begins, which waits no more. */
+  begin(request: string, use: AttemptUse): void {
     this.parts.fleet.begin(use);
+    this.parts.queue.remove(request);
     const wire = toWireUse(use, this.parts.clock.monotonicMs());
-    this.#broadcast({ kind: 'begin', ...this.#selfFields(), use: wire });
+    this.#broadcast({ kind: 'begin', ...this.#selfFields(), request, use: wire });
+  }
+
+  /** A long prompt waits for its turn. */
+  wait(read: WaitingRead): void {
+    this.parts.queue.add(read);
+    const wire = toWireWait(read, this.parts.clock.monotonicMs());
+    this.#broadcast({ kind: 'wait', ...this.#selfFields(), wait: wire });
+  }
+
+  /** A long prompt waits no more and does not run either. */
+  unwait(request: string): void {
+    this.parts.queue.remove(request);
+    this.#broadcast({ kind: 'unwait', ...this.#selfFields(), request });
   }
 
   /** `isTold`: whether peers gain from knowing at once. */
   onReadDone(attemptId: string, isTold: boolean): void {
-    this.parts.fleet.onReadDone(attemptId, this.parts.clock.monotonicMs());
+    this.parts.fleet.onReadDone(attemptId);
     if (isTold) this.#broadcast({ kind: 'read', ...this.#selfFields(), attempt: attemptId });
   }
 
@@ -113,17 +129,24 @@
   receive(message: PeerMessage, address: string): void {
     if (message.host === this.parts.self.host) return;
     this.#hear(message, address);
-    const { fleet, clock } = this.parts;
+    const { fleet, queue, clock } = this.parts;
     const nowMs = clock.monotonicMs();
     match(message)
       .with({ kind: 'beat' }, (beat) => {
         this.#takeBeat(beat);
       })
-      .with({ kind: 'begin' }, ({ use, host }) => {
+      .with({ kind: 'begin' }, ({ request, use, host }) => {
+        queue.remove(request);
         fleet.begin(fromWireUse(use, host, nowMs));
       })
+      .with({ kind: 'wait' }, ({ wait, host }) => {
+        queue.add(fromWireWait(wait, host, nowMs));
+      })
+      .with({ kind: 'unwait' }, ({ request }) => {
+        queue.remove(request);
+      })
       .with({ kind: 'read' }, ({ attempt }) => {
-        fleet.onReadDone(attempt, nowMs);
+        fleet.onReadDone(attempt);
       })
       .with({ kind: 'end' }, ({ attempt }) => {
         fleet.end(attempt);
@@ -143,7 +166,7 @@
     const nowMs = this.parts.clock.monotonicMs();
     const isNew = known?.incarnation !== incarnation;
     if (isNew) {
-      this.parts.fleet.replaceHost(host, []);
+      this.#dropWorkOf(host);
       this.parts.log.info('peer_heard', { peer: host, address, incarnation });
     }
     const lastSentAtMs = message.kind === 'beat' ? message.sentAtMs : known?.lastSentAtMs;
@@ -160,8 +183,12 @@
   }
 
   #takeBeat(beat: Beat): void {
-    const { clock, fleet, freshness, inForce, self } = this.parts;
+    const { clock, fleet, freshness, inForce, queue, self } = this.parts;
     const nowMs = clock.monotonicMs();
+    queue.replaceHost(
+      beat.host,
+      beat.waits.map((wait) => fromWireWait(wait, beat.host, nowMs)),
+    );
     fleet.replaceHost(
       beat.host,
       beat.uses.map((use) => fromWireUse(use, beat.host, nowMs)),
@@ -191,17 +218,22 @@
     for (const peer of this.#peers.values()) {
       const lastMs = peer.heardAtMs ?? peer.knownSinceMs;
       if (nowMs - lastMs > FORGET_AFTER_MS) this.#forget(peer.host, 'silent');
-      else if (!this.#isAlive(peer)) this.parts.fleet.replaceHost(peer.host, []);
+      else if (!this.#isAlive(peer)) this.#dropWorkOf(peer.host);
     }
     this.#beatAll();
   }
 
   #forget(host: string, why: 'left' | 'silent'): void {
     this.#peers.delete(host);
-    this.parts.fleet.replaceHost(host, []);
+    this.#dropWorkOf(host);
     this.parts.log.info('peer_forgotten', { peer: host, why });
   }
 
+  #dropWorkOf(host: string): void {
+    this.parts.fleet.replaceHost(host, []);
+    this.parts.queue.replaceHost(host, []);
+  }
+
   #beatAll(): void {
     for (const host of this.#peers.keys()) this.#beat(host);
   }
@@ -209,7 +241,7 @@
   #beat(host: string): void {
     const peer = this.#peers.get(host);
     if (!peer) return;
-    const { clock, fleet, freshness, inForce, self, sender } = this.parts;
+    const { clock, fleet, freshness, inForce, queue, self, sender } = this.parts;
     const nowMs = clock.monotonicMs();
     const ageMs = freshness.ageMs();
     sender.send(peer.address, peer.port, {
@@ -220,6 +252,7 @@
       configurationVersion: inForce.version,
       configurationAgeMs: Number.isFinite(ageMs) ? ageMs : null,
       uses: fleet.attemptsOf(self.host).map((use) => toWireUse(use, nowMs)),
+      waits: queue.ofHost(self.host).map((read) => toWireWait(read, nowMs)),
     });
   }
 
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@poppypond/core';
-import type { AttemptUse } from '@poppypond/fleet';
+import type { AttemptUse, WaitingRead } from '@poppypond/fleet';
 import { pack, unpack } from 'msgpackr';
 import { z } from 'zod';
 
@@ -11,7 +11,8 @@
   z.number().describe('reading time on each engine'),
   z.number().describe('context tokens'),
   z.number().describe('allowed pause'),
-  z.number().describe('reading is over in'),
+  z.boolean().describe('is still reading'),
+  z.number().describe('placed ago'),
   z.number().describe('dropped in'),
 ]);
 
@@ -22,6 +23,14 @@
   port: z.number(),
 };
 
+/** A long prompt that waits, as it is told to peers. */
+const waitSchema = z.tuple([
+  z.string().describe('request'),
+  z.number().describe('reading time on one engine'),
+  z.number().describe('too late in'),
+  z.number().describe('dropped in'),
+]);
+
 /** Sent every half second and as an answer to a new peer; holds all that the sender runs. */
 const beatSchema = z.object({
   kind: z.literal('beat'),
@@ -33,10 +42,21 @@
   configurationVersion: z.number(),
   configurationAgeMs: z.number().nullable(),
   uses: z.array(useSchema),
+  waits: z.array(waitSchema),
 });
 
 /** Sent when an attempt begins. */
-const beginSchema = z.object({ kind: z.literal('begin'), ...hostFields, use: useSchema });
+const beginSchema = z.object({
+  kind: z.literal('begin'),
+  ...hostFields,
+  /** Waits no more. */
+  request: z.string(),
+  use: useSchema,
+});
+/** Sent when a long prompt begins to wait. */
+const waitMessageSchema = z.object({ kind: z.literal('wait'), ...hostFields, wait: waitSchema });
+/** Sent when a long prompt waits no more without having been placed. */
+const unwaitSchema = z.object({ kind: z.literal('unwait'), ...hostFields, request: z.string() });
 /** Sent when the first event of a long read has come, and when an attempt has ended. */
 const changeSchema = z.object({
   kind: z.enum(['read', 'end']),
@@ -53,12 +73,22 @@
 /** Sent on a planned stop. */
 const leaveSchema = z.object({ kind: z.literal('leave'), ...hostFields });
 
-const messageSchema = z.union([beatSchema, beginSchema, changeSchema, suspectSchema, leaveSchema]);
+const messageSchema = z.union([
+  beatSchema,
+  beginSchema,
+  waitMessageSchema,
+  unwaitSchema,
+  changeSchema,
+  suspectSchema,
+  leaveSchema,
+]);
 
 /** A message between relays. */
 export type PeerMessage = z.infer<typeof messageSchema>;
 /** The heartbeat of a relay. */
 export type Beat = z.infer<typeof beatSchema>;
+/** A waiting prompt on the way to a peer. */
+export type WireWait = z.infer<typeof waitSchema>;
 /** An attempt on the way to a peer. */
 export type WireUse = z.infer<typeof useSchema>;
 
@@ -86,14 +116,16 @@
     Math.round(use.partMs),
     use.contextTokens,
     use.gapAimMs,
-    Math.round(use.readUntilMs - nowMs),
+    use.isReading,
+    Math.round(nowMs - use.placedAtMs),
     Math.round(use.expiresAtMs - nowMs),
   ];
 }
 
 /** An attempt of `host` from the wire, on this process's clock. */
 export function fromWireUse(wire: WireUse, host: string, nowMs: Milliseconds): AttemptUse {
-  const [attemptId, writerId, readerIds, partMs, contextTokens, gapAimMs, readInMs, dropInMs] = wire;
+  const [attemptId, writerId, readerIds, partMs, contextTokens, gapAimMs] = wire;
+  const [, , , , , , isReading, placedAgoMs, dropInMs] = wire;
   return {
     attemptId,
     host,
@@ -102,7 +134,24 @@
     partMs,
     contextTokens,
     gapAimMs,
-    readUntilMs: nowMs + readInMs,
+    isReading,
+    placedAtMs: nowMs - placedAgoMs,
     expiresAtMs: nowMs + dropInMs,
   };
 }
+
+/** A waiting prompt for the wire, as of `nowMs`. */
+export function toWireWait(read: WaitingRead, nowMs: Milliseconds): WireWait {
+  return [
+    read.requestId,
+    Math.round(read.readMs),
+    Math.round(read.aimAtMs - nowMs),
+    Math.round(read.expiresAtMs - nowMs),
+  ];
+}
+
+/** A waiting prompt of `host` from the wire, on this process's clock. */
+export function fromWireWait(wire: WireWait, host: string, nowMs: Milliseconds): WaitingRead {
+  const [requestId, readMs, lateInMs, dropInMs] = wire;
+  return { requestId, host, readMs, aimAtMs: nowMs + lateInMs, expiresAtMs: nowMs + dropInMs };
+}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,6 @@
 import { delay, fault, newOwner, SystemClock } from '@poppypond/core';
 import type { Milliseconds } from '@poppypond/core';
-import { FleetView, RetryBudget } from '@poppypond/fleet';
+import { FleetView, ReadQueue, RetryBudget } from '@poppypond/fleet';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { RouteTable } from '@poppypond/routing';
 import { BoundedOutput, createLog, lineText, Measures, writeStandardOutput } from '@poppypond/telemetry';
@@ -56,6 +56,7 @@
   readonly #inForce = new ConfigurationInForce();
   readonly #freshness: Freshness;
   readonly #fleet = new FleetView();
+  readonly #queue = new ReadQueue();
   readonly #servers: ServerList;
   readonly #front: FrontServer;
   readonly #directory: MemberDirectory;
@@ -149,6 +150,7 @@
       sender,
       self: { host, address, port: peerPort, incarnation: this.#owner.incarnation },
       fleet: this.#fleet,
+      queue: this.#queue,
       inForce: this.#inForce,
       freshness: this.#freshness,
     });
@@ -171,6 +173,7 @@
       freshness: this.#freshness,
       keysTrustedMs: settings.keysTrustedMs - KEY_MARGIN_MS,
       fleet: this.#fleet,
+      queue: this.#queue,
       servers: this.#servers,
       peers,
       budget: new RetryBudget(this.#clock, figures, () => peers.hostCount),
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -1,15 +1,17 @@
 import type { Milliseconds } from '@poppypond/core';
-import { placeCall, planStream } from '@poppypond/fleet';
+import { LONG_READ_MS, placeCall, planStream, readTimeMs } from '@poppypond/fleet';
 import type { BackendServer, StreamPlan } from '@poppypond/fleet';
 import type { EngineFigures } from '@poppypond/routing';
 import type { RelayParts } from './relay-parts.js';
 
 /** What a stream asks of an engine. */
 export interface StreamNeeds {
+  readonly requestId: string;
+  readonly arrivedAtMs: Milliseconds;
   readonly promptTokens: number;
   readonly answerTokens: number;
   readonly aimMs: Milliseconds;
-  readonly waitedMs: Milliseconds;
+  readonly timeLeftMs: Milliseconds;
 }
 
 function without(
@@ -20,6 +22,25 @@
   return left.length > 0 ? left : servers;
 }
 
+/** Whether a long prompt's turn has come; it is told to peers while it waits. */
+function mayReadLong(
+  parts: RelayParts,
+  needs: StreamNeeds,
+  readMs: Milliseconds,
+  nowMs: Milliseconds,
+): boolean {
+  const read = {
+    requestId: needs.requestId,
+    host: parts.host,
+    readMs,
+    aimAtMs: needs.arrivedAtMs + needs.aimMs,
+    expiresAtMs: nowMs + needs.timeLeftMs,
+  };
+  if (!parts.fleet.isLongReadRunning(nowMs) && parts.queue.isFirst(read, nowMs)) return true;
+  if (!parts.queue.has(needs.requestId)) parts.peers.wait(read);
+  return false;
+}
+
 /** Plans a stream over the engines that may take work now; those that failed it come last. */
 export function chooseEngine(
   parts: RelayParts,
@@ -31,7 +52,15 @@
   const nowMs = parts.clock.monotonicMs();
   const servers = without(parts.servers.available(service), failedIds);
   const loads = servers.map((server) => parts.fleet.load(server, figures, nowMs));
-  return planStream(loads, figures, needs);
+  const readMs = readTimeMs(figures, needs.promptTokens);
+  const demand = {
+    promptTokens: needs.promptTokens,
+    answerTokens: needs.answerTokens,
+    aimMs: needs.aimMs,
+    waitedMs: nowMs - needs.arrivedAtMs,
+    mayReadLong: readMs < LONG_READ_MS || mayReadLong(parts, needs, readMs, nowMs),
+  };
+  return planStream(loads, figures, demand);
 }
 
 /** Picks a server of a plain service; those that failed this request come last. */
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { FleetView, RetryBudget } from '@poppypond/fleet';
+import type { FleetView, ReadQueue, RetryBudget } from '@poppypond/fleet';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { Log, Measures } from '@poppypond/telemetry';
 import type { PeerMesh } from '../peers/peer-mesh.js';
@@ -18,6 +18,7 @@
   /** Keys count only while the configuration was proved to be the newest this lately. */
   readonly keysTrustedMs: Milliseconds;
   readonly fleet: FleetView;
+  readonly queue: ReadQueue;
   readonly servers: ServerList;
   readonly peers: PeerMesh;
   readonly budget: RetryBudget;
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -29,11 +29,13 @@
 }
 
 /** Pause before a waiting request looks for engines again. */
-const LOOK_AGAIN_MS: Milliseconds = 15;
+const LOOK_AGAIN_MS: Milliseconds = 10;
 /** A server's own word that time is up may take this long to come back. */
 const LIMIT_SLACK_MS: Milliseconds = 20;
 /** Silence beyond the expected first event after which another engine is tried. */
 const FIRST_EVENT_SLACK_MS: Milliseconds = 900;
+/** Long reads wait behind others that were not foreseen; reading anew would make that worse. */
+const FIRST_EVENT_FACTOR = 3;
 /** Silence between events after which another engine is tried: callers leave at about twice that. */
 const SHORTEST_STALL_MS: Milliseconds = 1200;
 /** The same, as a multiple of the pause that the route aims at. */
@@ -105,6 +107,7 @@
     try {
       await this.#tryServers();
     } finally {
+      if (this.parts.queue.has(this.caller.requestId)) this.parts.peers.unwait(this.caller.requestId);
       cancelLimit();
       this.#cancelSilence();
     }
@@ -138,9 +141,11 @@
         this.#giveUp(this.#notRunFault('no server of the service is listed'));
         return undefined;
       }
-      const waitedMs = this.parts.clock.monotonicMs() - this.arrivedAtMs;
-      const { promptTokens, answerTokens } = this.caller;
-      const needs = { promptTokens, answerTokens, aimMs: this.#route.aimMs, waitedMs };
+      const { promptTokens, answerTokens, requestId } = this.caller;
+      const { arrivedAtMs } = this;
+      const timeLeftMs = this.#leftMs();
+      const { aimMs } = this.#route;
+      const needs = { requestId, arrivedAtMs, promptTokens, answerTokens, aimMs, timeLeftMs };
       const plan = chooseEngine(this.parts, service, figures, needs, this.#failedIds);
       if (plan.kind === 'place') return { server: plan.writer.server, placement: plan };
       if (plan.kind === 'refuse') {
@@ -211,7 +216,7 @@
   #announce(id: string, choice: Choice, timeLeftMs: Milliseconds): void {
     const nowMs = this.parts.clock.monotonicMs();
     const { placement, server } = choice;
-    this.parts.peers.begin({
+    this.parts.peers.begin(this.caller.requestId, {
       attemptId: id,
       host: this.parts.host,
       writerId: server.id,
@@ -219,14 +224,15 @@
       partMs: placement?.partMs ?? 0,
       contextTokens: this.caller.promptTokens + this.caller.answerTokens,
       gapAimMs: this.#route.gapAimMs,
-      readUntilMs: nowMs + (placement?.expectedFirstMs ?? 0),
+      isReading: placement !== undefined,
+      placedAtMs: nowMs,
       expiresAtMs: nowMs + timeLeftMs + LIMIT_SLACK_MS,
     });
   }
 
   #firstPatienceMs({ placement }: Choice): Milliseconds {
     if (!placement) return this.#leftMs() * CALL_PATIENCE_SHARE;
-    return placement.expectedFirstMs + FIRST_EVENT_SLACK_MS;
+    return placement.expectedFirstMs * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK_MS;
   }
 
   /** Tries another server when this one stays silent, if one more may be tried. */
