--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -15,6 +15,12 @@
   readonly isDraining: boolean;
 }
 
+/** Memory that is held on one engine for a request. */
+export interface HeldMemory {
+  readonly engineId: string;
+  readonly tokens: number;
+}
+
 /** What one attempt of a request takes up, on the engine that writes and on those that help read. */
 export interface AttemptUse {
   readonly attemptId: string;
@@ -29,7 +35,10 @@
   readonly isReading: boolean;
   /** When it was placed, on this process's clock. */
   readonly placedAtMs: Milliseconds;
+  /** Tokens in the writer's memory. */
   readonly contextTokens: number;
+  /** Memory on other engines, for prompts above one engine's memory. */
+  readonly held: readonly HeldMemory[];
   /** The longest pause that its caller takes. */
   readonly gapAimMs: Milliseconds;
   /** When it is dropped from the view whatever was heard, on this process's clock. */
@@ -44,7 +53,10 @@
   readonly impatientWriters: number;
   /** What the writers' answers are worth together. */
   readonly writersWorth: number;
+  /** Tokens that its writers read at every step. */
   readonly contextTokens: number;
+  /** Tokens in its memory, those held for others included. */
+  readonly memoryTokens: number;
   /** Time of a pass without reading; 0 while nothing writes. */
   readonly passMs: Milliseconds;
   readonly pendingReadMs: Milliseconds;
@@ -67,6 +79,12 @@
 /** A part waits for the end of a pass before it is read; about one pass of a full engine. */
 const READ_START_MS: Milliseconds = 40;
 
+function heldOn({ held }: AttemptUse, engineId: string): number {
+  let tokens = 0;
+  for (const part of held) if (part.engineId === engineId) tokens += part.tokens;
+  return tokens;
+}
+
 /** Reading that lies before an engine: reads follow each other, each with a pass of the writers. */
 function pendingRead(
   uses: Iterable<AttemptUse>,
@@ -172,10 +190,12 @@
     let writers = 0;
     let impatientWriters = 0;
     let contextTokens = 0;
+    let heldTokens = 0;
     let writersWorth = 0;
     let shortestGapMs = Number.POSITIVE_INFINITY;
     const uses = this.#byEngine.get(server.id) ?? [];
     for (const use of uses) {
+      heldTokens += heldOn(use, server.id);
       if (use.writerId !== server.id) continue;
       writers += 1;
       contextTokens += use.contextTokens;
@@ -192,6 +212,7 @@
       impatientWriters,
       writersWorth,
       contextTokens,
+      memoryTokens: contextTokens + heldTokens,
       passMs,
       pendingReadMs,
       slackMs: allowedMs - passMs - pendingReadMs,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,4 +5,5 @@
 export * from './read-queue.js';
 export * from './retry-budget.js';
 export * from './retry-decision.js';
+export * from './share-memory.js';
 export * from './stream-plan.js';
--- a/packages/fleet/src/place-stream.ts
+++ b/packages/fleet/src/place-stream.ts
@@ -4,21 +4,27 @@
 import type { EngineLoad } from './fleet-view.js';
 import { packShort } from './pack-short.js';
 import { readInParts } from './read-in-parts.js';
+import { freeTokens } from './share-memory.js';
 import type { StreamDemand, StreamPlan } from './stream-plan.js';
 
 /** Prompts that take no longer to read than this go whole to one engine. */
 const WHOLE_READ_MS: Milliseconds = 60;
 
-function hasRoom(load: EngineLoad, figures: EngineFigures, demand: StreamDemand): boolean {
-  const wanted = demand.promptTokens + demand.answerTokens;
-  return load.contextTokens + wanted <= figures.memoryTokens;
-}
+/** A prompt for which no engine has memory waits for up to this many aims. */
+const MEMORY_PATIENCE_AIMS = 1;
+/** Prompts above this share of an engine's memory may be held on several. */
+const LARGE_SHARE = 0.75;
 
 function trustedOrAll(loads: readonly EngineLoad[]): readonly EngineLoad[] {
   const trusted = loads.filter((load) => !load.isSuspect);
   return trusted.length > 0 ? trusted : loads;
 }
 
+function waitForMemory(demand: StreamDemand): StreamPlan {
+  const isPatient = demand.waitedMs < demand.aimMs * MEMORY_PATIENCE_AIMS;
+  return isPatient ? { kind: 'wait', rule: 'waits_for_memory' } : { kind: 'refuse', rule: 'no_engine' };
+}
+
 /**
  * Chooses the engine that writes an answer and those that help to read its prompt, for the most
  * in-time answers over all callers. Short prompts are packed on the first engines; long ones are
@@ -31,16 +37,13 @@
   demand: StreamDemand,
 ): StreamPlan {
   if (loads.length === 0) return { kind: 'refuse', rule: 'no_engine' };
-  if (demand.promptTokens + demand.answerTokens > figures.memoryTokens) {
-    return { kind: 'refuse', rule: 'too_large' };
-  }
   const readMs = readTimeMs(figures, demand.promptTokens);
   const usable = trustedOrAll(loads);
-  const roomy = usable.filter((load) => hasRoom(load, figures, demand));
-  if (roomy.length === 0) {
-    const isPatient = demand.waitedMs < demand.aimMs;
-    return isPatient ? { kind: 'wait', rule: 'waits_for_memory' } : { kind: 'refuse', rule: 'no_engine' };
-  }
+  const wanted = demand.promptTokens + demand.answerTokens;
+  const roomy = usable.filter((load) => freeTokens(load, figures) >= wanted);
+  const isLarge = wanted > figures.memoryTokens * LARGE_SHARE;
+  if (roomy.length === 0 && !isLarge) return waitForMemory(demand);
   if (readMs <= WHOLE_READ_MS) return packShort(roomy, figures, readMs);
-  return readInParts({ engines: usable, roomy, figures, demand, readMs });
+  const writers = roomy.length > 0 ? roomy : usable;
+  return readInParts({ engines: usable, writers, figures, demand, readMs });
 }
--- a/packages/fleet/src/read-in-parts.ts
+++ b/packages/fleet/src/read-in-parts.ts
@@ -3,6 +3,7 @@
 import { LONG_READ_MS } from './fleet-view.js';
 import type { EngineLoad } from './fleet-view.js';
 import { packedEngines } from './pack-short.js';
+import { shareMemory } from './share-memory.js';
 import { placement } from './stream-plan.js';
 import type { StreamDemand, StreamPlacement, StreamPlan } from './stream-plan.js';
 import { streamWorth } from './stream-worth.js';
@@ -10,8 +11,8 @@
 /** What a long prompt is placed by. */
 export interface PartsInputs {
   readonly engines: readonly EngineLoad[];
-  /** Those whose memory can hold the prompt. */
-  readonly roomy: readonly EngineLoad[];
+  /** Those that may write: their memory can hold the prompt, or none's can. */
+  readonly writers: readonly EngineLoad[];
   readonly figures: EngineFigures;
   readonly demand: StreamDemand;
   /** Time to read the whole prompt on one engine. */
@@ -31,30 +32,29 @@
 /** Share of its worth that an answer loses by being late. */
 const LATE_LOSS = 0.75;
 /**
- * An engine takes nothing else in until a part is read, so longer parts make later prompts late.
- * A pass of up to this length is planned with anyway.
+ * Engines take nothing else in until their part is read, so longer parts make later prompts late.
+ * Turns of up to this length leave room in the aims of those that wait.
  */
-const UNNOTICED_PART_MS: Milliseconds = 350;
-/** Worth that others lose for each second that one engine is held beyond that. */
-const WORTH_PER_SECOND_HELD = 8;
+const UNNOTICED_PART_MS: Milliseconds = 700;
+/** Worth that others lose for each second that engines are held beyond that. */
+const WORTH_PER_SECOND_HELD = 10;
 const MS_PER_SECOND = 1000;
 
 /** Patient engines with much free memory write long prompts; of equals the last. */
 function chooseWriter(
-  roomy: readonly EngineLoad[],
+  writers: readonly EngineLoad[],
   packed: ReadonlySet<EngineLoad>,
   figures: EngineFigures,
 ): EngineLoad | undefined {
-  const free = roomy.filter((load) => load.writers < figures.slots);
+  const free = writers.filter((load) => load.writers < figures.slots);
   const apart = free.filter((load) => !packed.has(load));
-  const candidates = [apart, free, roomy].find((loads) => loads.length > 0) ?? [];
+  const candidates = [apart, free, writers].find((loads) => loads.length > 0) ?? [];
   return candidates.reduceRight<EngineLoad | undefined>((best, load) => {
     if (!best) return load;
     if (load.impatientWriters !== best.impatientWriters) {
       return load.impatientWriters < best.impatientWriters ? load : best;
     }
-    const cost = load.contextTokens + load.pendingReadMs;
-    return cost < best.contextTokens + best.pendingReadMs ? load : best;
+    return load.memoryTokens < best.memoryTokens ? load : best;
   }, undefined);
 }
 
@@ -84,7 +84,7 @@
   const partMs = readMs / parts;
   const readers = others.slice(0, parts - 1);
   const writersHarm = [writer, ...readers].reduce((sum, load) => sum + harmOf(load, partMs), 0);
-  const heldMs = Math.max(0, partMs - UNNOTICED_PART_MS) * parts;
+  const heldMs = Math.max(0, partMs - UNNOTICED_PART_MS);
   const harm = writersHarm + (heldMs / MS_PER_SECOND) * WORTH_PER_SECOND_HELD;
   const rule = writersHarm > 0 ? 'parts_with_least_harm' : 'parts_without_harm';
   const place = placement(rule, writer, readers, partMs);
@@ -120,14 +120,17 @@
  * prompt itself lose least together. Long reads take turns.
  */
 export function readInParts(inputs: PartsInputs): StreamPlan {
-  const { engines, roomy, figures, demand, readMs } = inputs;
+  const { engines, writers, figures, demand, readMs } = inputs;
   if (readMs >= LONG_READ_MS && !demand.mayReadLong) return { kind: 'wait', rule: 'waits_for_turn' };
   const packed = new Set(packedEngines(engines, figures));
-  const writer = chooseWriter(roomy, packed, figures);
+  const writer = chooseWriter(writers, packed, figures);
   if (!writer) return { kind: 'refuse', rule: 'no_engine' };
   const others = engines.filter((load) => load !== writer);
   const apart = others.filter((load) => !packed.has(load)).sort(bySlackDown);
   const shared = others.filter((load) => packed.has(load)).sort(bySlackDown);
   const best = leastLoss(inputs, writer, [...apart, ...shared]);
-  return isWorthWaiting(best, demand) ? { kind: 'wait', rule: 'waits_for_slack' } : best.place;
+  if (isWorthWaiting(best, demand)) return { kind: 'wait', rule: 'waits_for_slack' };
+  const wanted = demand.promptTokens + demand.answerTokens;
+  const shares = shareMemory(writer, best.place.readers, figures, wanted);
+  return shares ? { ...best.place, shares } : { kind: 'wait', rule: 'waits_for_memory' };
 }
--- a/packages/fleet/src/read-queue.ts
+++ b/packages/fleet/src/read-queue.ts
@@ -9,6 +9,8 @@
   readonly readMs: Milliseconds;
   /** When its first event comes too late for its aim, on this process's clock. */
   readonly aimAtMs: Milliseconds;
+  /** Whether it lets others pass, as it waits for engines that it would not disturb. */
+  readonly isYielding: boolean;
   /** When it is dropped whatever was heard, on this process's clock. */
   readonly expiresAtMs: Milliseconds;
 }
@@ -40,8 +42,8 @@
     return this.#reads.size;
   }
 
-  has(requestId: string): boolean {
-    return this.#reads.has(requestId);
+  find(requestId: string): WaitingRead | undefined {
+    return this.#reads.get(requestId);
   }
 
   add(read: WaitingRead): void {
@@ -67,7 +69,7 @@
     for (const other of this.#reads.values()) {
       if (other.requestId === read.requestId) continue;
       if (other.expiresAtMs <= nowMs) this.#reads.delete(other.requestId);
-      else if (precedes(other, read, nowMs)) return false;
+      else if (!other.isYielding && precedes(other, read, nowMs)) return false;
     }
     return true;
   }
--- /dev/null
+++ b/packages/fleet/src/share-memory.ts
@@ -0,0 +1,43 @@
+import type { EngineFigures } from '@poppypond/routing';
+import type { EngineLoad } from './fleet-view.js';
+
+/** Memory to be held on one engine for a prompt that another writes. */
+export interface MemoryShare {
+  readonly engine: EngineLoad;
+  readonly tokens: number;
+}
+
+/** Part of an engine's free memory that a large prompt may take; answers there still grow. */
+const SHARE_OF_FREE = 0.9;
+/** Engines store whole blocks of tokens, so sums are planned with a little more. */
+const ROUNDING_TOKENS = 64;
+
+/** Tokens that an engine can still take. */
+export function freeTokens(load: EngineLoad, figures: EngineFigures): number {
+  return Math.max(0, figures.memoryTokens - load.memoryTokens);
+}
+
+/**
+ * Spreads what the writer can't hold over other engines, those with most free memory first.
+ * Empty where the writer holds all; undefined where even all together can't.
+ */
+export function shareMemory(
+  writer: EngineLoad,
+  readers: readonly EngineLoad[],
+  figures: EngineFigures,
+  tokens: number,
+): readonly MemoryShare[] | undefined {
+  const free = freeTokens(writer, figures);
+  if (tokens <= free) return [];
+  let left = tokens + ROUNDING_TOKENS - Math.floor(free * SHARE_OF_FREE);
+  const shares: MemoryShare[] = [];
+  const byFree = [...readers].sort((a, b) => freeTokens(b, figures) - freeTokens(a, figures));
+  for (const engine of byFree) {
+    const share = Math.min(left, Math.floor(freeTokens(engine, figures) * SHARE_OF_FREE));
+    if (share <= 0) break;
+    shares.push({ engine, tokens: share });
+    left -= share;
+    if (left <= 0) return shares;
+  }
+  return undefined;
+}
--- a/packages/fleet/src/stream-plan.ts
+++ b/packages/fleet/src/stream-plan.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { EngineLoad } from './fleet-view.js';
+import type { MemoryShare } from './share-memory.js';
 
 /** What is asked of a placement. */
 export interface StreamDemand {
@@ -21,7 +22,6 @@
   | 'waits_for_turn'
   | 'waits_for_slack'
   | 'waits_for_memory'
-  | 'too_large'
   | 'no_engine';
 
 /** Where a stream runs. */
@@ -33,6 +33,8 @@
   readonly readers: readonly EngineLoad[];
   /** Reading time on each engine concerned. */
   readonly partMs: Milliseconds;
+  /** Memory that must be held on readers before it starts; empty where the writer holds all. */
+  readonly shares: readonly MemoryShare[];
   /** When the first event is expected, from now. */
   readonly expectedFirstMs: Milliseconds;
 }
@@ -52,5 +54,5 @@
 ): StreamPlacement {
   const beforeMs = Math.max(...[writer, ...readers].map((load) => load.passMs + load.pendingReadMs));
   const expectedFirstMs = beforeMs + partMs + writer.passMs;
-  return { kind: 'place', rule, writer, readers, partMs, expectedFirstMs };
+  return { kind: 'place', rule, writer, readers, partMs, shares: [], expectedFirstMs };
 }
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -14,6 +14,7 @@
   z.boolean().describe('is still reading'),
   z.number().describe('placed ago'),
   z.number().describe('dropped in'),
+  z.array(z.tuple([z.string(), z.number()])).describe('memory held, by engine'),
 ]);
 
 const hostFields = {
@@ -28,6 +29,7 @@
   z.string().describe('request'),
   z.number().describe('reading time on one engine'),
   z.number().describe('too late in'),
+  z.boolean().describe('lets others pass'),
   z.number().describe('dropped in'),
 ]);
 
@@ -119,13 +121,14 @@
     use.isReading,
     Math.round(nowMs - use.placedAtMs),
     Math.round(use.expiresAtMs - nowMs),
+    use.held.map(({ engineId, tokens }) => [engineId, tokens]),
   ];
 }
 
 /** An attempt of `host` from the wire, on this process's clock. */
 export function fromWireUse(wire: WireUse, host: string, nowMs: Milliseconds): AttemptUse {
   const [attemptId, writerId, readerIds, partMs, contextTokens, gapAimMs] = wire;
-  const [, , , , , , isReading, placedAgoMs, dropInMs] = wire;
+  const [, , , , , , isReading, placedAgoMs, dropInMs, held] = wire;
   return {
     attemptId,
     host,
@@ -137,6 +140,7 @@
     isReading,
     placedAtMs: nowMs - placedAgoMs,
     expiresAtMs: nowMs + dropInMs,
+    held: held.map(([engineId, tokens]) => ({ engineId, tokens })),
   };
 }
 
@@ -146,12 +150,14 @@
     read.requestId,
     Math.round(read.readMs),
     Math.round(read.aimAtMs - nowMs),
+    read.isYielding,
     Math.round(read.expiresAtMs - nowMs),
   ];
 }
 
 /** A waiting prompt of `host` from the wire, on this process's clock. */
 export function fromWireWait(wire: WireWait, host: string, nowMs: Milliseconds): WaitingRead {
-  const [requestId, readMs, lateInMs, dropInMs] = wire;
-  return { requestId, host, readMs, aimAtMs: nowMs + lateInMs, expiresAtMs: nowMs + dropInMs };
+  const [requestId, readMs, lateInMs, isYielding, dropInMs] = wire;
+  const aimAtMs = nowMs + lateInMs;
+  return { requestId, host, readMs, aimAtMs, isYielding, expiresAtMs: nowMs + dropInMs };
 }
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -113,3 +113,11 @@
   readConfiguration(value: Buffer): RoutingConfiguration | undefined;
   readServer(id: string, value: Buffer): BackendServer | undefined;
 }
+
+/** Memory of engines that is held for requests. Orders without an answer may be carried out later. */
+export interface EngineMemory {
+  /** Holds memory for `holdMs` from now, or holds it that much longer; false where there is none. */
+  reserve(server: BackendServer, id: string, tokens: number, holdMs: Milliseconds): Promise<boolean>;
+  /** Frees it; false where no answer came. */
+  release(server: BackendServer, id: string): Promise<boolean>;
+}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,7 +8,7 @@
 import { DatagramSender } from './peers/datagram-sender.js';
 import { MemberDirectory } from './peers/member-directory.js';
 import { PeerMesh } from './peers/peer-mesh.js';
-import type { PlatformRows, RelayWire, RowStore } from './ports.js';
+import type { EngineMemory, PlatformRows, RelayWire, RowStore } from './ports.js';
 import { admit } from './request/admit.js';
 import type { RelayParts } from './request/relay-parts.js';
 import { RelayRun } from './request/relay-run.js';
@@ -25,6 +25,7 @@
   readonly store: RowStore;
   readonly rows: PlatformRows;
   readonly wire: RelayWire;
+  readonly memory: EngineMemory;
 }
 
 /** A key counts for this much less than allowed, for the way between check and use. */
@@ -169,6 +170,7 @@
       log: this.#log,
       measures: this.#measures,
       wire: this.ports.wire,
+      memory: this.ports.memory,
       inForce: this.#inForce,
       freshness: this.#freshness,
       keysTrustedMs: settings.keysTrustedMs - KEY_MARGIN_MS,
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '@poppypond/core';
 import { LONG_READ_MS, placeCall, planStream, readTimeMs } from '@poppypond/fleet';
-import type { BackendServer, StreamPlan } from '@poppypond/fleet';
+import type { BackendServer, StreamPlan, WaitingRead } from '@poppypond/fleet';
 import type { EngineFigures } from '@poppypond/routing';
 import type { RelayParts } from './relay-parts.js';
 
@@ -22,23 +22,32 @@
   return left.length > 0 ? left : servers;
 }
 
-/** Whether a long prompt's turn has come; it is told to peers while it waits. */
-function mayReadLong(
+function toWaitingRead(
   parts: RelayParts,
   needs: StreamNeeds,
   readMs: Milliseconds,
-  nowMs: Milliseconds,
-): boolean {
-  const read = {
+  isYielding: boolean,
+): WaitingRead {
+  return {
     requestId: needs.requestId,
     host: parts.host,
     readMs,
     aimAtMs: needs.arrivedAtMs + needs.aimMs,
-    expiresAtMs: nowMs + needs.timeLeftMs,
+    isYielding,
+    expiresAtMs: parts.clock.monotonicMs() + needs.timeLeftMs,
   };
-  if (!parts.fleet.isLongReadRunning(nowMs) && parts.queue.isFirst(read, nowMs)) return true;
-  if (!parts.queue.has(needs.requestId)) parts.peers.wait(read);
-  return false;
+}
+
+/** Tells peers how a long prompt waits, where they don't know it yet. */
+function tellWaiting(parts: RelayParts, read: WaitingRead): void {
+  const known = parts.queue.find(read.requestId);
+  if (known?.isYielding !== read.isYielding) parts.peers.wait(read);
+}
+
+/** Whether a long prompt's turn has come. */
+function isItsTurn(parts: RelayParts, read: WaitingRead): boolean {
+  const nowMs = parts.clock.monotonicMs();
+  return !parts.fleet.isLongReadRunning(nowMs) && parts.queue.isFirst(read, nowMs);
 }
 
 /** Plans a stream over the engines that may take work now; those that failed it come last. */
@@ -53,14 +62,20 @@
   const servers = without(parts.servers.available(service), failedIds);
   const loads = servers.map((server) => parts.fleet.load(server, figures, nowMs));
   const readMs = readTimeMs(figures, needs.promptTokens);
+  const isLong = readMs >= LONG_READ_MS;
+  const read = toWaitingRead(parts, needs, readMs, false);
   const demand = {
     promptTokens: needs.promptTokens,
     answerTokens: needs.answerTokens,
     aimMs: needs.aimMs,
     waitedMs: nowMs - needs.arrivedAtMs,
-    mayReadLong: readMs < LONG_READ_MS || mayReadLong(parts, needs, readMs, nowMs),
+    mayReadLong: !isLong || isItsTurn(parts, read),
   };
-  return planStream(loads, figures, demand);
+  const plan = planStream(loads, figures, demand);
+  if (isLong && plan.kind === 'wait') {
+    tellWaiting(parts, { ...read, isYielding: plan.rule !== 'waits_for_turn' });
+  }
+  return plan;
 }
 
 /** Picks a server of a plain service; those that failed this request come last. */
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -3,7 +3,7 @@
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { Log, Measures } from '@poppypond/telemetry';
 import type { PeerMesh } from '../peers/peer-mesh.js';
-import type { RelayWire } from '../ports.js';
+import type { EngineMemory, RelayWire } from '../ports.js';
 import type { ServerList } from '../store/server-list.js';
 
 /** What every request of a relay shares. */
@@ -13,6 +13,7 @@
   readonly log: Log;
   readonly measures: Measures;
   readonly wire: RelayWire;
+  readonly memory: EngineMemory;
   readonly inForce: ConfigurationInForce;
   readonly freshness: Freshness;
   /** Keys count only while the configuration was proved to be the newest this lately. */
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -4,9 +4,10 @@
 import type { AttemptFailure, BackendServer, StreamPlacement } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
 import type { EventFrame } from '../backend/event-frames.js';
+import { HeldMemory } from '../backend/held-memory.js';
 import { ServerAttempt } from '../backend/server-attempt.js';
 import type { AttemptEnd } from '../backend/server-attempt.js';
-import type { AnswerHead, CallerHead } from '../ports.js';
+import type { AnswerHead, CallerHead, ReaderAddress } from '../ports.js';
 import type { Admitted } from './admit.js';
 import type { CallerAnswer } from './caller-answer.js';
 import { chooseEngine, choosePlainServer } from './choose-server.js';
@@ -17,6 +18,8 @@
   readonly server: BackendServer;
   /** Undefined for plain services. */
   readonly placement: StreamPlacement | undefined;
+  /** Memory on other engines; undefined where none is needed. */
+  readonly held: HeldMemory | undefined;
 }
 
 /** What is known while one attempt runs. */
@@ -107,7 +110,7 @@
     try {
       await this.#tryServers();
     } finally {
-      if (this.parts.queue.has(this.caller.requestId)) this.parts.peers.unwait(this.caller.requestId);
+      if (this.parts.queue.find(this.caller.requestId)) this.parts.peers.unwait(this.caller.requestId);
       cancelLimit();
       this.#cancelSilence();
     }
@@ -137,7 +140,7 @@
       const { figures, service } = this.admitted;
       if (!figures) {
         const server = choosePlainServer(this.parts, service, this.#failedIds);
-        if (server) return { server, placement: undefined };
+        if (server) return { server, placement: undefined, held: undefined };
         this.#giveUp(this.#notRunFault('no server of the service is listed'));
         return undefined;
       }
@@ -147,7 +150,12 @@
       const { aimMs } = this.#route;
       const needs = { requestId, arrivedAtMs, promptTokens, answerTokens, aimMs, timeLeftMs };
       const plan = chooseEngine(this.parts, service, figures, needs, this.#failedIds);
-      if (plan.kind === 'place') return { server: plan.writer.server, placement: plan };
+      if (plan.kind === 'place') {
+        const choice = { server: plan.writer.server, placement: plan };
+        if (plan.shares.length === 0) return { ...choice, held: undefined };
+        const held = await this.#hold(plan);
+        if (held) return { ...choice, held };
+      }
       if (plan.kind === 'refuse') {
         this.#giveUp(this.#notRunFault(plan.rule));
         return undefined;
@@ -156,6 +164,12 @@
     }
   }
 
+  /** Holds memory on the engines that share the prompt; undefined where one had none. */
+  #hold({ shares }: StreamPlacement): Promise<HeldMemory | undefined> {
+    const needs = shares.map(({ engine, tokens }) => ({ server: engine.server, tokens }));
+    return HeldMemory.take(this.parts, randomId(), this.caller.requestId, needs);
+  }
+
   /** Answers where the time is up; true where nothing is left to do. */
   #isOver(): boolean {
     if (this.answer.isGone) {
@@ -178,11 +192,7 @@
       timeLeftMs,
       workspace: this.admitted.workspace,
       lastEventId: this.#lastEventId,
-      readers: (choice.placement?.readers ?? []).map(({ server }) => ({
-        address: server.address,
-        port: server.port,
-        reservation: undefined,
-      })),
+      readers: this.#readersOf(choice),
       bodyLength: this.body.length,
     };
     this.#announce(id, choice, timeLeftMs);
@@ -209,20 +219,32 @@
     this.#current = undefined;
     this.#cancelSilence();
     this.parts.peers.end(id);
+    void choice.held?.release();
     measures.count('poppypond_attempts_total', { kind: this.#route.kind, end: end.kind });
     return end;
   }
 
+  #readersOf({ placement, held }: Choice): readonly ReaderAddress[] {
+    const sharing = new Set(placement?.shares.map(({ engine }) => engine.server.id));
+    return (placement?.readers ?? []).map(({ server: { id, address, port } }) => {
+      const reservation = sharing.has(id) ? held?.id : undefined;
+      return { address, port, reservation };
+    });
+  }
+
   #announce(id: string, choice: Choice, timeLeftMs: Milliseconds): void {
     const nowMs = this.parts.clock.monotonicMs();
     const { placement, server } = choice;
+    const shares = placement?.shares ?? [];
+    const sharedTokens = shares.reduce((sum, { tokens }) => sum + tokens, 0);
     this.parts.peers.begin(this.caller.requestId, {
       attemptId: id,
       host: this.parts.host,
       writerId: server.id,
       readerIds: (placement?.readers ?? []).map((load) => load.server.id),
       partMs: placement?.partMs ?? 0,
-      contextTokens: this.caller.promptTokens + this.caller.answerTokens,
+      contextTokens: this.caller.promptTokens + this.caller.answerTokens - sharedTokens,
+      held: shares.map(({ engine, tokens }) => ({ engineId: engine.server.id, tokens })),
       gapAimMs: this.#route.gapAimMs,
       isReading: placement !== undefined,
       placedAtMs: nowMs,
