Count an answer without a length as broken when its connection is reset

Cause: Node's HTTP client finishes the parser when the socket fails, so a body that ends with its connection looks complete.

--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -182,7 +182,8 @@
 
   writersOn(serverId: string): number {
     let writers = 0;
-    for (const use of this.#byEngine.get(serverId) ?? []) if (use.writerId === serverId) writers += 1;
+    for (const use of this.#byEngine.get(serverId) ?? [])
+      if (use.writerId === serverId) writers += 1;
     return writers;
   }
 
--- a/packages/fleet/src/place-stream.ts
+++ b/packages/fleet/src/place-stream.ts
@@ -22,7 +22,9 @@
 
 function waitForMemory(demand: StreamDemand): StreamPlan {
   const isPatient = demand.waitedMs < demand.aimMs * MEMORY_PATIENCE_AIMS;
-  return isPatient ? { kind: 'wait', rule: 'waits_for_memory' } : { kind: 'refuse', rule: 'no_engine' };
+  return isPatient
+    ? { kind: 'wait', rule: 'waits_for_memory' }
+    : { kind: 'refuse', rule: 'no_engine' };
 }
 
 /**
--- a/packages/fleet/src/read-in-parts.ts
+++ b/packages/fleet/src/read-in-parts.ts
@@ -92,7 +92,11 @@
 }
 
 /** The placement after which all together have most, of all numbers of parts. */
-function leastLoss(inputs: PartsInputs, writer: EngineLoad, others: readonly EngineLoad[]): Weighed {
+function leastLoss(
+  inputs: PartsInputs,
+  writer: EngineLoad,
+  others: readonly EngineLoad[],
+): Weighed {
   const { readMs, demand } = inputs;
   const ownLoss = streamWorth(demand.promptTokens) * LATE_LOSS;
   const lossOf = ({ harm, isInTime }: Weighed) => harm + (isInTime ? 0 : ownLoss);
@@ -121,7 +125,8 @@
  */
 export function readInParts(inputs: PartsInputs): StreamPlan {
   const { engines, writers, figures, demand, readMs } = inputs;
-  if (readMs >= LONG_READ_MS && !demand.mayReadLong) return { kind: 'wait', rule: 'waits_for_turn' };
+  if (readMs >= LONG_READ_MS && !demand.mayReadLong)
+    return { kind: 'wait', rule: 'waits_for_turn' };
   const packed = new Set(packedEngines(engines, figures));
   const writer = chooseWriter(writers, packed, figures);
   if (!writer) return { kind: 'refuse', rule: 'no_engine' };
--- a/packages/fleet/src/retry-decision.ts
+++ b/packages/fleet/src/retry-decision.ts
@@ -48,5 +48,7 @@
   const mayRun = inputs.failure === 'not_run' || inputs.mayRepeat;
   if (!mayRun) return { again: false, why: 'may_not_be_repeated' };
   if (inputs.attemptsSent >= inputs.maxAttempts) return { again: false, why: 'attempts_used' };
-  return inputs.takeRetry() ? { again: true, why: 'allowed' } : { again: false, why: 'budget_spent' };
+  return inputs.takeRetry()
+    ? { again: true, why: 'allowed' }
+    : { again: false, why: 'budget_spent' };
 }
--- a/packages/fleet/src/stream-plan.ts
+++ b/packages/fleet/src/stream-plan.ts
@@ -52,7 +52,9 @@
   readers: readonly EngineLoad[],
   partMs: Milliseconds,
 ): StreamPlacement {
-  const beforeMs = Math.max(...[writer, ...readers].map((load) => load.passMs + load.pendingReadMs));
+  const beforeMs = Math.max(
+    ...[writer, ...readers].map((load) => load.passMs + load.pendingReadMs),
+  );
   const expectedFirstMs = beforeMs + partMs + writer.passMs;
   return { kind: 'place', rule, writer, readers, partMs, shares: [], expectedFirstMs };
 }
--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -61,6 +61,8 @@
   #finish: (end: AttemptEnd) => void = () => undefined;
   #isFinished = false;
   #isConnected = false;
+  /** Node counts an answer without a length as complete also when its connection is reset. */
+  #isReset = false;
   #cancelConnectLimit: CancelTimer = () => undefined;
   readonly #request: ClientRequest;
   #response: IncomingMessage | undefined;
@@ -98,6 +100,9 @@
     });
     opened.once('socket', (socket) => {
       socket.setNoDelay(true);
+      socket.once('error', () => {
+        this.#isReset = true;
+      });
       socket.once('connect', () => {
         this.#isConnected = true;
         this.#cancelConnectLimit();
@@ -145,6 +150,10 @@
     }
   }
 
+  #isComplete(response: IncomingMessage): boolean {
+    return response.complete && !this.#isReset;
+  }
+
   #readEvents(response: IncomingMessage, head: AnswerHead): void {
     const frames = new EventFrames();
     response.on('data', (chunk: Buffer) => {
@@ -153,7 +162,7 @@
       if (whole.length > 0 && !this.parts.onFrames(whole, head)) response.pause();
     });
     response.once('close', () => {
-      const isOrderly = response.complete && !frames.hasRest;
+      const isOrderly = this.#isComplete(response) && !frames.hasRest;
       const detail = 'the stream ended early';
       this.#end(isOrderly ? { kind: 'events_done' } : { kind: 'broken', detail });
     });
@@ -165,10 +174,12 @@
     response.on('data', (chunk: Buffer) => {
       chunks.push(chunk);
       bytes += chunk.length;
-      if (bytes > MOST_ANSWER_BYTES) this.#end({ kind: 'broken', detail: 'the answer is too large' });
+      if (bytes > MOST_ANSWER_BYTES)
+        this.#end({ kind: 'broken', detail: 'the answer is too large' });
     });
     response.once('close', () => {
-      if (response.complete) this.#end({ kind: 'whole', head, body: Buffer.concat(chunks) });
+      if (this.#isComplete(response))
+        this.#end({ kind: 'whole', head, body: Buffer.concat(chunks) });
       else this.#end({ kind: 'broken', detail: 'the answer ended early' });
     });
   }
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -68,7 +68,10 @@
   attemptHeaders(caller: CallerHead, attempt: AttemptHead): HeaderPairs;
   readAnswer(message: IncomingMessage): AnswerHead;
   /** Headers of a refusal. */
-  refusalHeaders(caller: CallerHead | undefined, retryAfterMs: Milliseconds | undefined): HeaderPairs;
+  refusalHeaders(
+    caller: CallerHead | undefined,
+    retryAfterMs: Milliseconds | undefined,
+  ): HeaderPairs;
   /** The path that the balancer asks whether this host takes requests. */
   readonly readinessPath: string;
 }
@@ -99,7 +102,11 @@
 export interface RowStore {
   read(table: string): Promise<Result<RowSet, StoreFailure>>;
   /** Answers as soon as something changed after `version`, and after `waitMs` in any case. */
-  changes(table: string, version: number, waitMs: Milliseconds): Promise<Result<RowSet, StoreFailure>>;
+  changes(
+    table: string,
+    version: number,
+    waitMs: Milliseconds,
+  ): Promise<Result<RowSet, StoreFailure>>;
   put(table: string, key: string, value: Buffer): Promise<Result<number, StoreFailure>>;
   remove(table: string, key: string): Promise<Result<number, StoreFailure>>;
 }
@@ -117,7 +124,12 @@
 /** Memory of engines that is held for requests. Orders without an answer may be carried out later. */
 export interface EngineMemory {
   /** Holds memory for `holdMs` from now, or holds it that much longer; false where there is none. */
-  reserve(server: BackendServer, id: string, tokens: number, holdMs: Milliseconds): Promise<boolean>;
+  reserve(
+    server: BackendServer,
+    id: string,
+    tokens: number,
+    holdMs: Milliseconds,
+  ): Promise<boolean>;
   /** Frees it; false where no answer came. */
   release(server: BackendServer, id: string): Promise<boolean>;
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -3,7 +3,13 @@
 import { FleetView, ReadQueue, RetryBudget } from '@poppypond/fleet';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { RouteTable } from '@poppypond/routing';
-import { BoundedOutput, createLog, lineText, Measures, writeStandardOutput } from '@poppypond/telemetry';
+import {
+  BoundedOutput,
+  createLog,
+  lineText,
+  Measures,
+  writeStandardOutput,
+} from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
 import { DatagramSender } from './peers/datagram-sender.js';
 import { MemberDirectory } from './peers/member-directory.js';
@@ -83,7 +89,8 @@
     this.#front = new FrontServer({
       clock: this.#clock,
       wire: ports.wire,
-      maxBodyBytes: () => this.#inForce.table?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
+      maxBodyBytes: () =>
+        this.#inForce.table?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
       isStopping: () => this.#isStopping,
       onRequest: (request) => {
         void this.#serve(request);
@@ -94,9 +101,13 @@
   /** Starts everything; resolves when callers may connect. */
   async start(): Promise<void> {
     const { settings, ports } = this;
-    const sender = await DatagramSender.bind(settings.address, settings.peerPort, (message, from) => {
-      this.#peers?.receive(message, from);
-    });
+    const sender = await DatagramSender.bind(
+      settings.address,
+      settings.peerPort,
+      (message, from) => {
+        this.#peers?.receive(message, from);
+      },
+    );
     this.#peers = this.#makePeers(sender);
     this.#parts = this.#makeParts(this.#peers);
     this.#peers.start([]);
@@ -132,7 +143,10 @@
     }
     this.#front.close();
     this.#peers?.stop();
-    await Promise.race([this.#directory.leave(this.settings.host), delay(this.#clock, LOG_DRAIN_MS)]);
+    await Promise.race([
+      this.#directory.leave(this.settings.host),
+      delay(this.#clock, LOG_DRAIN_MS),
+    ]);
     this.#log.warn('stopped', { open: this.#open });
     await this.#output.drain(LOG_DRAIN_MS);
   }
@@ -184,7 +198,12 @@
   }
 
   #startWatches(): void {
-    const shared = { clock: this.#clock, log: this.#log, store: this.ports.store, rows: this.ports.rows };
+    const shared = {
+      clock: this.#clock,
+      log: this.#log,
+      store: this.ports.store,
+      rows: this.ports.rows,
+    };
     const configuration = new ConfigurationWatch({
       ...shared,
       inForce: this.#inForce,
--- a/packages/relay/src/request/caller-answer.ts
+++ b/packages/relay/src/request/caller-answer.ts
@@ -78,7 +78,10 @@
     const { httpStatus, number } = RESULT_CODES[code];
     const body = Buffer.from(JSON.stringify({ code, number, detail, rule, retryAfterMs }));
     const length = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
-    this.#writeHead(httpStatus, [...this.wire.refusalHeaders(this.caller, retryAfterMs), ...length]);
+    this.#writeHead(httpStatus, [
+      ...this.wire.refusalHeaders(this.caller, retryAfterMs),
+      ...length,
+    ]);
     this.response.end(body);
   }
 
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -110,7 +110,8 @@
     try {
       await this.#tryServers();
     } finally {
-      if (this.parts.queue.find(this.caller.requestId)) this.parts.peers.unwait(this.caller.requestId);
+      if (this.parts.queue.find(this.caller.requestId))
+        this.parts.peers.unwait(this.caller.requestId);
       cancelLimit();
       this.#cancelSilence();
     }
@@ -126,7 +127,9 @@
   }
 
   get #mayRepeat(): boolean {
-    return this.#route.kind === 'safe' || (this.#route.kind === 'stream' && this.#route.isResumable);
+    return (
+      this.#route.kind === 'safe' || (this.#route.kind === 'stream' && this.#route.isResumable)
+    );
   }
 
   #leftMs(): Milliseconds {
@@ -280,7 +283,9 @@
     this.#firstHead ??= head;
     const nowMs = this.parts.clock.monotonicMs();
     const size = sizeLabel(this.caller.promptTokens);
-    this.parts.measures.observe('poppypond_event_gap_milliseconds', nowMs - this.#lastEventAtMs, { size });
+    this.parts.measures.observe('poppypond_event_gap_milliseconds', nowMs - this.#lastEventAtMs, {
+      size,
+    });
     this.#lastEventAtMs = nowMs;
     const fresh = frames.filter((frame) => this.#isNext(frame));
     this.#watchSilence(Math.max(SHORTEST_STALL_MS, this.#route.gapAimMs * STALL_GAPS));
@@ -444,7 +449,8 @@
 
   #logPlaced(id: string, { server, placement }: Choice): void {
     const nowMs = this.parts.clock.monotonicMs();
-    if (placement) this.parts.measures.count('poppypond_placements_total', { rule: placement.rule });
+    if (placement)
+      this.parts.measures.count('poppypond_placements_total', { rule: placement.rule });
     this.parts.log.info('placed', {
       request: this.caller.requestId,
       attempt: id,
--- a/packages/relay/src/server/front-server.ts
+++ b/packages/relay/src/server/front-server.ts
@@ -47,9 +47,12 @@
   readonly #server: Server;
 
   constructor(readonly parts: FrontServerParts) {
-    this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, (message, response) => {
-      void this.#read(message, response);
-    });
+    this.#server = createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
+      (message, response) => {
+        void this.#read(message, response);
+      },
+    );
     this.#server.keepAliveTimeout = FIRST_IDLE_MS;
     this.#server.headersTimeout = HEADERS_TIMEOUT_MS;
     this.#server.requestTimeout = 0;
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,4 +1,10 @@
-import { countSetting, millisecondsSetting, numberSetting, portSetting, nameSetting } from '@poppypond/settings';
+import {
+  countSetting,
+  millisecondsSetting,
+  numberSetting,
+  portSetting,
+  nameSetting,
+} from '@poppypond/settings';
 import { z } from 'zod';
 
 const hostAndPort = z.string().regex(/^[^:]+:\d+$/, 'use ADDRESS:PORT');
@@ -19,9 +25,14 @@
     .describe('keys count only while the configuration was proved newest this lately'),
   retryRatio: numberSetting.default(0.2).describe('retries for each request of all hosts'),
   retryWindowSeconds: numberSetting.default(10).describe('window in which retries are counted'),
-  retrySlack: countSetting.default(100).describe('retries of all hosts in a window beyond the ratio'),
+  retrySlack: countSetting
+    .default(100)
+    .describe('retries of all hosts in a window beyond the ratio'),
   stopGraceSeconds: numberSetting.default(8).describe('time from SIGTERM to SIGKILL'),
-  logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('least level of lines'),
+  logLevel: z
+    .enum(['debug', 'info', 'warn', 'error'])
+    .default('info')
+    .describe('least level of lines'),
 } as const;
 
 /** Checked settings. */
--- a/packages/routing/src/freshness.ts
+++ b/packages/routing/src/freshness.ts
@@ -12,7 +12,8 @@
 
   /** Notes that the configuration was the newest at `instantMs` or later. */
   prove(instantMs: Milliseconds): void {
-    if (this.#provedAtMs === undefined || instantMs > this.#provedAtMs) this.#provedAtMs = instantMs;
+    if (this.#provedAtMs === undefined || instantMs > this.#provedAtMs)
+      this.#provedAtMs = instantMs;
   }
 
   /** Time since the last proof; infinite before the first. */
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -1,4 +1,9 @@
-import type { Route, RoutingConfiguration, ServiceDescription, WorkspaceKeys } from './configuration.js';
+import type {
+  Route,
+  RoutingConfiguration,
+  ServiceDescription,
+  WorkspaceKeys,
+} from './configuration.js';
 
 function longestFirst(left: Route, right: Route): number {
   return right.pathPrefix.length - left.pathPrefix.length;
--- a/packages/telemetry/src/bounded-output.test.ts
+++ b/packages/telemetry/src/bounded-output.test.ts
@@ -2,7 +2,8 @@
 import { describe, expect, it } from 'vitest';
 import { BoundedOutput } from './bounded-output.js';
 
-const droppedLine = (counts: Readonly<Record<string, number>>) => `dropped=${JSON.stringify(counts)}\n`;
+const droppedLine = (counts: Readonly<Record<string, number>>) =>
+  `dropped=${JSON.stringify(counts)}\n`;
 
 describe('BoundedOutput', () => {
   it('keeps important lines when ordinary ones are over the limit, and counts what it drops', async () => {
--- a/packages/telemetry/src/bounded-output.ts
+++ b/packages/telemetry/src/bounded-output.ts
@@ -32,10 +32,17 @@
 export const writeStandardOutput: OutputWrite = (text, done) => {
   const bytes = Buffer.from(text, 'utf8');
   const writeFrom = (offset: number): void => {
-    writeDescriptor(STANDARD_OUTPUT, bytes, offset, bytes.length - offset, null, (error, written) => {
-      if (error || offset + written >= bytes.length) done();
-      else writeFrom(offset + written);
-    });
+    writeDescriptor(
+      STANDARD_OUTPUT,
+      bytes,
+      offset,
+      bytes.length - offset,
+      null,
+      (error, written) => {
+        if (error || offset + written >= bytes.length) done();
+        else writeFrom(offset + written);
+      },
+    );
   };
   writeFrom(0);
 };
--- a/packages/telemetry/src/measures.ts
+++ b/packages/telemetry/src/measures.ts
@@ -59,7 +59,11 @@
     help: 'Time since the configuration in force was proved to be the newest.',
     labels: [],
   },
-  poppypond_backend_servers: { type: 'gauge', help: 'Backend servers that may take work.', labels: [] },
+  poppypond_backend_servers: {
+    type: 'gauge',
+    help: 'Backend servers that may take work.',
+    labels: [],
+  },
   poppypond_peers: { type: 'gauge', help: 'Other hosts heard from lately.', labels: [] },
 } as const satisfies Record<string, MeasureEntry>;
 
