--- a/packages/relay/src/backend/event-frames.ts
+++ b/packages/relay/src/backend/event-frames.ts
@@ -1,5 +1,3 @@
-import { createParser } from 'eventsource-parser';
-
 /** One event of a stream: its bytes as they came, and its id if it has a number for one. */
 export interface EventFrame {
   readonly bytes: Buffer;
@@ -17,17 +15,13 @@
   return Math.min(plainEnd, carriageEnd);
 }
 
+/**
+ * The id of an event. Read from its line, as parsers of event streams pass over events without
+ * data, and those must not be delivered twice either.
+ */
 function idOf(frame: Buffer): number | undefined {
-  let id: string | undefined;
-  const parser = createParser({
-    onEvent: (event) => {
-      id = event.id;
-    },
-  });
-  parser.feed(frame.toString('utf8'));
-  if (id === undefined || id === '') return undefined;
-  const value = Number(id);
-  return Number.isFinite(value) ? value : undefined;
+  const id = /^id:[ ]?(\d+)\r?$/m.exec(frame.toString('latin1'))?.[1];
+  return id === undefined ? undefined : Number(id);
 }
 
 /** Cuts a stream into whole events, byte for byte; what comes of an unfinished one is held back. */
