--- a/packages/relay/src/peers/datagram-sender.ts
+++ b/packages/relay/src/peers/datagram-sender.ts
@@ -11,6 +11,7 @@
 export class DatagramSender implements PeerSender {
   #lastMessage: PeerMessage | undefined;
   #lastBytes: Buffer = Buffer.alloc(0);
+  #isClosed = false;
 
   private constructor(readonly socket: Socket) {}
 
@@ -36,10 +37,12 @@
       this.#lastMessage = message;
       this.#lastBytes = encodeMessage(message);
     }
+    if (this.#isClosed) return;
     this.socket.send(this.#lastBytes, port, address, () => undefined);
   }
 
   close(): void {
+    this.#isClosed = true;
     this.socket.close();
   }
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,6 +11,7 @@
   writeStandardOutput,
 } from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
+import type { Server } from 'node:http';
 import { DatagramSender } from './peers/datagram-sender.js';
 import { MemberDirectory } from './peers/member-directory.js';
 import { PeerMesh } from './peers/peer-mesh.js';
@@ -53,6 +54,13 @@
   return { address, port: Number(port) };
 }
 
+function closing(server: Server): () => void {
+  return () => {
+    server.close();
+    server.closeAllConnections();
+  };
+}
+
 /** One relay process, from start to stop. */
 export class Relay {
   readonly #clock = new SystemClock();
@@ -71,6 +79,7 @@
   #parts: RelayParts | undefined;
   #open = 0;
   #isStopping = false;
+  readonly #onStop: (() => void)[] = [];
 
   constructor(
     readonly settings: RelaySettings,
@@ -112,11 +121,22 @@
     this.#parts = this.#makeParts(this.#peers);
     this.#peers.start([]);
     const readiness = splitAddress(settings.readinessListen);
-    await serveSmallPages(readiness.address, readiness.port, {
-      [ports.wire.readinessPath]: readinessPage(() => this.#isReady()),
-    });
-    await serveSmallPages(settings.address, settings.metricsPort, {
-      '/metrics': textPage(() => this.#measures.text()),
+    this.#onStop.push(
+      closing(
+        await serveSmallPages(readiness.address, readiness.port, {
+          [ports.wire.readinessPath]: readinessPage(() => this.#isReady()),
+        }),
+      ),
+    );
+    this.#onStop.push(
+      closing(
+        await serveSmallPages(settings.address, settings.metricsPort, {
+          '/metrics': textPage(() => this.#measures.text()),
+        }),
+      ),
+    );
+    this.#onStop.push(() => {
+      sender.close();
     });
     const front = splitAddress(settings.listen);
     await this.#front.listen(front.address, front.port);
@@ -147,6 +167,7 @@
       this.#directory.leave(this.settings.host),
       delay(this.#clock, LOG_DRAIN_MS),
     ]);
+    for (const close of this.#onStop) close();
     this.#log.warn('stopped', { open: this.#open });
     await this.#output.drain(LOG_DRAIN_MS);
   }
@@ -215,9 +236,18 @@
     const servers = new ServerWatch({ ...shared, list: this.#servers });
     void configuration.run();
     void servers.run();
-    this.#clock.every(GAUGE_PERIOD_MS, () => {
+    const cancelGauges = this.#clock.every(GAUGE_PERIOD_MS, () => {
       this.#setGauges();
     });
+    this.#onStop.push(
+      () => {
+        configuration.stop();
+      },
+      () => {
+        servers.stop();
+      },
+      cancelGauges,
+    );
   }
 
   #onConfiguration(table: RouteTable): void {
--- /dev/null
+++ b/packages/relay/src/request/request-record.ts
@@ -0,0 +1,157 @@
+import type { Milliseconds, ResultName } from '@poppypond/core';
+import type {
+  AttemptFailure,
+  BackendServer,
+  RetryDecision,
+  StreamPlacement,
+} from '@poppypond/fleet';
+import type { CallerHead } from '../ports.js';
+import type { Admitted } from './admit.js';
+import type { RelayParts } from './relay-parts.js';
+
+const LONG_PROMPT_TOKENS = 100_000;
+const MIDDLE_PROMPT_TOKENS = 20_000;
+
+/** Coarse size of a prompt, as a label of bounded values. */
+function sizeLabel(promptTokens: number): 'short' | 'middle' | 'long' {
+  if (promptTokens >= LONG_PROMPT_TOKENS) return 'long';
+  return promptTokens >= MIDDLE_PROMPT_TOKENS ? 'middle' : 'short';
+}
+
+/** How an answer ended, for its log line. */
+export interface AnswerEnd {
+  readonly code: ResultName;
+  /** The server's status; undefined where the answer is the relay's own. */
+  readonly status: number | undefined;
+  readonly why: string | undefined;
+  readonly attemptsSent: number;
+  readonly attemptsNotSent: number;
+  readonly lastEventId: number | undefined;
+}
+
+/** A refused retry and what it was weighed by. */
+export interface RefusedRetry {
+  readonly failure: AttemptFailure;
+  readonly decision: RetryDecision;
+  readonly attempts: number;
+  readonly leftMs: Milliseconds;
+}
+
+/** Writes the decisions about one request to the log and counts them. */
+export class RequestRecord {
+  readonly #size: string;
+
+  constructor(
+    readonly parts: RelayParts,
+    readonly caller: CallerHead,
+    readonly admitted: Admitted,
+    readonly arrivedAtMs: Milliseconds,
+  ) {
+    this.#size = sizeLabel(caller.promptTokens);
+  }
+
+  placed(
+    attempt: string,
+    server: BackendServer,
+    placement: StreamPlacement | undefined,
+    leftMs: Milliseconds,
+  ): void {
+    const rule = placement?.rule ?? 'least_outstanding';
+    if (placement) this.parts.measures.count('poppypond_placements_total', { rule });
+    this.parts.log.info('placed', {
+      request: this.caller.requestId,
+      attempt,
+      route: this.admitted.route.name,
+      service: this.admitted.service,
+      workspace: this.admitted.workspace,
+      configuration: this.admitted.configurationVersion,
+      configuration_age_ms: Math.round(this.parts.freshness.ageMs()),
+      server: server.id,
+      rule,
+      tokens: this.caller.promptTokens,
+      waited_ms: Math.round(this.#sinceArrivalMs()),
+      left_ms: Math.round(leftMs),
+      writers: placement?.writer.writers,
+      reading_ms: placement && Math.round(placement.writer.pendingReadMs),
+      parts: placement && placement.readers.length + 1,
+      part_ms: placement && Math.round(placement.partMs),
+    });
+  }
+
+  firstEvent(
+    attempt: string,
+    server: BackendServer,
+    tookMs: Milliseconds,
+    expectedMs: number,
+  ): void {
+    const afterMs = this.#sinceArrivalMs();
+    this.parts.measures.observe('poppypond_first_event_milliseconds', afterMs, {
+      size: this.#size,
+    });
+    this.parts.log.info('first_event', {
+      request: this.caller.requestId,
+      attempt,
+      server: server.id,
+      after_ms: Math.round(afterMs),
+      took_ms: Math.round(tookMs),
+      expected_ms: Math.round(expectedMs),
+    });
+  }
+
+  eventGap(gapMs: Milliseconds): void {
+    this.parts.measures.observe('poppypond_event_gap_milliseconds', gapMs, { size: this.#size });
+  }
+
+  attemptEnded(end: string): void {
+    const { kind } = this.admitted.route;
+    this.parts.measures.count('poppypond_attempts_total', { kind, end });
+  }
+
+  attemptFailed(server: BackendServer, failure: AttemptFailure, why: string, again: boolean): void {
+    const request = this.caller.requestId;
+    this.parts.log.warn('attempt_failed', { request, server: server.id, failure, why, again });
+  }
+
+  retryRefused({ failure, decision, attempts, leftMs }: RefusedRetry): void {
+    const { why } = decision;
+    this.parts.measures.count('poppypond_retries_refused_total', { why });
+    this.parts.log.warn('retry_refused', {
+      request: this.caller.requestId,
+      failure,
+      why,
+      attempts,
+      most: this.admitted.route.maxAttempts,
+      left_ms: Math.round(leftMs),
+    });
+  }
+
+  serverSuspect(server: BackendServer, why: string, forMs: Milliseconds): void {
+    const request = this.caller.requestId;
+    this.parts.log.warn('server_suspect', { request, server: server.id, why, for_ms: forMs });
+  }
+
+  answered(end: AnswerEnd): void {
+    const { log, measures } = this.parts;
+    const { kind, name } = this.admitted.route;
+    const tookMs = this.#sinceArrivalMs();
+    measures.count('poppypond_requests_total', { kind, code: end.code });
+    if (kind !== 'stream') measures.observe('poppypond_call_milliseconds', tookMs, { kind });
+    const line = {
+      request: this.caller.requestId,
+      code: end.code,
+      status: end.status,
+      why: end.why,
+      route: name,
+      took_ms: Math.round(tookMs),
+      attempts: end.attemptsSent,
+      not_sent: end.attemptsNotSent,
+      last_event: end.lastEventId,
+    };
+    if (end.code === 'ok') log.info('answered', line);
+    else log.warn('answered', line);
+  }
+
+  #sinceArrivalMs(): Milliseconds {
+    return this.parts.clock.monotonicMs() - this.arrivedAtMs;
+  }
+}
--- a/packages/relay/src/server/small-server.ts
+++ b/packages/relay/src/server/small-server.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { ServerResponse } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 
 const OK = 200;
 const NOT_FOUND = 404;
@@ -27,7 +27,7 @@
 }
 
 /** Serves a few pages without arguments; rejects when the port is taken. */
-export function serveSmallPages(address: string, port: number, pages: SmallPages): Promise<void> {
+export function serveSmallPages(address: string, port: number, pages: SmallPages): Promise<Server> {
   const server = createServer((message, response) => {
     const page = pages[message.url ?? ''];
     if (page) return page(response);
@@ -36,6 +36,8 @@
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(port, address, resolve);
+    server.listen(port, address, () => {
+      resolve(server);
+    });
   });
 }
