--- a/packages/relay/src/backend/server-attempt.test.ts
+++ b/packages/relay/src/backend/server-attempt.test.ts
@@ -80,6 +80,14 @@
     expect(end.kind).toBe('broken');
   });
 
+  it('takes an answer without a length as broken when its bytes and the reset come together', async () => {
+    const { end } = await attemptAt((socket) => {
+      socket.write(`${HEAD}\r\nbo`);
+      socket.resetAndDestroy();
+    });
+    expect(end.kind).toBe('broken');
+  });
+
   it('takes a stream without a length as broken when its connection is reset', async () => {
     const { end, frames } = await attemptAt((socket) => {
       socket.write(`${HEAD}\r\nid: 1\n\n`, () => setTimeout(() => socket.resetAndDestroy(), 20));
--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -103,6 +103,11 @@
       socket.once('error', () => {
         this.#isReset = true;
       });
+      // A reset that comes together with bytes is told as an orderly end; only then there is no
+      // peer any more. The address must not have been asked for before, as it is remembered.
+      socket.prependOnceListener('end', () => {
+        if (socket.remoteAddress === undefined) this.#isReset = true;
+      });
       socket.once('connect', () => {
         this.#isConnected = true;
         this.#cancelConnectLimit();
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -158,10 +158,11 @@
     const untilMs = nowMs + this.settings.stopGraceSeconds * 1000 - STOP_MARGIN_MS;
     this.#log.warn('stopping', { open: this.#open, within_ms: Math.round(untilMs - nowMs) });
     await delay(this.#clock, LEAVE_MS);
+    // Requests on kept connections would still come, and those that come late can't be finished.
+    this.#front.close();
     while (this.#open > 0 && this.#clock.monotonicMs() < untilMs) {
       await delay(this.#clock, POLL_STOP_MS);
     }
-    this.#front.close();
     this.#peers?.stop();
     await Promise.race([
       this.#directory.leave(this.settings.host),
