Free shared memory soon after its writer dies; ask a silent engine whether it lives; fuzz freshness, retries, lapses

The writer is asked for its report with each renewal now, and a hold lasts 2.2 s. Cause 2: prompts above an engine's memory waited on an idle fleet for slack that no wait can bring (found by placement.test.ts). Silence: an engine is asked whether it lives before another is tried, sooner than before.

--- /dev/null
+++ b/packages/fleet/src/placement.test.ts
@@ -0,0 +1,175 @@
+import type { EngineFigures } from '@poppypond/routing';
+import { describe, expect, it } from 'vitest';
+import { readTimeMs } from './engine-times.js';
+import { FleetView } from './fleet-view.js';
+import type { AttemptUse, BackendServer } from './fleet-view.js';
+import { planStream } from './place-stream.js';
+import { ReadQueue } from './read-queue.js';
+import { shareMemory } from './share-memory.js';
+import type { StreamDemand } from './stream-plan.js';
+
+/** The engines of the first two users. */
+const FIGURES: EngineFigures = {
+  slots: 11,
+  memoryTokens: 450_000,
+  stepsPerPass: 46,
+  stepMs: 0.925,
+  stepMsPerWriter: 0.007,
+  stepMsPerThousandTokens: 0.00254,
+  readTokensPerMs: 256,
+  readMsPerMillionPairs: 0.0917,
+  usualAnswerTokens: 1540,
+};
+
+const servers: readonly BackendServer[] = Array.from({ length: 18 }, (_unused, index) => ({
+  id: `i-${String(index).padStart(2, '0')}`,
+  service: 'engines',
+  address: '10.0.0.1',
+  port: 1,
+  availabilityZone: 'a',
+  slots: 11,
+  isDraining: false,
+}));
+
+function use(attemptId: string, writerId: string, more: Partial<AttemptUse> = {}): AttemptUse {
+  return {
+    attemptId,
+    host: 'h',
+    writerId,
+    readerIds: [],
+    partMs: 20,
+    contextTokens: 6000,
+    held: [],
+    gapAimMs: 200,
+    isReading: false,
+    placedAtMs: 0,
+    expiresAtMs: 60_000,
+    ...more,
+  };
+}
+
+function plan(view: FleetView, promptTokens: number, more: Partial<StreamDemand> = {}) {
+  const loads = servers.map((server) => view.load(server, FIGURES, 0));
+  const long = promptTokens > 100_000;
+  return planStream(loads, FIGURES, {
+    promptTokens,
+    answerTokens: 1500,
+    aimMs: long ? 3000 : 300,
+    waitedMs: 0,
+    mayReadLong: true,
+    ...more,
+  });
+}
+
+describe('planStream', () => {
+  it('fills the first engines with short prompts, and leaves a place for other hosts', () => {
+    const view = new FleetView();
+    const counts = new Map<string, number>();
+    for (let index = 0; index < 25; index += 1) {
+      const placed = plan(view, 5000);
+      if (placed.kind !== 'place') throw new Error(placed.kind);
+      const { id } = placed.writer.server;
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+      view.begin(use(String(index), id));
+    }
+    expect([...counts.values()]).toEqual([10, 10, 5]);
+  });
+
+  it('reads a long prompt in parts, on no engine whose writers would wait too long', () => {
+    const view = new FleetView();
+    for (let index = 0; index < 10; index += 1) view.begin(use(String(index), 'i-00'));
+    const placed = plan(view, 210_000);
+    if (placed.kind !== 'place') throw new Error(placed.kind);
+    const engines = [placed.writer, ...placed.readers].map((load) => load.server.id);
+    expect(placed.rule).toBe('parts_without_harm');
+    expect(engines).not.toContain('i-00');
+    expect(engines.length).toBeGreaterThan(10);
+    expect(placed.partMs * engines.length).toBeCloseTo(readTimeMs(FIGURES, 210_000));
+  });
+
+  it('waits for its turn, and for engines that it would not disturb, but not until it is late', () => {
+    const view = new FleetView();
+    for (const [index, server] of servers.entries()) {
+      for (let writer = 0; writer < 8; writer += 1) {
+        view.begin(use(`${String(index)}-${String(writer)}`, server.id));
+      }
+    }
+    expect(plan(view, 210_000, { mayReadLong: false })).toMatchObject({ rule: 'waits_for_turn' });
+    expect(plan(view, 300_000)).toMatchObject({ kind: 'wait', rule: 'waits_for_slack' });
+    expect(plan(view, 300_000, { waitedMs: 9000 }).kind).toBe('place');
+  });
+
+  it('avoids suspects, unless there is nothing else', () => {
+    const view = new FleetView();
+    view.suspect('i-00', 1000);
+    const placed = plan(view, 5000);
+    expect(placed.kind === 'place' && placed.writer.server.id).toBe('i-01');
+    for (const server of servers) view.suspect(server.id, 1000);
+    expect(plan(view, 5000).kind).toBe('place');
+  });
+
+  it('spreads what one engine can not hold over others', () => {
+    const placed = plan(new FleetView(), 900_000, { aimMs: 30_000 });
+    if (placed.kind !== 'place') throw new Error(placed.kind);
+    const shared = placed.shares.reduce((sum, { tokens }) => sum + tokens, 0);
+    expect(shared).toBeGreaterThanOrEqual(900_000 + 1500 - FIGURES.memoryTokens);
+    const readerIds = placed.readers.map((load) => load.server.id);
+    for (const { engine } of placed.shares) expect(readerIds).toContain(engine.server.id);
+  });
+});
+
+describe('shareMemory', () => {
+  it('gives up where all engines together have too little', () => {
+    const view = new FleetView();
+    const loads = servers.slice(0, 2).map((server) => view.load(server, FIGURES, 0));
+    const [writer, ...readers] = loads;
+    if (!writer) throw new Error('no engine');
+    expect(shareMemory(writer, readers, FIGURES, 1_000_000)).toBeUndefined();
+    expect(shareMemory(writer, readers, FIGURES, 400_000)).toEqual([]);
+  });
+});
+
+describe('FleetView', () => {
+  it('counts reads until their first event, and forgets what has expired or whose host is gone', () => {
+    const view = new FleetView();
+    const [server] = servers;
+    if (!server) throw new Error('no server');
+    view.begin(use('a', server.id, { partMs: 100, isReading: true }));
+    expect(view.load(server, FIGURES, 0).pendingReadMs).toBeGreaterThanOrEqual(100);
+    view.onReadDone('a');
+    expect(view.load(server, FIGURES, 0).pendingReadMs).toBe(0);
+    view.begin(use('b', server.id, { host: 'other', expiresAtMs: 10 }));
+    view.expire(10);
+    expect(view.size).toBe(1);
+    view.replaceHost('h', []);
+    expect(view.size).toBe(0);
+  });
+});
+
+describe('ReadQueue', () => {
+  const read = (requestId: string, readMs: number, aimAtMs: number, isYielding = false) => ({
+    requestId,
+    host: 'h',
+    readMs,
+    aimAtMs,
+    isYielding,
+    expiresAtMs: 60_000,
+  });
+
+  it('lets the most pressing go first, those that are late last, and passes those that yield', () => {
+    const queue = new ReadQueue();
+    const calm = read('calm', 1200, 9000);
+    const pressing = read('pressing', 6000, 3000);
+    const late = read('late', 1200, 50);
+    for (const waiting of [calm, pressing, late]) queue.add(waiting);
+    expect([calm, pressing, late].map((waiting) => queue.isFirst(waiting, 0))).toEqual([
+      false,
+      true,
+      false,
+    ]);
+    queue.add({ ...pressing, isYielding: true });
+    expect(queue.isFirst(calm, 0)).toBe(true);
+    queue.remove('calm');
+    expect(queue.isFirst(late, 0)).toBe(true);
+  });
+});
--- a/packages/fleet/src/read-in-parts.ts
+++ b/packages/fleet/src/read-in-parts.ts
@@ -67,6 +67,12 @@
   return load.slackMs >= partMs ? 0 : load.writersWorth * LATE_LOSS;
 }
 
+/** What the prompts behind lose while engines read parts of `partMs`, in worth. */
+function harmOfHolding(partMs: Milliseconds): number {
+  const noticedMs = Math.max(0, partMs - UNNOTICED_PART_MS);
+  return (noticedMs / MS_PER_SECOND) * WORTH_PER_SECOND_HELD;
+}
+
 interface Weighed {
   readonly place: StreamPlacement;
   /** What the writers on the engines and the prompts behind this one lose, in worth. */
@@ -84,8 +90,7 @@
   const partMs = readMs / parts;
   const readers = others.slice(0, parts - 1);
   const writersHarm = [writer, ...readers].reduce((sum, load) => sum + harmOf(load, partMs), 0);
-  const heldMs = Math.max(0, partMs - UNNOTICED_PART_MS);
-  const harm = writersHarm + (heldMs / MS_PER_SECOND) * WORTH_PER_SECOND_HELD;
+  const harm = writersHarm + harmOfHolding(partMs);
   const rule = writersHarm > 0 ? 'parts_with_least_harm' : 'parts_without_harm';
   const place = placement(rule, writer, readers, partMs);
   return { place, harm, isInTime: demand.waitedMs + place.expectedFirstMs <= demand.aimMs };
@@ -110,8 +115,13 @@
 }
 
 /** Whether to wait for a moment at which the best placement costs others less. */
-function isWorthWaiting({ place, harm, isInTime }: Weighed, demand: StreamDemand): boolean {
+function isWorthWaiting(
+  { place, harm: wholeHarm, isInTime }: Weighed,
+  { demand, engines, readMs }: PartsInputs,
+): boolean {
   const worth = streamWorth(demand.promptTokens);
+  // What even all engines would be held for, no wait can spare.
+  const harm = wholeHarm - harmOfHolding(readMs / Math.min(MOST_PARTS, engines.length));
   if (harm <= worth * ACCEPTED_HARM_SHARE) return false;
   const sparedMs = demand.aimMs - demand.waitedMs - place.expectedFirstMs;
   if (isInTime && sparedMs > LAST_CHANCE_MS) return true;
@@ -134,7 +144,7 @@
   const apart = others.filter((load) => !packed.has(load)).sort(bySlackDown);
   const shared = others.filter((load) => packed.has(load)).sort(bySlackDown);
   const best = leastLoss(inputs, writer, [...apart, ...shared]);
-  if (isWorthWaiting(best, demand)) return { kind: 'wait', rule: 'waits_for_slack' };
+  if (isWorthWaiting(best, inputs)) return { kind: 'wait', rule: 'waits_for_slack' };
   const wanted = demand.promptTokens + demand.answerTokens;
   const shares = shareMemory(writer, best.place.readers, figures, wanted);
   return shares ? { ...best.place, shares } : { kind: 'wait', rule: 'waits_for_memory' };
--- a/packages/relay/src/backend/held-memory.ts
+++ b/packages/relay/src/backend/held-memory.ts
@@ -10,12 +10,22 @@
   readonly tokens: number;
 }
 
+/** What memory is held for. */
+export interface MemoryUse {
+  readonly requestId: string;
+  /** The engine that writes the answer. */
+  readonly writer: BackendServer;
+  readonly needs: readonly MemoryNeed[];
+  /** Called when the writer no longer answers; what is held is free again soon after. */
+  readonly onWriterLost: () => void;
+}
+
 /**
  * Memory is held for a short time and held on while the request lives, so that what a host leaves
  * behind that dies, or an order that is carried out late, is free again within seconds.
  */
-const HOLD_MS: Milliseconds = 3500;
-const HOLD_ON_PERIOD_MS: Milliseconds = 1000;
+const HOLD_MS: Milliseconds = 2200;
+const HOLD_ON_PERIOD_MS: Milliseconds = 700;
 const RELEASE_TRIES = 3;
 const RELEASE_PAUSE_MS: Milliseconds = 200;
 
@@ -35,25 +45,23 @@
     readonly parts: HeldMemoryParts,
     /** Names the memory; never used twice. */
     readonly id: string,
-    readonly requestId: string,
-    readonly needs: readonly MemoryNeed[],
+    readonly use: MemoryUse,
   ) {}
 
   /** Holds all that is needed, or nothing. */
   static async take(
     parts: HeldMemoryParts,
     id: string,
-    requestId: string,
-    needs: readonly MemoryNeed[],
+    use: MemoryUse,
   ): Promise<HeldMemory | undefined> {
-    const held = new HeldMemory(parts, id, requestId, needs);
+    const held = new HeldMemory(parts, id, use);
     const answers = await held.#reserveAll();
     const isWhole = answers.every((isHeld) => isHeld);
     parts.log.info('memory_held', {
-      request: requestId,
+      request: use.requestId,
       reservation: id,
-      engines: needs.length,
-      tokens: needs.reduce((sum, need) => sum + need.tokens, 0),
+      engines: use.needs.length,
+      tokens: use.needs.reduce((sum, need) => sum + need.tokens, 0),
       held: isWhole,
     });
     if (!isWhole) {
@@ -61,7 +69,7 @@
       return undefined;
     }
     held.#cancel = parts.clock.every(HOLD_ON_PERIOD_MS, () => {
-      void held.#reserveAll();
+      void held.#holdOn();
     });
     return held;
   }
@@ -71,13 +79,21 @@
     if (this.#isReleased) return;
     this.#isReleased = true;
     this.#cancel();
-    await Promise.all(this.needs.map((need) => this.#releaseOne(need.server)));
+    await Promise.all(this.use.needs.map((need) => this.#releaseOne(need.server)));
+  }
+
+  async #holdOn(): Promise<void> {
+    const [isWriterAlive] = await Promise.all([
+      this.parts.memory.isAlive(this.use.writer),
+      this.#reserveAll(),
+    ]);
+    if (!isWriterAlive && !this.#isReleased) this.use.onWriterLost();
   }
 
   #reserveAll(): Promise<readonly boolean[]> {
     const { memory } = this.parts;
     return Promise.all(
-      this.needs.map(({ server, tokens }) => memory.reserve(server, this.id, tokens, HOLD_MS)),
+      this.use.needs.map(({ server, tokens }) => memory.reserve(server, this.id, tokens, HOLD_MS)),
     );
   }
 
@@ -87,7 +103,7 @@
       await delay(this.parts.clock, RELEASE_PAUSE_MS);
     }
     this.parts.log.warn('memory_left_to_lapse', {
-      request: this.requestId,
+      request: this.use.requestId,
       reservation: this.id,
       server: server.id,
       within_ms: HOLD_MS,
--- a/packages/relay/src/backend/server-attempt.test.ts
+++ b/packages/relay/src/backend/server-attempt.test.ts
@@ -55,7 +55,7 @@
         requestId: headers['x-request']?.toString(),
         isSigned: headers['x-signed'] !== undefined,
         isNotRun: headers['x-not-run'] !== undefined,
-        isEventStream: wantsEvents,
+        faultyEngine: undefined,
         forwarded: [],
       }),
       onFrames: (more) => {
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -56,7 +56,8 @@
   readonly isSigned: boolean;
   /** Whether the server confirms that nothing was run. */
   readonly isNotRun: boolean;
-  readonly isEventStream: boolean;
+  /** The engine, by id or `ADDRESS:PORT`, for want of which another could not serve. */
+  readonly faultyEngine: string | undefined;
   /** Headers for the caller, without those of one connection or of the body's length. */
   readonly forwarded: HeaderPairs;
 }
@@ -121,7 +122,7 @@
   readServer(id: string, value: Buffer): BackendServer | undefined;
 }
 
-/** Memory of engines that is held for requests. Orders without an answer may be carried out later. */
+/** Engines' memory that is held for requests. Orders without an answer may be carried out later. */
 export interface EngineMemory {
   /** Holds memory for `holdMs` from now, or holds it that much longer; false where there is none. */
   reserve(
@@ -132,4 +133,6 @@
   ): Promise<boolean>;
   /** Frees it; false where no answer came. */
   release(server: BackendServer, id: string): Promise<boolean>;
+  /** Whether the engine answers at all. */
+  isAlive(server: BackendServer): Promise<boolean>;
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -161,6 +161,7 @@
     // Requests on kept connections would still come, and those that come late can't be finished.
     this.#front.close();
     while (this.#open > 0 && this.#clock.monotonicMs() < untilMs) {
+      this.#front.closeIdle();
       await delay(this.#clock, POLL_STOP_MS);
     }
     this.#peers?.stop();
--- a/packages/relay/src/request/choice.ts
+++ b/packages/relay/src/request/choice.ts
@@ -25,6 +25,8 @@
   /** Servers that failed this request already. */
   readonly failedIds: ReadonlySet<string>;
   readonly leftMs: () => Milliseconds;
+  /** Called when the engine no longer answers for which memory is held elsewhere. */
+  readonly onWriterLost: () => void;
   /** Whether there is nothing left to choose for. */
   readonly isOver: () => boolean;
 }
@@ -46,11 +48,15 @@
 
 /** Holds memory on the engines that share the prompt; undefined where one had none. */
 function holdShares(
-  { parts, caller }: ChoiceInputs,
-  { shares }: StreamPlacement,
+  { parts, caller, onWriterLost }: ChoiceInputs,
+  { shares, writer }: StreamPlacement,
 ): Promise<HeldMemory | undefined> {
-  const needs = shares.map(({ engine, tokens }) => ({ server: engine.server, tokens }));
-  return HeldMemory.take(parts, randomId(), caller.requestId, needs);
+  return HeldMemory.take(parts, randomId(), {
+    requestId: caller.requestId,
+    writer: writer.server,
+    needs: shares.map(({ engine, tokens }) => ({ server: engine.server, tokens })),
+    onWriterLost,
+  });
 }
 
 /** Chooses a server, after a wait if need be. */
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -25,14 +25,20 @@
 
 /** A server's own word that time is up may take this long to come back. */
 const LIMIT_SLACK_MS: Milliseconds = 20;
-/** Silence beyond the expected first event after which another engine is tried. */
-const FIRST_EVENT_SLACK_MS: Milliseconds = 900;
-/** Long reads wait behind others that were not foreseen; reading anew would make that worse. */
-const FIRST_EVENT_FACTOR = 3;
-/** Silence between events after which another engine is tried: callers leave at about twice that. */
-const SHORTEST_STALL_MS: Milliseconds = 1200;
+/** Silence beyond the expected first event after which an engine is asked whether it lives. */
+const FIRST_EVENT_SLACK_MS: Milliseconds = 300;
+/** Long reads wait behind others that were not foreseen. */
+const FIRST_EVENT_FACTOR = 1.5;
+/** Silence between events after which an engine is asked whether it lives. */
+const SHORTEST_STALL_MS: Milliseconds = 600;
 /** The same, as a multiple of the pause that the route aims at. */
-const STALL_GAPS = 3;
+const STALL_GAPS = 2;
+/** Silence after which another engine is tried though this one lives: callers leave at 2 s. */
+const BUSY_PATIENCE_MS: Milliseconds = 1300;
+/** Added to that for each millisecond in which the first event was expected. */
+const BUSY_FACTOR = 2;
+/** Pause before a silent engine that lives is looked after again. */
+const BUSY_LOOK_AGAIN_MS: Milliseconds = 500;
 /** Share of the time limit after which a plain call that may be repeated is tried elsewhere. */
 const CALL_PATIENCE_SHARE = 0.45;
 /** A server that failed to answer is avoided for this long. */
@@ -115,6 +121,9 @@
       failedIds: this.#failedIds,
       leftMs: () => this.#leftMs(),
       isOver: () => this.#isOver(),
+      onWriterLost: () => {
+        this.#passOver('no answer to a question for its state');
+      },
     };
     for (;;) {
       const chosen = await choose(inputs);
@@ -145,6 +154,7 @@
     this.#announce(id, choice, timeLeftMs);
     const attempt = this.#open(choice, timeLeftMs);
     const startedAtMs = this.parts.clock.monotonicMs();
+    this.#lastEventAtMs = startedAtMs;
     this.#current = { id, choice, attempt, startedAtMs, hasEvents: false };
     this.#watchSilence(this.#firstPatienceMs(choice));
     const end = await attempt.done;
@@ -205,20 +215,39 @@
     return placement.expectedFirstMs * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK_MS;
   }
 
-  /** Tries another server when this one stays silent, if one more may be tried. */
+  /** Looks after a server that stays silent, where the request may be repeated. */
   #watchSilence(patienceMs: Milliseconds): void {
     this.#cancelSilence();
     if (!this.#mayRepeat) return;
     this.#cancelSilence = this.parts.clock.after(patienceMs, () => {
-      const running = this.#current;
-      if (!running || !this.#retry('unknown', this.#attemptsSent + 1)) return;
-      this.#suspect(running.choice.server, 'silent');
-      this.#failedIds.add(running.choice.server.id);
-      this.#isSilenced = true;
-      running.attempt.cancel();
+      void this.#onSilence();
     });
   }
 
+  /** An engine that answers a question for its state is only busy; reading anew would not help. */
+  async #onSilence(): Promise<void> {
+    const silent = this.#current;
+    if (!silent) return;
+    const { server, placement } = silent.choice;
+    const silentMs = this.parts.clock.monotonicMs() - this.#lastEventAtMs;
+    const patienceMs = BUSY_PATIENCE_MS + (placement?.expectedFirstMs ?? 0) * BUSY_FACTOR;
+    const mayBeBusy = placement !== undefined && silentMs < patienceMs;
+    const isBusy = mayBeBusy && (await this.parts.memory.isAlive(server));
+    if (this.#current !== silent) return;
+    if (isBusy) this.#watchSilence(BUSY_LOOK_AGAIN_MS);
+    else this.#passOver('silent');
+  }
+
+  /** Gives the current attempt up and tries another server, if one more may be tried. */
+  #passOver(why: string): void {
+    const running = this.#current;
+    if (!running || !this.#mayRepeat || !this.#retry('unknown', this.#attemptsSent + 1)) return;
+    this.#suspect(running.choice.server, why);
+    this.#failedIds.add(running.choice.server.id);
+    this.#isSilenced = true;
+    running.attempt.cancel();
+  }
+
   #onFrames(frames: readonly EventFrame[], head: AnswerHead): boolean {
     const running = this.#current;
     if (!running || this.answer.isGone) return true;
@@ -284,6 +313,7 @@
     const detail = `status ${String(head.status)}`;
     if (head.isNotRun) {
       if (head.status === MISDIRECTED) this.parts.servers.onGone(choice.server.id);
+      this.#blame(head.faultyEngine, choice);
       return this.#finishFailed('not_run', choice, detail);
     }
     if (PROMISE_STATUSES.has(head.status)) return this.#finishFailed('unknown', choice, detail);
@@ -296,6 +326,16 @@
     return true;
   }
 
+  /** Avoids the engine for want of which the chosen one could not serve. */
+  #blame(faulty: string | undefined, { server, placement }: Choice): void {
+    if (faulty === undefined || faulty === server.id) return;
+    const readers = placement?.readers.map((load) => load.server) ?? [];
+    const isIt = ({ id, address, port }: BackendServer) =>
+      id === faulty || `${address}:${String(port)}` === faulty;
+    const blamed = readers.find(isIt);
+    if (blamed) this.#suspect(blamed, 'it failed a prompt that it helped to read');
+  }
+
   #finishFailed(failure: AttemptFailure, choice: Choice, detail: string): boolean {
     if (this.answer.isGone) {
       this.#finishOver();
--- a/packages/relay/src/server/front-server.ts
+++ b/packages/relay/src/server/front-server.ts
@@ -73,6 +73,11 @@
   /** Takes no more connections and closes those without a request. */
   close(): void {
     this.#server.close();
+    this.closeIdle();
+  }
+
+  /** Closes connections without a request. */
+  closeIdle(): void {
     this.#server.closeIdleConnections();
   }
 
--- /dev/null
+++ b/packages/relay/src/store/server-list.test.ts
@@ -0,0 +1,82 @@
+import { ManualClock } from '@poppypond/mocks';
+import type { BackendServer } from '@poppypond/fleet';
+import { silentLog } from '@poppypond/telemetry';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { ServerList } from './server-list.js';
+
+function server(id: string, isDraining = false): BackendServer {
+  return { id, service: 's', address: 'a', port: 1, availabilityZone: 'z', slots: 1, isDraining };
+}
+
+function idsOf(list: ServerList): readonly string[] {
+  return list.available('s').map(({ id }) => id);
+}
+
+describe('ServerList', () => {
+  it('drops what the store no longer lists at once, and what is leaving', () => {
+    const list = new ServerList(new ManualClock(), silentLog);
+    list.replace([server('a'), server('b')]);
+    list.replace([server('a', true)]);
+    expect(idsOf(list)).toEqual([]);
+  });
+
+  it('keeps entries that lapsed while the store was away for two seconds after its return', async () => {
+    const clock = new ManualClock();
+    const list = new ServerList(clock, silentLog);
+    list.replace([server('a'), server('b')]);
+    list.onStoreAway();
+    await clock.advance(8000);
+    list.replace([server('a')]);
+    expect(idsOf(list)).toEqual(['a', 'b']);
+    await clock.advance(1900);
+    list.replace([server('a')]);
+    expect(idsOf(list)).toEqual(['a', 'b']);
+    await clock.advance(200);
+    list.replace([server('a')]);
+    expect(idsOf(list)).toEqual(['a']);
+  });
+
+  it('believes a server that another has its address, until it is listed no more', () => {
+    const list = new ServerList(new ManualClock(), silentLog);
+    list.replace([server('a'), server('b')]);
+    list.onGone('a');
+    list.replace([server('a'), server('b')]);
+    expect(idsOf(list)).toEqual(['b']);
+  });
+
+  it('agrees with a simple oracle over outages and lapses', () => {
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant('read' as const), ids: fc.subarray(['a', 'b', 'c']) }),
+      fc.constant({ kind: 'away' as const, ids: [] }),
+      fc.integer({ min: 1, max: 2500 }).map((ms) => ({ kind: 'pass' as const, ids: [], ms })),
+    );
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
+        const clock = new ManualClock();
+        const list = new ServerList(clock, silentLog);
+        let expected = new Set<string>();
+        let isKnown = false;
+        let wasAway = false;
+        let graceUntilMs = 0;
+        for (const played of steps) {
+          if (played.kind === 'pass' && 'ms' in played) clock.skip(played.ms);
+          if (played.kind === 'away') {
+            wasAway = true;
+            list.onStoreAway();
+          }
+          if (played.kind === 'read') {
+            if (wasAway && isKnown) graceUntilMs = clock.monotonicMs() + 2000;
+            const kept = clock.monotonicMs() < graceUntilMs ? expected : [];
+            expected = new Set([...kept, ...played.ids]);
+            isKnown = true;
+            wasAway = false;
+            list.replace(played.ids.map((id) => server(id)));
+          }
+          expect(idsOf(list)).toEqual([...expected].sort());
+        }
+      }),
+      { numRuns: 500, seed: 5 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/routing/src/route-table.test.ts
@@ -0,0 +1,157 @@
+import { ManualClock } from '@poppypond/mocks';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { ConfigurationInForce } from './configuration-in-force.js';
+import type { Route, RoutingConfiguration } from './configuration.js';
+import { Freshness } from './freshness.js';
+import { chooseService, RouteTable } from './route-table.js';
+
+function route(name: string, pathPrefix: string, more: Partial<Route> = {}): Route {
+  return {
+    name,
+    hostName: 'a.example',
+    pathPrefix,
+    kind: 'safe',
+    isResumable: false,
+    targets: [{ service: name, weight: 1 }],
+    maxAttempts: 1,
+    timeoutMs: 1000,
+    aimMs: 100,
+    gapAimMs: 100,
+    priority: 1,
+    isOpen: false,
+    ...more,
+  };
+}
+
+function configuration(version: number, routes: readonly Route[]): RoutingConfiguration {
+  return {
+    version,
+    routes,
+    services: [],
+    workspaces: [{ name: 'wheat', keys: ['k'], priority: undefined }],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+describe('RouteTable', () => {
+  const table = new RouteTable(
+    configuration(1, [route('top', '/'), route('a', '/a/'), route('ab', '/a/b/')]),
+  );
+
+  it('takes the longest prefix of whole segments, without the query', () => {
+    expect(table.match('a.example', '/a/b/c?x=/')?.name).toBe('ab');
+    expect(table.match('A.example', '/a/bc')?.name).toBe('a');
+    expect(table.match('a.example', '/ab/')?.name).toBe('top');
+    expect(table.match('a.example', '/?q=/a/')?.name).toBe('top');
+    expect(table.match('b.example', '/a/')).toBeUndefined();
+  });
+
+  it('splits by weight', () => {
+    const targets = [
+      { service: 'x', weight: 90 },
+      { service: 'y', weight: 10 },
+    ];
+    const split = route('s', '/', { targets });
+    expect([0, 0.89, 0.9, 0.999].map((draw) => chooseService(split, draw))).toEqual([
+      'x',
+      'x',
+      'y',
+      'y',
+    ]);
+    const closed = route('s', '/', {
+      targets: [
+        { service: 'x', weight: 0 },
+        { service: 'y', weight: 1 },
+      ],
+    });
+    expect(chooseService(closed, 0)).toBe('y');
+  });
+
+  it('knows keys', () => {
+    expect(table.workspaceOf('k')?.name).toBe('wheat');
+    expect(table.workspaceOf('other')).toBeUndefined();
+  });
+});
+
+describe('ConfigurationInForce', () => {
+  it('never goes back, in whatever order versions come', () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat(50)), (versions) => {
+        const inForce = new ConfigurationInForce();
+        let highest = 0;
+        for (const version of versions) {
+          inForce.apply(configuration(version, []));
+          highest = Math.max(highest, version);
+          expect(inForce.version).toBe(highest);
+        }
+      }),
+    );
+  });
+});
+
+/** A step of a store that changes, is asked, answers late, and of a process that pauses. */
+type Step =
+  | { readonly kind: 'change' }
+  | { readonly kind: 'ask' }
+  | { readonly kind: 'answer' }
+  | { readonly kind: 'pass'; readonly ms: number };
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  fc.constant<Step>({ kind: 'change' }),
+  fc.constant<Step>({ kind: 'ask' }),
+  fc.constant<Step>({ kind: 'answer' }),
+  fc.integer({ min: 1, max: 4000 }).map((ms): Step => ({ kind: 'pass', ms })),
+);
+
+const TRUSTED_MS = 5000;
+
+/** Plays steps; true where a key counted for longer after its removal than it may. */
+function keyOutlivesRemoval(
+  steps: readonly Step[],
+  date: (askedAtMs: number, nowMs: number) => number,
+) {
+  const clock = new ManualClock();
+  const freshness = new Freshness(clock);
+  let storeVersion = 1;
+  let known = 0;
+  const changedAt = new Map<number, number>();
+  let question: { readonly askedAtMs: number; readonly answered: number } | undefined;
+  for (const step of steps) {
+    const nowMs = clock.monotonicMs();
+    if (step.kind === 'pass') clock.skip(step.ms);
+    if (step.kind === 'change') changedAt.set((storeVersion += 1), nowMs);
+    if (step.kind === 'ask') question ??= { askedAtMs: nowMs, answered: storeVersion };
+    if (step.kind === 'answer' && question) {
+      known = Math.max(known, question.answered);
+      freshness.prove(date(question.askedAtMs, nowMs));
+      question = undefined;
+    }
+    const nextChangeMs = changedAt.get(known + 1) ?? Number.POSITIVE_INFINITY;
+    const isTrusted = freshness.ageMs() < TRUSTED_MS;
+    if (isTrusted && clock.monotonicMs() > nextChangeMs + TRUSTED_MS) return true;
+  }
+  return false;
+}
+
+describe('Freshness', () => {
+  it('trusts no key for longer than it may after its removal, however late answers come', () => {
+    fc.assert(
+      fc.property(fc.array(stepArbitrary, { maxLength: 60 }), (steps) => {
+        expect(keyOutlivesRemoval(steps, (askedAtMs) => askedAtMs)).toBe(false);
+      }),
+      { numRuns: 1000, seed: 7 },
+    );
+  });
+
+  it('would trust one too long if answers were dated when they come (planted fault)', () => {
+    const found = fc.check(
+      fc.property(
+        fc.array(stepArbitrary, { maxLength: 60 }),
+        (steps) => !keyOutlivesRemoval(steps, (_askedAtMs, nowMs) => nowMs),
+      ),
+      { numRuns: 1000, seed: 7 },
+    );
+    expect(found.failed).toBe(true);
+  });
+});
