--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -2,6 +2,7 @@
 export * from './fleet-view.js';
 export * from './place-call.js';
 export * from './place-stream.js';
+export { LATE_PATIENCE_AIMS } from './read-in-parts.js';
 export * from './read-queue.js';
 export * from './retry-budget.js';
 export * from './retry-decision.js';
--- a/packages/fleet/src/placement.test.ts
+++ b/packages/fleet/src/placement.test.ts
@@ -152,6 +152,7 @@
     host: 'h',
     readMs,
     aimAtMs,
+    overdueAtMs: 60_000,
     isYielding,
     expiresAtMs: 60_000,
   });
@@ -167,6 +168,9 @@
       true,
       false,
     ]);
+    queue.add({ ...late, overdueAtMs: 0 });
+    expect(queue.isFirst(pressing, 0)).toBe(false);
+    queue.add(late);
     queue.add({ ...pressing, isYielding: true });
     expect(queue.isFirst(calm, 0)).toBe(true);
     queue.remove('calm');
--- a/packages/fleet/src/read-in-parts.ts
+++ b/packages/fleet/src/read-in-parts.ts
@@ -23,8 +23,11 @@
 const ACCEPTED_HARM_SHARE = 0.1;
 /** With less time than this before it would be late, a prompt weighs the harm and goes. */
 const LAST_CHANCE_MS: Milliseconds = 100;
-/** A prompt that is late anyway waits for engines that it would not disturb, up to this many aims. */
-const LATE_PATIENCE_AIMS = 2;
+/**
+ * A prompt that is late anyway waits for engines that it would not disturb, up to this many aims.
+ * Callers of today wait for five; one that leaves untried after half of that costs most.
+ */
+export const LATE_PATIENCE_AIMS = 1.5;
 /** The most engines that read one prompt: the writer and sixteen others. */
 const MOST_PARTS = 17;
 /** Parts are not made shorter than this; each engine more is one more that can fail. */
--- a/packages/fleet/src/read-queue.ts
+++ b/packages/fleet/src/read-queue.ts
@@ -9,6 +9,8 @@
   readonly readMs: Milliseconds;
   /** When its first event comes too late for its aim, on this process's clock. */
   readonly aimAtMs: Milliseconds;
+  /** When it has waited so long that it goes before all others, on this process's clock. */
+  readonly overdueAtMs: Milliseconds;
   /** Whether it lets others pass, as it waits for engines that it would not disturb. */
   readonly isYielding: boolean;
   /** When it is dropped whatever was heard, on this process's clock. */
@@ -22,8 +24,13 @@
   return read.aimAtMs - read.readMs / ASSUMED_PARTS;
 }
 
-/** Prompts that can still be in time come first, the most pressing before others; then the short. */
+/**
+ * Prompts that are overdue come first, as their callers are about to leave; then those that can
+ * still be in time, the most pressing before others; then the short.
+ */
 function precedes(left: WaitingRead, right: WaitingRead, nowMs: Milliseconds): boolean {
+  const isLeftOverdue = left.overdueAtMs <= nowMs;
+  if (isLeftOverdue !== right.overdueAtMs <= nowMs) return isLeftOverdue;
   const isLeftInTime = latestStartMs(left) >= nowMs;
   const isRightInTime = latestStartMs(right) >= nowMs;
   if (isLeftInTime !== isRightInTime) return isLeftInTime;
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -29,6 +29,7 @@
   z.string().describe('request'),
   z.number().describe('reading time on one engine'),
   z.number().describe('too late in'),
+  z.number().describe('overdue in'),
   z.boolean().describe('lets others pass'),
   z.number().describe('dropped in'),
 ]);
@@ -165,6 +166,7 @@
     read.requestId,
     Math.round(read.readMs),
     Math.round(read.aimAtMs - nowMs),
+    Math.round(read.overdueAtMs - nowMs),
     read.isYielding,
     Math.round(read.expiresAtMs - nowMs),
   ];
@@ -172,7 +174,9 @@
 
 /** A waiting prompt of `host` from the wire, on this process's clock. */
 export function fromWireWait(wire: WireWait, host: string, nowMs: Milliseconds): WaitingRead {
-  const [requestId, readMs, lateInMs, isYielding, dropInMs] = wire;
+  const [requestId, readMs, lateInMs, overdueInMs, isYielding, dropInMs] = wire;
   const aimAtMs = nowMs + lateInMs;
-  return { requestId, host, readMs, aimAtMs, isYielding, expiresAtMs: nowMs + dropInMs };
+  const overdueAtMs = nowMs + overdueInMs;
+  const expiresAtMs = nowMs + dropInMs;
+  return { requestId, host, readMs, aimAtMs, overdueAtMs, isYielding, expiresAtMs };
 }
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -1,5 +1,11 @@
 import type { Milliseconds } from '@poppypond/core';
-import { LONG_READ_MS, placeCall, planStream, readTimeMs } from '@poppypond/fleet';
+import {
+  LATE_PATIENCE_AIMS,
+  LONG_READ_MS,
+  placeCall,
+  planStream,
+  readTimeMs,
+} from '@poppypond/fleet';
 import type { BackendServer, StreamPlan, WaitingRead } from '@poppypond/fleet';
 import type { EngineFigures } from '@poppypond/routing';
 import type { RelayParts } from './relay-parts.js';
@@ -33,6 +39,7 @@
     host: parts.host,
     readMs,
     aimAtMs: needs.arrivedAtMs + needs.aimMs,
+    overdueAtMs: needs.arrivedAtMs + needs.aimMs * LATE_PATIENCE_AIMS,
     isYielding,
     expiresAtMs: parts.clock.monotonicMs() + needs.timeLeftMs,
   };
