--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -74,6 +74,8 @@
 
 /** Prompts that take longer than this to read are read one at a time, each by many engines. */
 export const LONG_READ_MS: Milliseconds = 800;
+/** Reads take longer than foreseen by about this much; their first event tells sooner. */
+const READ_OVERRUN = 1.15;
 /** A read on fewer engines than this leaves enough of them for the next. */
 const ENGINES_OF_A_TURN = 5;
 /** A part waits for the end of a pass before it is read; about one pass of a full engine. */
@@ -162,7 +164,7 @@
       const engines = use.readerIds.length + 1;
       if (!use.isReading || engines < ENGINES_OF_A_TURN) continue;
       if (use.partMs * engines < LONG_READ_MS) continue;
-      if (nowMs < use.placedAtMs + use.partMs + READ_START_MS) return true;
+      if (nowMs < use.placedAtMs + use.partMs * READ_OVERRUN + READ_START_MS) return true;
     }
     return false;
   }
--- a/packages/fleet/src/read-in-parts.ts
+++ b/packages/fleet/src/read-in-parts.ts
@@ -22,7 +22,7 @@
 /** Harm to others up to this share of the prompt's own worth is not worth a wait. */
 const ACCEPTED_HARM_SHARE = 0.1;
 /** With less time than this before it would be late, a prompt weighs the harm and goes. */
-const LAST_CHANCE_MS: Milliseconds = 100;
+const LAST_CHANCE_MS: Milliseconds = 350;
 /**
  * A prompt that is late anyway waits for engines that it would not disturb, up to this many aims.
  * Callers of today wait for five; one that leaves untried after half of that costs most.
