Add poppypond why: the story of one request from the hosts' logs

Given log files and a request's id it prints, oldest first, the lines of the request and what its hosts had in force before.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import { ApiCommand } from './api-command.js';
 import { formatApply, formatAudit, formatExplain, formatObjects, formatStatus } from './format.js';
+import { WhyCommand } from './why.js';
 import { applyReply, auditReply, explainReply, objectsReply, statusReply } from './replies.js';
 
 const fileSchema = z.union([z.array(z.unknown()), z.object({ objects: z.array(z.unknown()) })]);
@@ -186,6 +187,7 @@
 
 /** The commands of `poppypond`. */
 export const operatorCommands = [
+  WhyCommand,
   GetCommand,
   ApplyCommand,
   DiffCommand,
--- /dev/null
+++ b/packages/cli/src/why.test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, it } from 'vitest';
+import { readLine, storyOf } from './why.js';
+
+const LOG = `
+  8.7036 h-2 time=2026-01-01T00:00:04.000Z level=warn event=refused host=h-2 request=r1 code=unauthenticated why="the key is not known" configuration=17 configuration_age_ms=454
+time=2026-01-01T00:00:01.000Z level=warn event=configuration_in_force host=h-2 version=14 before=4
+time=2026-01-01T00:00:03.000Z level=warn event=configuration_in_force host=h-2 version=17 before=14
+time=2026-01-01T00:00:05.000Z level=warn event=configuration_in_force host=h-2 version=18 before=17
+time=2026-01-01T00:00:03.000Z level=info event=placed host=h-1 request=r2 server=i-1
+`;
+
+describe('poppypond why', () => {
+  const lines = LOG.split('\n')
+    .filter((text) => text !== '')
+    .map(readLine);
+
+  it('reads pairs with and without quotes', () => {
+    expect(lines[0]).toMatchObject({
+      event: 'refused',
+      why: 'the key is not known',
+      configuration: '17',
+    });
+  });
+
+  it('tells the story of one request with what its host had in force', () => {
+    expect(storyOf(lines, 'r1')).toEqual([
+      '2026-01-01T00:00:03.000Z  h-2  configuration_in_force  version=17 before=14',
+      '2026-01-01T00:00:04.000Z  h-2  refused  code=unauthenticated why=the key is not known configuration=17 configuration_age_ms=454',
+    ]);
+    expect(storyOf(lines, 'r3')).toEqual([]);
+  });
+});
