Take the list of peers and the conversion of work out of the peer mesh

peer-list.ts holds which peers are known, alive and read the store; peer-mesh.ts sends and takes in messages. peer-messages.ts keeps the forms and their encoding; work-on-the-wire.ts converts attempts and waiting prompts. SharedKnowledge.onStoreAnswer, used only within, is gone. Doc comments added. Periods, limits, messages and log events are as before.

--- a/packages/relay/src/peers/member-directory.ts
+++ b/packages/relay/src/peers/member-directory.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@poppypond/telemetry';
 import { z } from 'zod';
 import type { RowStore } from '../ports.js';
-import type { PeerAddress } from './peer-mesh.js';
+import type { PeerAddress } from './peer-list.js';
 
 const MEMBERS_TABLE = 'members';
 
@@ -17,7 +17,7 @@
 
   /**
    * Enters this host, then reads who else is there. Of two hosts that start at once, the later
-   * reader sees both, so at least one of them tells the other.
+   * reader sees both, so at least one of them tells the other. Undefined where the store failed.
    */
   async join(self: PeerAddress): Promise<readonly PeerAddress[] | undefined> {
     const value = Buffer.from(JSON.stringify({ address: self.address, port: self.port }));
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -2,45 +2,20 @@
 import type { AttemptUse, FleetView, ReadQueue, WaitingRead } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
 import { match } from 'ts-pattern';
-import { fromWireUse, fromWireWait, toWireUse, toWireWait } from './peer-messages.js';
+import { PeerList } from './peer-list.js';
+import type { Peer, PeerAddress } from './peer-list.js';
 import type { Beat, PeerMessage } from './peer-messages.js';
 import type { SharedKnowledge } from './shared-knowledge.js';
+import { fromWireUse, fromWireWait, toWireUse, toWireWait } from './work-on-the-wire.js';
 
 /** Sends one message to a peer; may lose it. */
 export interface PeerSender {
   send(address: string, port: number, message: PeerMessage): void;
 }
 
-/** Another host that runs a relay. */
-export interface PeerAddress {
-  readonly host: string;
-  readonly address: string;
-  readonly port: number;
-}
-
-interface Peer extends PeerAddress {
-  readonly incarnation: string | undefined;
-  /** When it was last heard, on this process's clock. */
-  readonly heardAtMs: Milliseconds | undefined;
-  /** The `sentAtMs` of its last beat, on its own clock. */
-  readonly lastSentAtMs: Milliseconds | undefined;
-  readonly knownSinceMs: Milliseconds;
-  /** Whether it said that its way to the store is broken; true until it has said otherwise. */
-  readonly isStoreLost: boolean;
-}
-
 const BEAT_PERIOD_MS: Milliseconds = 500;
-/** With more peers than this, those that don't read the store get every fourth beat. */
-const FEW_PEERS = 12;
+/** With many peers, those that don't read the store get one beat of this many. */
 const SELDOM_BEATS = 4;
-/** Without a word for this long, what a peer runs no longer counts. */
-const SILENT_AFTER_MS: Milliseconds = 2000;
-/** The same with many peers. */
-const SILENT_AFTER_SELDOM_MS: Milliseconds = 5000;
-/** Hosts that read the store for all; a second one stands in at once when the first is gone. */
-const READERS = 2;
-/** A silent peer still counts for shared budgets for this long. */
-const FORGET_AFTER_MS: Milliseconds = 60_000;
 
 function finiteOrNull(ageMs: Milliseconds): Milliseconds | null {
   return Number.isFinite(ageMs) ? ageMs : null;
@@ -67,18 +42,20 @@
  * heartbeat holds the sender's whole state, so that a loss is mended within a period.
  */
 export class PeerMesh {
-  readonly #peers = new Map<string, Peer>();
+  readonly #peers: PeerList;
   #cancel: CancelTimer = () => undefined;
   #beats = 0;
   #isStopped = false;
 
-  constructor(readonly parts: PeerMeshParts) {}
+  constructor(readonly parts: PeerMeshParts) {
+    this.#peers = new PeerList(parts.clock);
+  }
 
   /** Whether this host is one of the few that read the store for all: the first by name. */
   isReader(): boolean {
     const { host } = this.parts.self;
     if (this.parts.knowledge.isStoreLost) return false;
-    return this.#readerPeers().filter((peer) => peer.host < host).length < READERS;
+    return this.#peers.isAmongReaders(host);
   }
 
   /** Tells all that the store told something new. */
@@ -86,6 +63,7 @@
     this.#broadcast({ kind: 'news', ...this.#selfFields(), ...this.parts.knowledge.own });
   }
 
+  /** Begins to send heartbeats, also to the hosts in `known`. */
   start(known: readonly PeerAddress[]): void {
     for (const peer of known) this.#learn(peer);
     this.#beatAll();
@@ -99,6 +77,7 @@
     for (const peer of known) this.#learn(peer);
   }
 
+  /** Tells all that this host leaves; sends no more heartbeats and takes in nothing afterwards. */
   stop(): void {
     this.#cancel();
     this.#isStopped = true;
@@ -112,7 +91,7 @@
 
   /** Peers heard from lately. */
   get aliveCount(): number {
-    return [...this.#peers.values()].filter((peer) => this.#isAlive(peer)).length;
+    return this.#peers.aliveCount;
   }
 
   /** An attempt of `request` begins, which waits no more. */
@@ -136,17 +115,19 @@
     this.#broadcast({ kind: 'unwait', ...this.#selfFields(), request });
   }
 
-  /** `isTold`: whether peers gain from knowing at once. */
+  /** The first event of an attempt has come. `isTold`: whether peers gain from knowing at once. */
   onReadDone(attemptId: string, isTold: boolean): void {
     this.parts.fleet.onReadDone(attemptId);
     if (isTold) this.#broadcast({ kind: 'read', ...this.#selfFields(), attempt: attemptId });
   }
 
+  /** An attempt is over. */
   end(attemptId: string): void {
     this.parts.fleet.end(attemptId);
     this.#broadcast({ kind: 'end', ...this.#selfFields(), attempt: attemptId });
   }
 
+  /** All hosts avoid `server` for `forMs` from now. */
   suspect(server: string, forMs: Milliseconds): void {
     this.parts.fleet.suspect(server, this.parts.clock.monotonicMs() + forMs);
     this.#broadcast({ kind: 'suspect', ...this.#selfFields(), server, forMs });
@@ -191,26 +172,11 @@
   }
 
   #hear(message: PeerMessage, address: string): void {
-    const { host, incarnation, port } = message;
-    const known = this.#peers.get(host);
-    const nowMs = this.parts.clock.monotonicMs();
-    const isNew = known?.incarnation !== incarnation;
-    if (isNew) {
-      this.#dropWorkOf(host);
-      this.parts.log.info('peer_heard', { peer: host, address, incarnation });
-    }
-    const lastSentAtMs = message.kind === 'beat' ? message.sentAtMs : known?.lastSentAtMs;
-    this.#peers.set(host, {
-      host,
-      address,
-      port,
-      incarnation,
-      heardAtMs: nowMs,
-      lastSentAtMs: isNew && message.kind !== 'beat' ? undefined : lastSentAtMs,
-      knownSinceMs: known?.knownSinceMs ?? nowMs,
-      isStoreLost: message.kind === 'beat' ? message.isStoreLost : (known?.isStoreLost ?? true),
-    });
-    if (isNew) this.#beat(host, true);
+    const { host, incarnation } = message;
+    if (!this.#peers.hear(message, address)) return;
+    this.#dropWorkOf(host);
+    this.parts.log.info('peer_heard', { peer: host, address, incarnation });
+    this.#beat(host, true);
   }
 
   #takeBeat(beat: Beat): void {
@@ -237,41 +203,22 @@
     });
   }
 
-  #learn({ host, address, port }: PeerAddress): void {
-    if (host === this.parts.self.host || this.#peers.has(host)) return;
-    const knownSinceMs = this.parts.clock.monotonicMs();
-    const never = { incarnation: undefined, heardAtMs: undefined, lastSentAtMs: undefined };
-    this.#peers.set(host, { host, address, port, knownSinceMs, isStoreLost: true, ...never });
-    this.#beat(host, true);
-  }
-
-  get #silentAfterMs(): Milliseconds {
-    return this.#peers.size > FEW_PEERS ? SILENT_AFTER_SELDOM_MS : SILENT_AFTER_MS;
-  }
-
-  /** Peers that have a sound way to the store, as far as they have told. */
-  #readerPeers(): readonly Peer[] {
-    return [...this.#peers.values()].filter((peer) => this.#isAlive(peer) && !peer.isStoreLost);
-  }
-
-  #isAlive(peer: Peer): boolean {
-    if (peer.heardAtMs === undefined) return false;
-    return this.parts.clock.monotonicMs() - peer.heardAtMs < this.#silentAfterMs;
+  #learn(peer: PeerAddress): void {
+    if (peer.host === this.parts.self.host || !this.#peers.add(peer)) return;
+    this.#beat(peer.host, true);
   }
 
   #tick(): void {
-    const nowMs = this.parts.clock.monotonicMs();
-    this.parts.fleet.expire(nowMs);
-    for (const peer of this.#peers.values()) {
-      const lastMs = peer.heardAtMs ?? peer.knownSinceMs;
-      if (nowMs - lastMs > FORGET_AFTER_MS) this.#forget(peer.host, 'silent');
-      else if (!this.#isAlive(peer)) this.#dropWorkOf(peer.host);
+    this.parts.fleet.expire(this.parts.clock.monotonicMs());
+    for (const peer of this.#peers.all()) {
+      if (this.#peers.isForgotten(peer)) this.#forget(peer.host, 'silent');
+      else if (!this.#peers.isAlive(peer)) this.#dropWorkOf(peer.host);
     }
     this.#beatAll();
   }
 
   #forget(host: string, why: 'left' | 'silent'): void {
-    this.#peers.delete(host);
+    this.#peers.remove(host);
     this.#dropWorkOf(host);
     this.parts.log.info('peer_forgotten', { peer: host, why });
   }
@@ -283,19 +230,16 @@
 
   #beatAll(): void {
     this.#beats += 1;
-    const readers = [...this.#readerPeers()]
-      .sort((left, right) => (left.host < right.host ? -1 : 1))
-      .slice(0, READERS);
-    const asked = new Set(readers.map((peer) => peer.host));
-    const isForAll = this.#peers.size <= FEW_PEERS || this.#beats % SELDOM_BEATS === 0;
-    for (const host of this.#peers.keys()) {
+    const asked = new Set(this.#peers.firstReaders().map((peer) => peer.host));
+    const isForAll = !this.#peers.isLarge || this.#beats % SELDOM_BEATS === 0;
+    for (const { host } of this.#peers.all()) {
       if (asked.has(host)) this.#beat(host, true);
       else if (isForAll) this.#beat(host, false);
     }
   }
 
   #beat(host: string, isQuestion: boolean): void {
-    const peer = this.#peers.get(host);
+    const peer = this.#peers.find(host);
     if (!peer) return;
     const { clock, fleet, knowledge, queue, self, sender } = this.parts;
     const nowMs = clock.monotonicMs();
@@ -315,7 +259,7 @@
   }
 
   #broadcast(message: PeerMessage): void {
-    for (const peer of this.#peers.values()) {
+    for (const peer of this.#peers.all()) {
       this.parts.sender.send(peer.address, peer.port, message);
     }
   }
--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -42,23 +42,23 @@
     return this.parts.clock.monotonicMs() - this.#storeFailedAtMs < LOST_FOR_MS;
   }
 
+  /** A call to the store had no result. */
   onStoreFailure(): void {
     this.#storeFailedAtMs = this.parts.clock.monotonicMs();
   }
 
-  onStoreAnswer(): void {
-    this.#storeFailedAtMs = undefined;
-  }
-
+  /** What this host tells its peers. */
   get own(): PeerWord {
     const { inForce, list } = this.parts;
     return { configurationVersion: inForce.version, listDigest: list.digest };
   }
 
+  /** Time since the configuration was proved the newest; infinite before that. */
   get configurationAgeMs(): Milliseconds {
     return this.parts.freshness.ageMs();
   }
 
+  /** Time since the list of servers was proved the newest; infinite before that. */
   get listAgeMs(): Milliseconds {
     return this.parts.list.freshness.ageMs();
   }
@@ -95,13 +95,13 @@
 
   /** The store has told the newest configuration. */
   onConfigurationRead(): void {
-    this.onStoreAnswer();
+    this.#storeFailedAtMs = undefined;
     this.#isConfigurationBehind = false;
   }
 
   /** The store has told its list. */
   onListRead(): void {
-    this.onStoreAnswer();
+    this.#storeFailedAtMs = undefined;
     this.#isListDifferent = false;
   }
 }
