--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -136,3 +136,11 @@
   /** Whether the engine answers at all. */
   isAlive(server: BackendServer): Promise<boolean>;
 }
+
+/** What a platform provides: its store and the forms in which it speaks. */
+export interface PlatformPorts {
+  readonly store: RowStore;
+  readonly rows: PlatformRows;
+  readonly wire: RelayWire;
+  readonly memory: EngineMemory;
+}
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -37,3 +37,9 @@
 
 /** Checked settings. */
 export type RelaySettings = z.infer<z.ZodObject<typeof RELAY_SETTINGS>>;
+
+/** Splits the text of an `ADDRESS:PORT` setting. */
+export function splitAddress(text: string): { readonly address: string; readonly port: number } {
+  const [address = '', port = '0'] = text.split(':');
+  return { address, port: Number(port) };
+}
