Take the tally of attempts, the patience and the form of an attempt out of RelayRun

attempt-tally.ts counts attempts and decides on the next, patience.ts says after which silence a server is looked after, attempt-use.ts makes what peers are told of an attempt, and findReader in choice.ts finds the engine that an answer blames. relay-run.ts keeps the course of one request. Constants, decisions and log events are as before.

--- /dev/null
+++ b/packages/relay/src/request/attempt-tally.ts
@@ -0,0 +1,95 @@
+import type { Milliseconds } from '@poppypond/core';
+import { decideRetry } from '@poppypond/fleet';
+import type { AttemptFailure } from '@poppypond/fleet';
+import type { Route } from '@poppypond/routing';
+import type { RequestRecord } from './request-record.js';
+
+/** What the tally needs. */
+export interface AttemptTallyParts {
+  readonly route: Route;
+  readonly record: RequestRecord;
+  readonly leftMs: () => Milliseconds;
+  /** Takes one retry out of the shared budget; false where it is used up. */
+  readonly takeRetry: () => boolean;
+}
+
+/** The attempts of one request that are over, and whether another may follow. */
+export class AttemptTally {
+  #sent = 0;
+  #notSent = 0;
+  #mayHaveRun = false;
+  readonly #failedIds = new Set<string>();
+
+  constructor(readonly parts: AttemptTallyParts) {}
+
+  /** Attempts of which bytes left this host. */
+  get sent(): number {
+    return this.#sent;
+  }
+
+  /** Attempts of which no byte left this host. */
+  get notSent(): number {
+    return this.#notSent;
+  }
+
+  /** Whether an attempt that failed or was given up may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  /** Servers that failed this request. */
+  get failedIds(): ReadonlySet<string> {
+    return this.#failedIds;
+  }
+
+  /** Whether the request may be run twice. */
+  get mayRepeat(): boolean {
+    const { kind, isResumable } = this.parts.route;
+    return kind === 'safe' || (kind === 'stream' && isResumable);
+  }
+
+  /** The server answered to its end. */
+  onAnswered(): void {
+    this.#sent += 1;
+  }
+
+  /** The attempt was given up before its answer was over. */
+  onCancelled(): void {
+    this.#sent += 1;
+    this.#mayHaveRun = true;
+  }
+
+  /** Counts a failed attempt; true where another follows, which the budget then counts. */
+  onFailed(serverId: string, failure: AttemptFailure): boolean {
+    if (failure === 'not_sent') this.#notSent += 1;
+    else this.#sent += 1;
+    if (failure === 'unknown' || failure === 'failed') this.#mayHaveRun = true;
+    this.#failedIds.add(serverId);
+    return this.#tryRetry(failure, this.#sent);
+  }
+
+  /** Whether a silent attempt, which still runs, is given up for another that the budget then counts. */
+  tryPassOver(serverId: string): boolean {
+    if (!this.mayRepeat || !this.#tryRetry('unknown', this.#sent + 1)) return false;
+    this.#failedIds.add(serverId);
+    return true;
+  }
+
+  #tryRetry(failure: AttemptFailure, attemptsSent: number): boolean {
+    const { route, record, leftMs, takeRetry } = this.parts;
+    const timeLeftMs = leftMs();
+    const decision = decideRetry({
+      failure,
+      mayRepeat: this.mayRepeat,
+      attemptsSent,
+      attemptsNotSent: this.#notSent,
+      maxAttempts: route.maxAttempts,
+      timeLeftMs,
+      takeRetry,
+    });
+    if (!decision.again) {
+      record.retryRefused({ failure, decision, attempts: attemptsSent, leftMs: timeLeftMs });
+    }
+    return decision.again;
+  }
+}
--- a/packages/relay/src/request/choice.ts
+++ b/packages/relay/src/request/choice.ts
@@ -89,3 +89,15 @@
     return { address, port, reservation };
   });
 }
+
+/** The engine among the readers that `named` means, by id or `ADDRESS:PORT`. */
+export function findReader(
+  { server, placement }: Choice,
+  named: string | undefined,
+): BackendServer | undefined {
+  if (named === undefined || named === server.id) return undefined;
+  const readers = placement?.readers.map((load) => load.server) ?? [];
+  return readers.find(
+    ({ id, address, port }) => id === named || `${address}:${String(port)}` === named,
+  );
+}
--- /dev/null
+++ b/packages/relay/src/request/patience.ts
@@ -0,0 +1,36 @@
+import type { Milliseconds } from '@poppypond/core';
+import type { StreamPlacement } from '@poppypond/fleet';
+
+/** Silence beyond the expected first event after which an engine is asked whether it lives. */
+const FIRST_EVENT_SLACK_MS: Milliseconds = 300;
+/** Long reads wait behind others that were not foreseen. */
+const FIRST_EVENT_FACTOR = 1.5;
+/** Silence between events after which an engine is asked whether it lives. */
+const SHORTEST_STALL_MS: Milliseconds = 600;
+/** The same, as a multiple of the pause that the route aims at. */
+const STALL_GAPS = 2;
+/** Silence after which another engine is tried though this one lives: callers leave at 2 s. */
+const BUSY_PATIENCE_MS: Milliseconds = 1300;
+/** Added to that for each millisecond in which the first event was expected. */
+const BUSY_FACTOR = 2;
+/** Share of the time limit after which a plain call that may be repeated is tried elsewhere. */
+const CALL_PATIENCE_SHARE = 0.45;
+
+/** Silence after which a server that has sent nothing yet is looked after. */
+export function firstPatienceMs(
+  placement: StreamPlacement | undefined,
+  timeLeftMs: Milliseconds,
+): Milliseconds {
+  if (!placement) return timeLeftMs * CALL_PATIENCE_SHARE;
+  return placement.expectedFirstMs * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK_MS;
+}
+
+/** Silence after which an engine that has sent events is looked after. */
+export function stallPatienceMs(gapAimMs: Milliseconds): Milliseconds {
+  return Math.max(SHORTEST_STALL_MS, gapAimMs * STALL_GAPS);
+}
+
+/** Silence after which an engine is given up even if it lives. */
+export function busyPatienceMs({ expectedFirstMs }: StreamPlacement): Milliseconds {
+  return BUSY_PATIENCE_MS + expectedFirstMs * BUSY_FACTOR;
+}
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -1,6 +1,5 @@
 import { fault, randomId } from '@poppypond/core';
 import type { CancelTimer, Fault, Milliseconds, ResultName } from '@poppypond/core';
-import { decideRetry } from '@poppypond/fleet';
 import type { AttemptFailure, BackendServer } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
 import type { EventFrame } from '../backend/event-frames.js';
@@ -8,9 +7,12 @@
 import type { AttemptEnd } from '../backend/server-attempt.js';
 import type { AnswerHead, CallerHead } from '../ports.js';
 import type { Admitted } from './admit.js';
+import { AttemptTally } from './attempt-tally.js';
+import { toAttemptUse } from './attempt-use.js';
 import type { CallerAnswer } from './caller-answer.js';
-import { choose, readersOf } from './choice.js';
+import { choose, findReader, readersOf } from './choice.js';
 import type { Choice } from './choice.js';
+import { busyPatienceMs, firstPatienceMs, stallPatienceMs } from './patience.js';
 import type { RelayParts } from './relay-parts.js';
 import { RequestRecord } from './request-record.js';
 
@@ -25,22 +27,8 @@
 
 /** A server's own word that time is up may take this long to come back. */
 const LIMIT_SLACK_MS: Milliseconds = 20;
-/** Silence beyond the expected first event after which an engine is asked whether it lives. */
-const FIRST_EVENT_SLACK_MS: Milliseconds = 300;
-/** Long reads wait behind others that were not foreseen. */
-const FIRST_EVENT_FACTOR = 1.5;
-/** Silence between events after which an engine is asked whether it lives. */
-const SHORTEST_STALL_MS: Milliseconds = 600;
-/** The same, as a multiple of the pause that the route aims at. */
-const STALL_GAPS = 2;
-/** Silence after which another engine is tried though this one lives: callers leave at 2 s. */
-const BUSY_PATIENCE_MS: Milliseconds = 1300;
-/** Added to that for each millisecond in which the first event was expected. */
-const BUSY_FACTOR = 2;
 /** Pause before a silent engine that lives is looked after again. */
 const BUSY_LOOK_AGAIN_MS: Milliseconds = 500;
-/** Share of the time limit after which a plain call that may be repeated is tried elsewhere. */
-const CALL_PATIENCE_SHARE = 0.45;
 /** A server that failed to answer is avoided for this long. */
 const SUSPECT_MS: Milliseconds = 1500;
 /** When to come back after a refusal for want of a server. */
@@ -57,9 +45,7 @@
   readonly #route: Route;
   readonly #limitAtMs: Milliseconds;
   readonly #record: RequestRecord;
-  readonly #failedIds = new Set<string>();
-  #attemptsSent = 0;
-  #attemptsNotSent = 0;
+  readonly #tally: AttemptTally;
   #lastEventId: number | undefined;
   #lastEventAtMs: Milliseconds;
   /** The head under which a stream's events go out, also those of later attempts. */
@@ -69,8 +55,6 @@
   /** Whether the current attempt was given up for its silence and another follows. */
   #isSilenced = false;
   #isTimeUp = false;
-  /** Whether a server may have run the request. */
-  #mayHaveRun = false;
 
   constructor(
     readonly parts: RelayParts,
@@ -82,6 +66,12 @@
   ) {
     this.#route = admitted.route;
     this.#record = new RequestRecord(parts, caller, admitted, arrivedAtMs);
+    this.#tally = new AttemptTally({
+      route: this.#route,
+      record: this.#record,
+      leftMs: () => this.#leftMs(),
+      takeRetry: () => parts.budget.tryTake(admitted.service),
+    });
     const waitsMs = Math.min(caller.waitsMs ?? Number.POSITIVE_INFINITY, this.#route.timeoutMs);
     this.#limitAtMs = arrivedAtMs + waitsMs;
     this.#lastEventId = caller.lastEventId;
@@ -118,7 +108,7 @@
       caller,
       admitted,
       arrivedAtMs,
-      failedIds: this.#failedIds,
+      failedIds: this.#tally.failedIds,
       leftMs: () => this.#leftMs(),
       isOver: () => this.#isOver(),
       onWriterLost: () => {
@@ -134,11 +124,6 @@
     }
   }
 
-  get #mayRepeat(): boolean {
-    const { kind, isResumable } = this.#route;
-    return kind === 'safe' || (kind === 'stream' && isResumable);
-  }
-
   #leftMs(): Milliseconds {
     return this.#limitAtMs - this.parts.clock.monotonicMs();
   }
@@ -156,7 +141,7 @@
     const startedAtMs = this.parts.clock.monotonicMs();
     this.#lastEventAtMs = startedAtMs;
     this.#current = { id, choice, attempt, startedAtMs, hasEvents: false };
-    this.#watchSilence(this.#firstPatienceMs(choice));
+    this.#watchSilence(firstPatienceMs(choice.placement, this.#leftMs()));
     const end = await attempt.done;
     this.#current = undefined;
     this.#cancelSilence();
@@ -190,35 +175,20 @@
     );
   }
 
-  #announce(id: string, { placement, server }: Choice, timeLeftMs: Milliseconds): void {
-    const nowMs = this.parts.clock.monotonicMs();
-    const shares = placement?.shares ?? [];
-    const sharedTokens = shares.reduce((sum, { tokens }) => sum + tokens, 0);
-    const { promptTokens, answerTokens, requestId } = this.caller;
-    this.parts.peers.begin(requestId, {
-      attemptId: id,
-      host: this.parts.host,
-      writerId: server.id,
-      readerIds: (placement?.readers ?? []).map((load) => load.server.id),
-      partMs: placement?.partMs ?? 0,
-      contextTokens: promptTokens + answerTokens - sharedTokens,
-      held: shares.map(({ engine, tokens }) => ({ engineId: engine.server.id, tokens })),
-      gapAimMs: this.#route.gapAimMs,
-      isReading: placement !== undefined,
-      placedAtMs: nowMs,
-      expiresAtMs: nowMs + timeLeftMs + LIMIT_SLACK_MS,
-    });
-  }
-
-  #firstPatienceMs({ placement }: Choice): Milliseconds {
-    if (!placement) return this.#leftMs() * CALL_PATIENCE_SHARE;
-    return placement.expectedFirstMs * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK_MS;
+  #announce(attemptId: string, choice: Choice, timeLeftMs: Milliseconds): void {
+    const { clock, host, peers } = this.parts;
+    const { caller } = this;
+    const { gapAimMs } = this.#route;
+    const placedAtMs = clock.monotonicMs();
+    const expiresAtMs = placedAtMs + timeLeftMs + LIMIT_SLACK_MS;
+    const placed = { attemptId, host, gapAimMs, placedAtMs, expiresAtMs };
+    peers.begin(caller.requestId, toAttemptUse(choice, caller, placed));
   }
 
   /** Looks after a server that stays silent, where the request may be repeated. */
   #watchSilence(patienceMs: Milliseconds): void {
     this.#cancelSilence();
-    if (!this.#mayRepeat) return;
+    if (!this.#tally.mayRepeat) return;
     this.#cancelSilence = this.parts.clock.after(patienceMs, () => {
       void this.#onSilence();
     });
@@ -230,8 +200,7 @@
     if (!silent) return;
     const { server, placement } = silent.choice;
     const silentMs = this.parts.clock.monotonicMs() - this.#lastEventAtMs;
-    const patienceMs = BUSY_PATIENCE_MS + (placement?.expectedFirstMs ?? 0) * BUSY_FACTOR;
-    const mayBeBusy = placement !== undefined && silentMs < patienceMs;
+    const mayBeBusy = placement !== undefined && silentMs < busyPatienceMs(placement);
     const isBusy = mayBeBusy && (await this.parts.memory.isAlive(server));
     if (this.#current !== silent) return;
     if (isBusy) this.#watchSilence(BUSY_LOOK_AGAIN_MS);
@@ -241,9 +210,8 @@
   /** Gives the current attempt up and tries another server, if one more may be tried. */
   #passOver(why: string): void {
     const running = this.#current;
-    if (!running || !this.#mayRepeat || !this.#retry('unknown', this.#attemptsSent + 1)) return;
+    if (!running || !this.#tally.tryPassOver(running.choice.server.id)) return;
     this.#suspect(running.choice.server, why);
-    this.#failedIds.add(running.choice.server.id);
     this.#isSilenced = true;
     running.attempt.cancel();
   }
@@ -256,7 +224,7 @@
     const nowMs = this.parts.clock.monotonicMs();
     this.#record.eventGap(nowMs - this.#lastEventAtMs);
     this.#lastEventAtMs = nowMs;
-    this.#watchSilence(Math.max(SHORTEST_STALL_MS, this.#route.gapAimMs * STALL_GAPS));
+    this.#watchSilence(stallPatienceMs(this.#route.gapAimMs));
     const fresh = frames.filter((frame) => this.#isNext(frame));
     if (fresh.length === 0) return true;
     return this.answer.writeEvents(
@@ -288,7 +256,7 @@
     if (end.kind === 'whole') return this.#finishWhole(end.head, end.body, choice);
     if (end.kind === 'cancelled') return this.#finishCancelled();
     if (end.kind === 'events_done') {
-      this.#attemptsSent += 1;
+      this.#tally.onAnswered();
       this.answer.endEvents(this.#streamHead);
       this.#end('ok', this.#streamHead?.status);
       return true;
@@ -299,8 +267,7 @@
   }
 
   #finishCancelled(): boolean {
-    this.#attemptsSent += 1;
-    this.#mayHaveRun = true;
+    this.#tally.onCancelled();
     if (this.#isSilenced) {
       this.#isSilenced = false;
       return false;
@@ -319,7 +286,7 @@
     if (PROMISE_STATUSES.has(head.status)) return this.#finishFailed('unknown', choice, detail);
     const isServerError = head.status >= SERVER_ERROR_FROM;
     if (isServerError && this.#noteFailure('failed', choice, detail)) return false;
-    if (!isServerError) this.#attemptsSent += 1;
+    if (!isServerError) this.#tally.onAnswered();
     if (this.answer.isBegun) this.answer.breakOff();
     else this.answer.sendWhole(head, body);
     this.#end(isServerError ? 'backend_error' : 'ok', head.status);
@@ -327,12 +294,8 @@
   }
 
   /** Avoids the engine for want of which the chosen one could not serve. */
-  #blame(faulty: string | undefined, { server, placement }: Choice): void {
-    if (faulty === undefined || faulty === server.id) return;
-    const readers = placement?.readers.map((load) => load.server) ?? [];
-    const isIt = ({ id, address, port }: BackendServer) =>
-      id === faulty || `${address}:${String(port)}` === faulty;
-    const blamed = readers.find(isIt);
+  #blame(faultyEngine: string | undefined, choice: Choice): void {
+    const blamed = findReader(choice, faultyEngine);
     if (blamed) this.#suspect(blamed, 'it failed a prompt that it helped to read');
   }
 
@@ -348,32 +311,11 @@
 
   /** Counts and logs a failed attempt; true where another follows. */
   #noteFailure(failure: AttemptFailure, { server }: Choice, detail: string): boolean {
-    if (failure === 'not_sent') this.#attemptsNotSent += 1;
-    else this.#attemptsSent += 1;
-    if (failure === 'unknown' || failure === 'failed') this.#mayHaveRun = true;
-    this.#failedIds.add(server.id);
-    const again = this.#retry(failure, this.#attemptsSent);
+    const again = this.#tally.onFailed(server.id, failure);
     this.#record.attemptFailed(server, failure, detail, again);
     return again;
   }
 
-  #retry(failure: AttemptFailure, attemptsSent: number): boolean {
-    const timeLeftMs = this.#leftMs();
-    const decision = decideRetry({
-      failure,
-      mayRepeat: this.#mayRepeat,
-      attemptsSent,
-      attemptsNotSent: this.#attemptsNotSent,
-      maxAttempts: this.#route.maxAttempts,
-      timeLeftMs,
-      takeRetry: () => this.parts.budget.tryTake(this.admitted.service),
-    });
-    if (!decision.again) {
-      this.#record.retryRefused({ failure, decision, attempts: attemptsSent, leftMs: timeLeftMs });
-    }
-    return decision.again;
-  }
-
   #suspect(server: BackendServer, why: string): void {
     this.parts.peers.suspect(server.id, SUSPECT_MS);
     this.#record.serverSuspect(server, why, SUSPECT_MS);
@@ -381,7 +323,8 @@
 
   /** The caller has left, or the time is up. */
   #finishOver(): void {
-    if (this.answer.isGone) this.#end(this.#mayHaveRun ? 'cancelled_running' : 'cancelled_waiting');
+    if (this.answer.isGone)
+      this.#end(this.#tally.mayHaveRun ? 'cancelled_running' : 'cancelled_waiting');
     else this.#giveUp('the time limit passed');
   }
 
@@ -394,7 +337,8 @@
   }
 
   #reasonFor(detail: string): Fault {
-    if (!this.#mayHaveRun) return fault('no_backend', detail, { retryAfterMs: REFUSED_RETRY_MS });
+    if (!this.#tally.mayHaveRun)
+      return fault('no_backend', detail, { retryAfterMs: REFUSED_RETRY_MS });
     return fault(this.#isTimeUp ? 'time_limit' : 'outcome_unknown', detail);
   }
 
@@ -403,8 +347,8 @@
       code,
       status,
       why,
-      attemptsSent: this.#attemptsSent,
-      attemptsNotSent: this.#attemptsNotSent,
+      attemptsSent: this.#tally.sent,
+      attemptsNotSent: this.#tally.notSent,
       lastEventId: this.#lastEventId,
     });
   }
