--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -16,6 +16,7 @@
 import type { PlatformPorts } from './ports.js';
 import type { RelayParts } from './request/relay-parts.js';
 import type { RelaySettings } from './settings.js';
+import { CountedStore } from './store/counted-store.js';
 import { ServerList } from './store/server-list.js';
 
 /** What one relay process consists of before it has opened any port. */
@@ -54,14 +55,15 @@
   const inForce = new ConfigurationInForce();
   const freshness = new Freshness(clock);
   const servers = new ServerList(clock, log);
+  const measures = new Measures();
   return {
     settings,
-    ports,
+    ports: { ...ports, store: new CountedStore(ports.store, measures) },
     incarnation,
     clock,
     output,
     log,
-    measures: new Measures(),
+    measures,
     inForce,
     freshness,
     fleet: new FleetView(),
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -56,7 +56,7 @@
     readonly ports: PlatformPorts,
   ) {
     this.#base = composeBase(settings, ports);
-    this.#directory = new MemberDirectory(ports.store, this.#base.log);
+    this.#directory = new MemberDirectory(this.#base.ports.store, this.#base.log);
   }
 
   /** Starts everything; resolves when callers may connect, rejects when a port is taken. */
--- /dev/null
+++ b/packages/telemetry/src/measures.test.ts
@@ -0,0 +1,34 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { describe, expect, it } from 'vitest';
+import { Measures, MEASURES } from './measures.js';
+
+function relaySources(): string {
+  const folder = new URL('../../relay/src/', import.meta.url);
+  return readdirSync(folder, { recursive: true, encoding: 'utf8' })
+    .filter((name) => name.endsWith('.ts') && !name.endsWith('.test.ts'))
+    .map((name) => readFileSync(new URL(name, folder), 'utf8'))
+    .join('\n');
+}
+
+describe('Measures', () => {
+  it('are all taken by the relay and listed in docs/METRICS.md', () => {
+    const sources = relaySources();
+    const page = readFileSync(new URL('../../../docs/METRICS.md', import.meta.url), 'utf8');
+    for (const [name, { type, help, labels }] of Object.entries(MEASURES)) {
+      expect(sources, name).toContain(`'${name}'`);
+      const row = page.split('\n').find((line) => line.startsWith(`| \`${name}\``));
+      for (const part of [type, help, ...labels]) expect(row, name).toContain(part);
+    }
+  });
+
+  it('are told as Prometheus text', async () => {
+    const measures = new Measures();
+    measures.count('poppypond_requests_total', { kind: 'safe', code: 'ok' });
+    measures.observe('poppypond_call_milliseconds', 7, { kind: 'safe' });
+    measures.set('poppypond_peers', 3);
+    const text = await measures.text();
+    expect(text).toContain('poppypond_requests_total{kind="safe",code="ok"} 1');
+    expect(text).toContain('poppypond_call_milliseconds_bucket{le="10",kind="safe"} 1');
+    expect(text).toContain('poppypond_peers 3');
+  });
+});
