--- a/packages/relay/src/store/server-list.test.ts
+++ b/packages/relay/src/store/server-list.test.ts
@@ -29,12 +29,14 @@
     await clock.advance(8000);
     list.replace([server('a')], 0);
     expect(idsOf(list)).toEqual(['a', 'b']);
+    expect(list.keepsUnlisted).toBe(true);
     await clock.advance(1900);
     list.replace([server('a')], 0);
     expect(idsOf(list)).toEqual(['a', 'b']);
     await clock.advance(200);
     list.replace([server('a')], 0);
     expect(idsOf(list)).toEqual(['a']);
+    expect(list.keepsUnlisted).toBe(false);
   });
 
   it('believes a server that another has its address, until it is listed no more', () => {
--- a/packages/relay/src/store/server-list.ts
+++ b/packages/relay/src/store/server-list.ts
@@ -26,6 +26,7 @@
   #wasAway = false;
   #graceUntilMs: Milliseconds = Number.NEGATIVE_INFINITY;
   #isKnown = false;
+  #keepsUnlisted = false;
   #digest = '';
   /** How recently the list was proved to be the store's. */
   readonly freshness: Freshness;
@@ -51,9 +52,9 @@
     return this.#servers.size;
   }
 
-  /** Whether entries are kept that the store did not list. */
-  get isInGrace(): boolean {
-    return this.clock.monotonicMs() < this.#graceUntilMs + RETURN_GRACE_MS;
+  /** Whether entries are kept that the store did not list, so that it has to be asked again. */
+  get keepsUnlisted(): boolean {
+    return this.#keepsUnlisted;
   }
 
   /** The store did not answer; entries may lapse there that are alive. */
@@ -71,9 +72,13 @@
     this.#isKnown = true;
     const listedIds = new Set(listed.map((server) => server.id));
     const isGrace = nowMs < this.#graceUntilMs;
+    this.#keepsUnlisted = false;
     for (const id of [...this.#servers.keys()]) {
       if (listedIds.has(id)) continue;
-      if (isGrace) continue;
+      if (isGrace) {
+        this.#keepsUnlisted = true;
+        continue;
+      }
       this.#servers.delete(id);
       this.log.warn('server_gone', { server: id, why: 'not_listed' });
     }
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -75,7 +75,7 @@
 
   #mustRead(): boolean {
     const { isReader, knowledge, list } = this.parts;
-    if (isReader() || !list.isKnown || knowledge.isListDifferent || list.isInGrace) return true;
+    if (isReader() || !list.isKnown || knowledge.isListDifferent || list.keepsUnlisted) return true;
     return knowledge.listAgeMs >= OWN_READ_AFTER_MS;
   }
 
