--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -27,7 +27,7 @@
 export type AttemptEnd =
   | { readonly kind: 'not_sent'; readonly detail: string }
   | { readonly kind: 'whole'; readonly head: AnswerHead; readonly body: Buffer }
-  | { readonly kind: 'events_done' }
+  | { readonly kind: 'events_done'; readonly head: AnswerHead }
   | { readonly kind: 'broken'; readonly detail: string }
   | { readonly kind: 'cancelled' };
 
@@ -169,7 +169,7 @@
     response.once('close', () => {
       const isOrderly = this.#isComplete(response) && !frames.hasRest;
       const detail = 'the stream ended early';
-      this.#end(isOrderly ? { kind: 'events_done' } : { kind: 'broken', detail });
+      this.#end(isOrderly ? { kind: 'events_done', head } : { kind: 'broken', detail });
     });
   }
 
--- a/packages/relay/src/request/caller-answer.ts
+++ b/packages/relay/src/request/caller-answer.ts
@@ -61,9 +61,9 @@
     return this.response.write(bytes);
   }
 
-  endEvents(head: AnswerHead | undefined): void {
+  endEvents(head: AnswerHead): void {
     this.#isOver = true;
-    if (!this.isBegun && head) this.#writeHead(head.status, head.forwarded);
+    if (!this.isBegun) this.#writeHead(head.status, head.forwarded);
     this.response.end();
   }
 
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -257,8 +257,10 @@
     if (end.kind === 'cancelled') return this.#finishCancelled();
     if (end.kind === 'events_done') {
       this.#tally.onAnswered();
-      this.answer.endEvents(this.#streamHead);
-      this.#end('ok', this.#streamHead?.status);
+      // A stream that is taken up after its last event has a head and no events.
+      const head = this.#streamHead ?? end.head;
+      this.answer.endEvents(head);
+      this.#end('ok', head.status);
       return true;
     }
     this.#suspect(choice.server, end.detail);
