--- a/packages/relay/src/backend/server-attempt.test.ts
+++ b/packages/relay/src/backend/server-attempt.test.ts
@@ -1,4 +1,5 @@
 import { SystemClock } from '@poppypond/core';
+import type { BackendServer } from '@poppypond/fleet';
 import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -14,6 +15,25 @@
   server?.close();
 });
 
+function serverAt(port: number): BackendServer {
+  return {
+    id: 's1',
+    service: 'a',
+    address: '127.0.0.1',
+    port,
+    availabilityZone: 'z',
+    slots: 1,
+    isDraining: false,
+  };
+}
+
+/** Lets `listening` take a free port on loopback and tells it. */
+async function listenAnywhere(listening: Server): Promise<number> {
+  await new Promise<void>((resolve) => listening.listen(0, '127.0.0.1', resolve));
+  const bound = listening.address();
+  return typeof bound === 'object' && bound ? bound.port : 0;
+}
+
 /** Runs one attempt against a server that does `answer` when the head of a request has come. */
 async function attemptAt(
   answer: (socket: Socket) => void,
@@ -26,21 +46,11 @@
     });
   });
   server = listening;
-  await new Promise<void>((resolve) => listening.listen(0, '127.0.0.1', resolve));
-  const bound = listening.address();
-  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const port = await listenAnywhere(listening);
   const frames: EventFrame[] = [];
   const attempt = new ServerAttempt(
     {
-      server: {
-        id: 's1',
-        service: 'a',
-        address: '127.0.0.1',
-        port,
-        availabilityZone: 'z',
-        slots: 1,
-        isDraining: false,
-      },
+      server: serverAt(port),
       method: 'POST',
       path: '/',
       headers: ['Host', 'a', 'Content-Length', '2'],
@@ -131,21 +141,11 @@
 
   it('knows that nothing was sent where no connection came up', async () => {
     const closed = createServer();
-    await new Promise<void>((resolve) => closed.listen(0, '127.0.0.1', resolve));
-    const bound = closed.address();
-    const port = typeof bound === 'object' && bound ? bound.port : 0;
+    const port = await listenAnywhere(closed);
     await new Promise((resolve) => closed.close(resolve));
     const attempt = new ServerAttempt(
       {
-        server: {
-          id: 's1',
-          service: 'a',
-          address: '127.0.0.1',
-          port,
-          availabilityZone: 'z',
-          slots: 1,
-          isDraining: false,
-        },
+        server: serverAt(port),
         method: 'GET',
         path: '/',
         headers: ['Host', 'a'],
