--- a/packages/fleet/src/engine-load.ts
+++ b/packages/fleet/src/engine-load.ts
@@ -32,6 +32,13 @@
 const GAP_SHARE_PLANNED = 0.85;
 /** Writers that allow shorter pauses than this count as impatient. */
 const IMPATIENT_GAP_MS: Milliseconds = 300;
+/** Word of the end of a read is sent only where it took this long; the end of others is foreseen. */
+export const TOLD_READ_MS: Milliseconds = 60;
+/** A read whose end was not told is taken to be over after this multiple of its time, and a while. */
+const READ_OVERRUN = 1.5;
+const LONGEST_OVERRUN_MS: Milliseconds = 300;
+/** What a read is taken to need still that should be over. */
+const LATE_READ_MS: Milliseconds = 60;
 /** Stands for "no writer to disturb": longer than any read that is worth placing. */
 const UNDISTURBED_SLACK_MS: Milliseconds = 60_000;
 
@@ -44,7 +51,19 @@
   return tokens;
 }
 
-/** Reading that lies before an engine: reads follow each other, each with a pass of the writers. */
+/**
+ * Whether an attempt's prompt is taken to be read still. Its first event tells the end, but for
+ * short reads, which are over before word of it would be of use.
+ */
+export function isReadingStill(use: AttemptUse, nowMs: Milliseconds): boolean {
+  if (!use.isReading) return false;
+  return nowMs < use.placedAtMs + use.partMs * READ_OVERRUN + LONGEST_OVERRUN_MS;
+}
+
+/**
+ * Reading that lies before an engine: reads follow each other, each with a pass of the writers.
+ * One that is over time by the plan takes a little longer yet.
+ */
 function pendingRead(
   uses: ReadonlySet<AttemptUse>,
   passMs: Milliseconds,
@@ -57,6 +76,8 @@
     const beginsAtMs = isFirst ? use.placedAtMs : Math.max(freeAtMs, use.placedAtMs);
     isFirst = false;
     freeAtMs = beginsAtMs + use.partMs + Math.min(passMs, use.partMs);
+    const isLate = freeAtMs < nowMs && use.partMs >= TOLD_READ_MS && isReadingStill(use, nowMs);
+    if (isLate) freeAtMs = nowMs + LATE_READ_MS;
   }
   return Math.max(0, freeAtMs - nowMs);
 }
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -2,16 +2,14 @@
 import type { EngineFigures } from '@poppypond/routing';
 import type { AttemptUse } from './attempt-use.js';
 import type { BackendServer } from './backend-server.js';
-import { engineLoad } from './engine-load.js';
+import { engineLoad, isReadingStill } from './engine-load.js';
 import type { EngineLoad } from './engine-load.js';
 import { LONG_READ_MS } from './long-read.js';
 
-/** Reads take longer than foreseen by about this much; their first event tells sooner. */
-const READ_OVERRUN = 1.15;
 /** A read on fewer engines than this leaves enough of them for the next. */
 const ENGINES_OF_A_TURN = 5;
-/** A part waits for the end of a pass before it is read; about one pass of a full engine. */
-const READ_START_MS: Milliseconds = 40;
+/** A host hears of a placement that was made for it within a few milliseconds of its last heartbeat. */
+const JUST_PLACED_MS: Milliseconds = 200;
 
 /** Every attempt that is known to run, on whichever host, and what follows for each engine. */
 export class FleetView {
@@ -50,13 +48,25 @@
     }
   }
 
-  /** Replaces all that is known of `host`, which has sent its whole list. */
-  replaceHost(host: string, uses: readonly AttemptUse[]): void {
+  /**
+   * Replaces all that is known of `host`, which has sent its whole list; but for what was placed
+   * for it so lately that it may not have known yet.
+   */
+  replaceHost(host: string, uses: readonly AttemptUse[], nowMs: Milliseconds): void {
     const kept = new Set(uses.map((use) => use.attemptId));
     for (const use of [...this.#attempts.values()]) {
-      if (use.host === host && !kept.has(use.attemptId)) this.end(use.attemptId);
+      if (use.host !== host || kept.has(use.attemptId)) continue;
+      if (nowMs - use.placedAtMs > JUST_PLACED_MS) this.end(use.attemptId);
     }
-    for (const use of uses) if (!this.#attempts.has(use.attemptId)) this.begin(use);
+    for (const use of uses) {
+      if (!this.#attempts.has(use.attemptId)) this.begin(use);
+      else if (!use.isReading) this.onReadDone(use.attemptId);
+    }
+  }
+
+  /** Drops all that `host` placed. */
+  dropHost(host: string): void {
+    for (const use of this.attemptsOf(host)) this.end(use.attemptId);
   }
 
   /** Attempts that `host` placed. */
@@ -71,15 +81,16 @@
     }
   }
 
-  /** Whether a prompt that takes the engines to itself is being read, as far as can be foreseen. */
-  isLongReadRunning(nowMs: Milliseconds): boolean {
+  /** Prompts that take many engines to themselves and are being read, as far as can be foreseen. */
+  longReadsRunning(nowMs: Milliseconds): number {
+    let running = 0;
     for (const use of this.#attempts.values()) {
       const engines = use.readerIds.length + 1;
       if (!use.isReading || engines < ENGINES_OF_A_TURN) continue;
       if (use.partMs * engines < LONG_READ_MS) continue;
-      if (nowMs < use.placedAtMs + use.partMs * READ_OVERRUN + READ_START_MS) return true;
+      if (isReadingStill(use, nowMs)) running += 1;
     }
-    return false;
+    return running;
   }
 
   /** Avoids a server until `untilMs`, unless there is no other. */
--- a/packages/fleet/src/placement.test.ts
+++ b/packages/fleet/src/placement.test.ts
@@ -142,7 +142,9 @@
     view.begin(use('b', server.id, { host: 'other', expiresAtMs: 10 }));
     view.expire(10);
     expect(view.size).toBe(1);
-    view.replaceHost('h', []);
+    view.replaceHost('h', [], 100);
+    expect(view.size).toBe(1);
+    view.replaceHost('h', [], 1000);
     expect(view.size).toBe(0);
   });
 });
@@ -150,7 +152,6 @@
 describe('ReadQueue', () => {
   const read = (requestId: string, readMs: number, aimAtMs: number, isYielding = false) => ({
     requestId,
-    host: 'h',
     readMs,
     aimAtMs,
     overdueAtMs: 60_000,
@@ -164,17 +165,15 @@
     const pressing = read('pressing', 6000, 3000);
     const late = read('late', 1200, 50);
     for (const waiting of [calm, pressing, late]) queue.add(waiting);
-    expect([calm, pressing, late].map((waiting) => queue.isFirst(waiting, 0))).toEqual([
-      false,
-      true,
-      false,
+    expect([calm, pressing, late].map((waiting) => queue.countBefore(waiting, 0))).toEqual([
+      1, 0, 2,
     ]);
     queue.add({ ...late, overdueAtMs: 0 });
-    expect(queue.isFirst(pressing, 0)).toBe(false);
+    expect(queue.countBefore(pressing, 0)).toBe(1);
     queue.add(late);
     queue.add({ ...pressing, isYielding: true });
-    expect(queue.isFirst(calm, 0)).toBe(true);
+    expect(queue.countBefore(calm, 0)).toBe(0);
     queue.remove('calm');
-    expect(queue.isFirst(late, 0)).toBe(true);
+    expect(queue.countBefore(late, 0)).toBe(0);
   });
 });
--- a/packages/fleet/src/read-in-parts.ts
+++ b/packages/fleet/src/read-in-parts.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@poppypond/core';
 import { chooseWriter } from './choose-writer.js';
 import type { EngineLoad } from './engine-load.js';
-import { harmOfHolding, LATE_LOSS } from './harm.js';
+import { harmOf, harmOfHolding, LATE_LOSS } from './harm.js';
 import { LATE_PATIENCE_AIMS, LONG_READ_MS } from './long-read.js';
 import { packedEngines } from './pack-short.js';
 import { shareMemory } from './share-memory.js';
@@ -15,8 +15,26 @@
 /** With less time than this before it would be late, a prompt weighs the harm and goes. */
 const LAST_CHANCE_MS: Milliseconds = 350;
 
-function bySlackDown(left: EngineLoad, right: EngineLoad): number {
-  return right.slackMs - left.slackMs;
+/** Engines that nearly have read what lies before them count as free. */
+const NEARLY_FREE_MS: Milliseconds = 40;
+
+/** Engines whose writers a part harms less first, then those with less reading before them. */
+function byCost(partMs: Milliseconds): (left: EngineLoad, right: EngineLoad) => number {
+  return (left, right) => {
+    const harm = harmOf(left, partMs) - harmOf(right, partMs);
+    if (harm !== 0) return harm;
+    const reading = left.pendingReadMs - right.pendingReadMs;
+    return reading === 0 ? right.slackMs - left.slackMs : reading;
+  };
+}
+
+/**
+ * Engines on which a long prompt may be read. Engines read the newest part first, so a second
+ * long part would hold the first one up, and all other engines that read the same prompt with it.
+ */
+function freeOfReads(engines: readonly EngineLoad[], readMs: Milliseconds): readonly EngineLoad[] {
+  if (readMs < LONG_READ_MS) return engines;
+  return engines.filter((load) => load.pendingReadMs <= NEARLY_FREE_MS);
 }
 
 /** Whether to wait for a moment at which the best placement costs others less. */
@@ -44,11 +62,12 @@
     return { kind: 'wait', rule: 'waits_for_turn' };
   }
   const packed = new Set(packedEngines(engines, figures));
-  const writer = chooseWriter(writers, packed, figures);
-  if (!writer) return { kind: 'refuse', rule: 'no_engine' };
-  const others = engines.filter((load) => load !== writer);
-  const apart = others.filter((load) => !packed.has(load)).sort(bySlackDown);
-  const shared = others.filter((load) => packed.has(load)).sort(bySlackDown);
+  const writer = chooseWriter(freeOfReads(writers, readMs), packed, figures);
+  if (!writer) return { kind: 'wait', rule: 'waits_for_turn' };
+  const others = freeOfReads(engines, readMs).filter((load) => load !== writer);
+  const cheapFirst = byCost(readMs / MOST_PARTS);
+  const apart = others.filter((load) => !packed.has(load)).sort(cheapFirst);
+  const shared = others.filter((load) => packed.has(load)).sort(cheapFirst);
   const best = leastLoss(inputs, writer, [...apart, ...shared]);
   if (isWorthWaiting(best, inputs)) return { kind: 'wait', rule: 'waits_for_slack' };
   const wanted = demand.promptTokens + demand.answerTokens;
--- a/packages/fleet/src/read-queue.ts
+++ b/packages/fleet/src/read-queue.ts
@@ -3,8 +3,6 @@
 /** A long prompt that waits until the engines are free to read it. */
 export interface WaitingRead {
   readonly requestId: string;
-  /** The host that holds it. */
-  readonly host: string;
   /** Time to read it on one engine. */
   readonly readMs: Milliseconds;
   /** When its first event comes too late for its aim, on this process's clock. */
@@ -41,7 +39,7 @@
   return left.requestId < right.requestId;
 }
 
-/** All long prompts that are known to wait, on whichever host, and their order. */
+/** All long prompts that wait, and their order. */
 export class ReadQueue {
   readonly #reads = new Map<string, WaitingRead>();
 
@@ -58,24 +56,14 @@
     this.#reads.delete(requestId);
   }
 
-  /** Prompts that `host` holds. */
-  ofHost(host: string): readonly WaitingRead[] {
-    return [...this.#reads.values()].filter((read) => read.host === host);
-  }
-
-  /** Replaces all that is known of `host`, which has sent its whole list. */
-  replaceHost(host: string, reads: readonly WaitingRead[]): void {
-    for (const read of this.ofHost(host)) this.#reads.delete(read.requestId);
-    for (const read of reads) this.add(read);
-  }
-
-  /** Whether no other waiting prompt comes before this one. */
-  isFirst(read: WaitingRead, nowMs: Milliseconds): boolean {
+  /** Waiting prompts that come before this one. */
+  countBefore(read: WaitingRead, nowMs: Milliseconds): number {
+    let before = 0;
     for (const other of this.#reads.values()) {
       if (other.requestId === read.requestId) continue;
       if (other.expiresAtMs <= nowMs) this.#reads.delete(other.requestId);
-      else if (!other.isYielding && precedes(other, read, nowMs)) return false;
+      else if (!other.isYielding && precedes(other, read, nowMs)) before += 1;
     }
-    return true;
+    return before;
   }
 }
--- a/packages/fleet/src/stream-plan.ts
+++ b/packages/fleet/src/stream-plan.ts
@@ -13,16 +13,20 @@
   readonly mayReadLong: boolean;
 }
 
-/** The rule by which a stream was placed, made to wait or refused. */
-export type PlacementRule =
-  | 'packed'
-  | 'least_busy'
-  | 'parts_without_harm'
-  | 'parts_with_least_harm'
-  | 'waits_for_turn'
-  | 'waits_for_slack'
-  | 'waits_for_memory'
-  | 'no_engine';
+/** The rules by which streams are placed, made to wait or refused. */
+export const PLACEMENT_RULES = [
+  'packed',
+  'least_busy',
+  'parts_without_harm',
+  'parts_with_least_harm',
+  'waits_for_turn',
+  'waits_for_slack',
+  'waits_for_memory',
+  'no_engine',
+] as const;
+
+/** One of them. */
+export type PlacementRule = (typeof PLACEMENT_RULES)[number];
 
 /** Where a stream runs. */
 export interface StreamPlacement {
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -11,8 +11,11 @@
 } from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
 import { PeerMesh } from './peers/peer-mesh.js';
+import type { PeerAddress } from './peers/peer-list.js';
 import type { PeerSender } from './peers/peer-mesh.js';
 import { SharedKnowledge } from './peers/shared-knowledge.js';
+import { Placing } from './planning/placing.js';
+import { Planner } from './planning/planner.js';
 import type { PlatformPorts } from './ports.js';
 import type { RelayParts } from './request/relay-parts.js';
 import type { RelaySettings } from './settings.js';
@@ -32,7 +35,6 @@
   readonly inForce: ConfigurationInForce;
   readonly freshness: Freshness;
   readonly fleet: FleetView;
-  readonly queue: ReadQueue;
   readonly servers: ServerList;
   readonly knowledge: SharedKnowledge;
 }
@@ -67,23 +69,45 @@
     inForce,
     freshness,
     fleet: new FleetView(),
-    queue: new ReadQueue(),
     servers,
     knowledge: new SharedKnowledge({ clock, inForce, freshness, list: servers }),
   };
 }
 
-/** Makes the mesh that speaks to other relays through `sender`. */
-export function composePeers(base: RelayBase, sender: PeerSender): PeerMesh {
-  const { clock, log, fleet, queue, knowledge, incarnation } = base;
-  const { host, address, peerPort } = base.settings;
-  const self = { host, address, port: peerPort, incarnation };
-  return new PeerMesh({ clock, log, sender, self, fleet, queue, knowledge });
+/** How other relays reach this one. */
+export function selfAddress(settings: RelaySettings): PeerAddress {
+  const { host, address, peerPort, coreShare, coreSpeed } = settings;
+  return { host, address, port: peerPort, capacity: coreShare * coreSpeed };
+}
+
+/** Makes the mesh that speaks to other relays through `sender`, and what plans with them. */
+export function composePeers(
+  base: RelayBase,
+  sender: PeerSender,
+): { readonly peers: PeerMesh; readonly placing: Placing } {
+  const { clock, log, fleet, inForce, knowledge, incarnation, servers, settings } = base;
+  const { host } = settings;
+  const planner = new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue() });
+  const peers = new PeerMesh({
+    clock,
+    log,
+    sender,
+    self: { ...selfAddress(settings), incarnation },
+    fleet,
+    planner,
+    engineServices: () => inForce.table?.engineServices ?? [],
+    onPlan: (attemptId, answer) => {
+      placing.hear(attemptId, answer);
+    },
+    knowledge,
+  });
+  const placing = new Placing({ clock, log, host, peers, planner });
+  return { peers, placing };
 }
 
 /** Makes what every request shares. */
-export function composeParts(base: RelayBase, peers: PeerMesh): RelayParts {
-  const { clock, log, measures, inForce, freshness, fleet, queue, servers, settings } = base;
+export function composeParts(base: RelayBase, peers: PeerMesh, placing: Placing): RelayParts {
+  const { clock, log, measures, inForce, freshness, fleet, servers, settings } = base;
   const retryFigures = {
     ratio: settings.retryRatio,
     windowMs: settings.retryWindowSeconds * MS_PER_SECOND,
@@ -100,9 +124,9 @@
     freshness,
     keysTrustedMs: settings.keysTrustedMs - KEY_MARGIN_MS,
     fleet,
-    queue,
     servers,
     peers,
+    placing,
     budget: new RetryBudget(clock, retryFigures, () => peers.hostCount),
     draw: Math.random,
   };
--- a/packages/relay/src/peers/member-directory.ts
+++ b/packages/relay/src/peers/member-directory.ts
@@ -6,7 +6,11 @@
 
 const MEMBERS_TABLE = 'members';
 
-const memberSchema = z.object({ address: z.string(), port: z.number() });
+const memberSchema = z.object({
+  address: z.string(),
+  port: z.number(),
+  capacity: z.number().default(1),
+});
 
 /** The list of relays in the store, through which hosts that just started find each other. */
 export class MemberDirectory {
@@ -20,7 +24,8 @@
    * reader sees both, so at least one of them tells the other. Undefined where the store failed.
    */
   async join(self: PeerAddress): Promise<readonly PeerAddress[] | undefined> {
-    const value = Buffer.from(JSON.stringify({ address: self.address, port: self.port }));
+    const { address, port, capacity } = self;
+    const value = Buffer.from(JSON.stringify({ address, port, capacity }));
     const written = await this.store.put(MEMBERS_TABLE, self.host, value);
     if (written.isErr) return this.#failed('join', written.error.detail);
     const read = await this.store.read(MEMBERS_TABLE);
--- a/packages/relay/src/peers/peer-list.ts
+++ b/packages/relay/src/peers/peer-list.ts
@@ -1,53 +1,75 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { PeerMessage } from './peer-messages.js';
+import { rendezvousOrder } from '@poppypond/hashing';
+import type { Beat, PeerMessage } from './peer-messages.js';
 
 /** Another host that runs a relay. */
 export interface PeerAddress {
   readonly host: string;
   readonly address: string;
   readonly port: number;
+  /** Processor that it has, in cores of the usual speed. */
+  readonly capacity: number;
 }
 
 /** Another host, and what its messages said of itself. */
 export interface Peer extends PeerAddress {
   /** The life of its process that was heard last; undefined while never heard. */
   readonly incarnation: string | undefined;
+  /** When this life of it was first heard, on this process's clock. */
+  readonly heardSinceMs: Milliseconds | undefined;
   /** When it was last heard, on this process's clock. */
   readonly heardAtMs: Milliseconds | undefined;
   /** The `sentAtMs` of its last beat, on its own clock. */
   readonly lastSentAtMs: Milliseconds | undefined;
-  /** When it was first listed or heard, on this process's clock. */
-  readonly knownSinceMs: Milliseconds;
+  /** Since when it was asked for a heartbeat without an answer, on this process's clock. */
+  readonly askedSinceMs: Milliseconds | undefined;
   /** Whether it said that its way to the store is broken; true until it has said otherwise. */
   readonly isStoreLost: boolean;
 }
 
-/** More peers than this are many. */
-const FEW_PEERS = 12;
 /** Without a word for this long, what a peer runs no longer counts. */
 const SILENT_AFTER_MS: Milliseconds = 2000;
-/** The same with many peers, which send fewer heartbeats. */
-const SILENT_AFTER_SELDOM_MS: Milliseconds = 5000;
 /** Hosts that read the store for all; a second one stands in at once when the first is gone. */
 const READERS = 2;
-/** A silent peer still counts for shared budgets for this long. */
+/** Hosts that know the attempts of a service: one plans, the other stands in. */
+const PLANNERS = 2;
+/** A host that has just started learns within a heartbeat what others run; until then it plans last. */
+const SETTLED_AFTER_MS: Milliseconds = 1200;
+/** A peer that is asked and stays silent still counts for shared budgets for this long. */
 const FORGET_AFTER_MS: Milliseconds = 60_000;
 
+const NEVER_HEARD = {
+  incarnation: undefined,
+  heardSinceMs: undefined,
+  heardAtMs: undefined,
+  lastSentAtMs: undefined,
+  askedSinceMs: undefined,
+  isStoreLost: true,
+} as const;
+
+/** What a heartbeat says of its sender. */
+function saidBy({ sentAtMs, isStoreLost, capacity }: Beat) {
+  return { lastSentAtMs: sentAtMs, isStoreLost, capacity };
+}
+
 /** The other hosts that were listed or heard, and which of them are there. */
 export class PeerList {
   readonly #peers = new Map<string, Peer>();
-
-  constructor(readonly clock: Clock) {}
+  readonly #startedAtMs: Milliseconds;
+  /** By service; empty after each change of who is there and how large. */
+  readonly #ranks = new Map<string, readonly PeerAddress[]>();
+
+  constructor(
+    readonly clock: Clock,
+    readonly self: PeerAddress,
+  ) {
+    this.#startedAtMs = clock.monotonicMs();
+  }
 
   get size(): number {
     return this.#peers.size;
   }
 
-  /** Whether there are so many that most heartbeats are spared. */
-  get isLarge(): boolean {
-    return this.#peers.size > FEW_PEERS;
-  }
-
   /** Peers heard from lately. */
   get aliveCount(): number {
     return [...this.#peers.values()].filter((peer) => this.isAlive(peer)).length;
@@ -63,66 +85,144 @@
   }
 
   /** Adds a host that is listed; false where it was known. */
-  add({ host, address, port }: PeerAddress): boolean {
-    if (this.#peers.has(host)) return false;
-    const knownSinceMs = this.clock.monotonicMs();
-    const never = { incarnation: undefined, heardAtMs: undefined, lastSentAtMs: undefined };
-    this.#peers.set(host, { host, address, port, knownSinceMs, isStoreLost: true, ...never });
+  add(address: PeerAddress): boolean {
+    if (this.#peers.has(address.host)) return false;
+    this.#peers.set(address.host, { ...NEVER_HEARD, ...address });
+    this.#ranks.clear();
     return true;
   }
 
   /** Notes a message that came from `address`; true where it is the first of its process. */
   hear(message: PeerMessage, address: string): boolean {
     const { host, incarnation, port } = message;
-    const known = this.#peers.get(host);
     const nowMs = this.clock.monotonicMs();
-    const isNew = known?.incarnation !== incarnation;
-    const lastSentAtMs = isNew ? undefined : known.lastSentAtMs;
-    const isStoreLost = known?.isStoreLost ?? true;
-    const isBeat = message.kind === 'beat';
-    this.#peers.set(host, {
-      host,
+    const known = this.#peers.get(host) ?? { ...NEVER_HEARD, host, address, port, capacity: 0 };
+    const isNew = known.incarnation !== incarnation;
+    const heard = {
+      ...known,
       address,
       port,
       incarnation,
+      heardSinceMs: isNew ? nowMs : known.heardSinceMs,
       heardAtMs: nowMs,
-      lastSentAtMs: isBeat ? message.sentAtMs : lastSentAtMs,
-      knownSinceMs: known?.knownSinceMs ?? nowMs,
-      isStoreLost: isBeat ? message.isStoreLost : isStoreLost,
-    });
+      lastSentAtMs: isNew ? undefined : known.lastSentAtMs,
+      askedSinceMs: undefined,
+    };
+    const next = message.kind === 'beat' ? { ...heard, ...saidBy(message) } : heard;
+    this.#peers.set(host, next);
+    if (isNew || next.capacity !== known.capacity) this.#ranks.clear();
     return isNew;
   }
 
+  /** Notes which peers are asked for heartbeats now; the others owe none. */
+  noteAsked(hosts: ReadonlySet<string>): void {
+    const nowMs = this.clock.monotonicMs();
+    for (const peer of this.#peers.values()) {
+      const askedSinceMs = hosts.has(peer.host) ? (peer.askedSinceMs ?? nowMs) : undefined;
+      if (askedSinceMs !== peer.askedSinceMs) this.#peers.set(peer.host, { ...peer, askedSinceMs });
+    }
+  }
+
   remove(host: string): void {
     this.#peers.delete(host);
+    this.#ranks.clear();
   }
 
   /** Whether it was heard lately, so that what it runs counts. */
   isAlive({ heardAtMs }: Peer): boolean {
     if (heardAtMs === undefined) return false;
-    const silentAfterMs = this.isLarge ? SILENT_AFTER_SELDOM_MS : SILENT_AFTER_MS;
-    return this.clock.monotonicMs() - heardAtMs < silentAfterMs;
-  }
-
-  /** Whether it was silent for so long that it counts for nothing. */
-  isForgotten({ heardAtMs, knownSinceMs }: Peer): boolean {
-    return this.clock.monotonicMs() - (heardAtMs ?? knownSinceMs) > FORGET_AFTER_MS;
+    return this.clock.monotonicMs() - heardAtMs < SILENT_AFTER_MS;
   }
 
-  /** The first by name of those that have a sound way to the store. */
-  firstReaders(): readonly Peer[] {
-    return [...this.#storePeers()]
-      .sort((left, right) => (left.host < right.host ? -1 : 1))
-      .slice(0, READERS);
+  /** Whether it was asked and silent for so long that it counts for nothing. */
+  isForgotten({ askedSinceMs }: Peer): boolean {
+    if (askedSinceMs === undefined) return false;
+    return this.clock.monotonicMs() - askedSinceMs > FORGET_AFTER_MS;
   }
 
   /** Whether `host`, which has a sound way to the store, is one of the few that read it for all. */
   isAmongReaders(host: string): boolean {
-    return this.#storePeers().filter((peer) => peer.host < host).length < READERS;
+    const before = [...this.#peers.values()].filter(
+      (peer) => this.isAlive(peer) && !peer.isStoreLost && peer.host < host,
+    );
+    return before.length < READERS;
+  }
+
+  /** Hosts that know what runs on a service's engines, the one that plans first; maybe this one. */
+  plannersOf(service: string): readonly string[] {
+    const settled: string[] = [];
+    const others: string[] = [];
+    for (const peer of this.#byRank(service)) {
+      if (!this.#isHere(peer)) continue;
+      if (this.#isSettled(peer)) settled.push(peer.host);
+      else others.push(peer.host);
+      if (settled.length >= PLANNERS) break;
+    }
+    return [...settled, ...others].slice(0, PLANNERS);
+  }
+
+  /**
+   * Peers that this host has to hear of: the first readers and planners of each service that are
+   * there, and all those before them, as they may come back.
+   */
+  toAsk(services: readonly string[]): ReadonlySet<string> {
+    const asked = new Set<string>();
+    const isReader = (peer: PeerAddress) => this.#isHere(peer) && !this.#isStoreLost(peer);
+    this.#askUntil(this.#byName(), READERS, isReader, asked);
+    for (const service of services) {
+      const isPlanner = (peer: PeerAddress) => this.#isHere(peer) && this.#isSettled(peer);
+      this.#askUntil(this.#byRank(service), PLANNERS, isPlanner, asked);
+    }
+    asked.delete(this.self.host);
+    return asked;
+  }
+
+  #askUntil(
+    ranked: readonly PeerAddress[],
+    wanted: number,
+    counts: (peer: PeerAddress) => boolean,
+    asked: Set<string>,
+  ): void {
+    let found = 0;
+    for (const peer of ranked) {
+      if (found >= wanted) return;
+      asked.add(peer.host);
+      if (counts(peer)) found += 1;
+    }
+  }
+
+  #isHere({ host }: PeerAddress): boolean {
+    const peer = this.#peers.get(host);
+    return host === this.self.host || (peer !== undefined && this.isAlive(peer));
+  }
+
+  #isSettled({ host }: PeerAddress): boolean {
+    const sinceMs =
+      host === this.self.host ? this.#startedAtMs : this.#peers.get(host)?.heardSinceMs;
+    return sinceMs !== undefined && this.clock.monotonicMs() - sinceMs > SETTLED_AFTER_MS;
+  }
+
+  #isStoreLost({ host }: PeerAddress): boolean {
+    return this.#peers.get(host)?.isStoreLost ?? false;
+  }
+
+  #byName(): readonly PeerAddress[] {
+    return [...this.#peers.values(), this.self].sort((left, right) =>
+      left.host < right.host ? -1 : 1,
+    );
   }
 
-  /** Peers that have a sound way to the store, as far as they have told. */
-  #storePeers(): readonly Peer[] {
-    return [...this.#peers.values()].filter((peer) => this.isAlive(peer) && !peer.isStoreLost);
+  /** All hosts, large ones first, in an order of its own for each service. */
+  #byRank(service: string): readonly PeerAddress[] {
+    const known = this.#ranks.get(service);
+    if (known) return known;
+    const hosts = rendezvousOrder(
+      service,
+      [...this.#peers.values(), this.self],
+      ({ host }) => host,
+    );
+    const ranked = [...hosts].sort((left, right) => right.capacity - left.capacity);
+    this.#ranks.set(service, ranked);
+    return ranked;
   }
 }
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -1,13 +1,17 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
 import { FleetView, ReadQueue } from '@poppypond/fleet';
-import type { AttemptUse } from '@poppypond/fleet';
+import type { AttemptUse, BackendServer } from '@poppypond/fleet';
 import { ManualClock } from '@poppypond/mocks';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
+import type { EngineFigures } from '@poppypond/routing';
 import { silentLog } from '@poppypond/telemetry';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import type { PlanAnswer } from '../planning/plan-request.js';
+import { Planner } from '../planning/planner.js';
 import { ServerList } from '../store/server-list.js';
 import { decodeMessage, encodeMessage } from './peer-messages.js';
+import type { PeerAddress } from './peer-list.js';
 import type { PeerMessage } from './peer-messages.js';
 import { PeerMesh } from './peer-mesh.js';
 import { SharedKnowledge } from './shared-knowledge.js';
@@ -22,6 +26,37 @@
   };
 }
 
+interface HeardAnswer {
+  readonly attemptId: string;
+  readonly answer: PlanAnswer;
+}
+
+const SERVICE = 'engines';
+const ENGINE: BackendServer = {
+  id: 'i-1',
+  service: SERVICE,
+  address: 'a',
+  port: 1,
+  availabilityZone: 'z',
+  slots: 11,
+  isDraining: false,
+};
+const FIGURES: EngineFigures = {
+  slots: 11,
+  memoryTokens: 450_000,
+  stepsPerPass: 46,
+  stepMs: 0.925,
+  stepMsPerWriter: 0.007,
+  stepMsPerThousandTokens: 0.00254,
+  readTokensPerMs: 256,
+  readMsPerMillionPairs: 0.0917,
+  usualAnswerTokens: 1540,
+};
+
+function addressOf(port: number): PeerAddress {
+  return { host: `host-${String(port)}`, address: 'a', port, capacity: 1 };
+}
+
 interface Sent {
   readonly from: string;
   readonly to: number;
@@ -34,6 +69,8 @@
   readonly freshness: Freshness;
   readonly knowledge: SharedKnowledge;
   readonly startedAtMs: Milliseconds;
+  /** Answers of planners. */
+  readonly answers: HeardAnswer[];
 }
 
 /** Hosts whose messages are delivered when the test says so. */
@@ -50,7 +87,7 @@
     inForce.apply({
       version: 1,
       routes: [],
-      services: [],
+      services: [{ name: SERVICE, engine: FIGURES }],
       workspaces: [],
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     });
@@ -59,23 +96,28 @@
     const fleet = new FleetView();
     this.#lives += 1;
     const knowledge = new SharedKnowledge({ clock, inForce, freshness, list });
-    const name = (of: number) => `host-${String(of)}`;
+    const answers: HeardAnswer[] = [];
     const mesh = new PeerMesh({
       clock,
       log: silentLog,
       sender: {
         send: (_address, to, message) => {
-          this.sent.push({ from: name(port), to, message });
+          this.sent.push({ from: addressOf(port).host, to, message });
         },
       },
-      self: { host: name(port), address: 'a', port, incarnation: `life-${String(this.#lives)}` },
+      self: { ...addressOf(port), incarnation: `life-${String(this.#lives)}` },
       fleet,
-      queue: new ReadQueue(),
+      planner: new Planner({ clock, inForce, servers: list, fleet, queue: new ReadQueue() }),
+      engineServices: () => [SERVICE],
+      onPlan: (attemptId, answer) => {
+        answers.push({ attemptId, answer });
+      },
       knowledge,
     });
-    const host = { mesh, fleet, freshness, knowledge, startedAtMs };
+    list.replace([ENGINE], 0);
+    const host = { mesh, fleet, freshness, knowledge, startedAtMs, answers };
     this.hosts.set(port, host);
-    mesh.start(known.map((other) => ({ host: name(other), address: 'a', port: other })));
+    mesh.start(known.map(addressOf));
     return host;
   }
 
@@ -134,10 +176,10 @@
     const first = network.start(1, [2]);
     const second = network.start(2, [1]);
     await network.run(600);
-    first.mesh.begin('r', use('a'));
+    first.mesh.begin(use('a'), SERVICE);
     await network.run(50);
     expect(second.fleet.attemptsOf('host-1')).toHaveLength(1);
-    first.mesh.begin('r', use('b'));
+    first.mesh.begin(use('b'), SERVICE);
     network.sent.length = 0;
     expect(second.fleet.attemptsOf('host-1')).toHaveLength(1);
     await network.run(600);
@@ -160,6 +202,60 @@
     expect(first.mesh.hostCount).toBe(1);
   });
 
+  it('asks only the few that read and plan, and finds others when those are gone', async () => {
+    const network = new Network();
+    for (const port of PORTS) network.start(port, PORTS);
+    await network.run(3000);
+    network.sent.length = 0;
+    await network.clock.advance(500);
+    const targets = new Set(
+      network.sent.filter(({ from }) => from === 'host-5').map(({ to }) => to),
+    );
+    expect(targets.size).toBeLessThanOrEqual(4);
+    await network.run(1000);
+    const last = network.hosts.get(5);
+    const [planner = ''] = last?.mesh.plannersOf(SERVICE) ?? [];
+    for (const { mesh } of network.hosts.values()) {
+      expect(mesh.plannersOf(SERVICE)[0]).toBe(planner);
+    }
+    const gonePort = Number(planner.replace('host-', ''));
+    network.hosts.get(gonePort)?.mesh.stop();
+    network.hosts.delete(gonePort);
+    network.sent.length = 0;
+    await network.run(3500);
+    const others = [...network.hosts.values()].map(({ mesh }) => mesh.plannersOf(SERVICE)[0]);
+    expect(new Set(others).size).toBe(1);
+    expect(others).not.toContain(planner);
+  });
+
+  it('plans for the host that asks, and tells it', async () => {
+    const network = new Network();
+    for (const port of [1, 2]) network.start(port, [1, 2]);
+    await network.run(3000);
+    const asking = network.hosts.get(1);
+    asking?.mesh.askPlan('host-2', {
+      attemptId: 'a',
+      requestId: 'r',
+      host: 'host-1',
+      service: SERVICE,
+      promptTokens: 5000,
+      answerTokens: 1500,
+      aimMs: 300,
+      gapAimMs: 200,
+      arrivedAtMs: 0,
+      limitAtMs: 60_000,
+      avoidedIds: [],
+    });
+    await network.run(50);
+    expect(asking?.answers).toMatchObject([
+      { attemptId: 'a', answer: { kind: 'place', stream: { writerId: 'i-1' } } },
+    ]);
+    expect(network.hosts.get(2)?.fleet.attemptsOf('host-1')).toHaveLength(1);
+    asking?.mesh.withdrawPlan('host-2', 'a');
+    await network.run(50);
+    expect(network.hosts.get(2)?.fleet.attemptsOf('host-1')).toHaveLength(0);
+  });
+
   it('never proves more than its peer knew, with messages late, lost, and lives that change', () => {
     const step = fc.oneof(
       {
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -1,12 +1,21 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
-import type { AttemptUse, FleetView, ReadQueue, WaitingRead } from '@poppypond/fleet';
+import type { AttemptUse, FleetView } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
 import { match } from 'ts-pattern';
 import { PeerList } from './peer-list.js';
 import type { Peer, PeerAddress } from './peer-list.js';
 import type { Beat, PeerMessage } from './peer-messages.js';
+import type { PlannerPeers } from '../planning/placing.js';
+import type { PlanAnswer, PlanRequest } from '../planning/plan-request.js';
+import type { Planner } from '../planning/planner.js';
 import type { SharedKnowledge } from './shared-knowledge.js';
-import { fromWireUse, fromWireWait, toWireUse, toWireWait } from './work-on-the-wire.js';
+import {
+  fromWireAsk,
+  fromWireUse,
+  toWireAnswer,
+  toWireAsk,
+  toWireUse,
+} from './work-on-the-wire.js';
 
 /** Sends one message to a peer; may lose it. */
 export interface PeerSender {
@@ -14,8 +23,6 @@
 }
 
 const BEAT_PERIOD_MS: Milliseconds = 500;
-/** With many peers, those that don't read the store get one beat of this many. */
-const SELDOM_BEATS = 4;
 
 function finiteOrNull(ageMs: Milliseconds): Milliseconds | null {
   return Number.isFinite(ageMs) ? ageMs : null;
@@ -33,22 +40,26 @@
   readonly sender: PeerSender;
   readonly self: PeerAddress & { readonly incarnation: string };
   readonly fleet: FleetView;
-  readonly queue: ReadQueue;
+  readonly planner: Planner;
+  /** Services of engines that this host may have to plan for or ask for plans. */
+  readonly engineServices: () => readonly string[];
+  /** Takes in a planner's answer. */
+  readonly onPlan: (attemptId: string, answer: PlanAnswer) => void;
   readonly knowledge: SharedKnowledge;
 }
 
 /**
- * Tells peers what this host runs and takes in what they run. Messages may be lost: each
- * heartbeat holds the sender's whole state, so that a loss is mended within a period.
+ * Speaks with the few hosts that read the store and plan for all, and is one of them where its
+ * rank says so. Messages may be lost: each heartbeat holds the sender's whole state, so that a
+ * loss is mended within a period.
  */
-export class PeerMesh {
+export class PeerMesh implements PlannerPeers {
   readonly #peers: PeerList;
   #cancel: CancelTimer = () => undefined;
-  #beats = 0;
   #isStopped = false;
 
   constructor(readonly parts: PeerMeshParts) {
-    this.#peers = new PeerList(parts.clock);
+    this.#peers = new PeerList(parts.clock, parts.self);
   }
 
   /** Whether this host is one of the few that read the store for all: the first by name. */
@@ -94,64 +105,74 @@
     return this.#peers.aliveCount;
   }
 
-  /** An attempt of `request` begins, which waits no more. */
-  begin(request: string, use: AttemptUse): void {
-    this.parts.fleet.begin(use);
-    this.parts.queue.remove(request);
-    const wire = toWireUse(use, this.parts.clock.monotonicMs());
-    this.#broadcast({ kind: 'begin', ...this.#selfFields(), request, use: wire });
+  plannersOf(service: string): readonly string[] {
+    return this.#peers.plannersOf(service);
   }
 
-  /** A long prompt waits for its turn. */
-  wait(read: WaitingRead): void {
-    this.parts.queue.add(read);
-    const wire = toWireWait(read, this.parts.clock.monotonicMs());
-    this.#broadcast({ kind: 'wait', ...this.#selfFields(), wait: wire });
+  askPlan(planner: string, request: PlanRequest): void {
+    const ask = toWireAsk(request, this.parts.clock.monotonicMs());
+    this.#sendTo(planner, { kind: 'ask', ...this.#selfFields(), ask });
   }
 
-  /** A long prompt waits no more and does not run either. */
-  unwait(request: string): void {
-    this.parts.queue.remove(request);
-    this.#broadcast({ kind: 'unwait', ...this.#selfFields(), request });
+  withdrawPlan(planner: string, attemptId: string): void {
+    this.#sendTo(planner, { kind: 'withdraw', ...this.#selfFields(), attempt: attemptId });
   }
 
-  /** The first event of an attempt has come. `isTold`: whether peers gain from knowing at once. */
-  onReadDone(attemptId: string, isTold: boolean): void {
+  /** An attempt begins; planners of `service` are told, where there are any. */
+  begin(use: AttemptUse, service: string | undefined): void {
+    this.parts.fleet.begin(use);
+    const wire = toWireUse(use, this.parts.clock.monotonicMs());
+    this.#tellPlanners(service, { kind: 'begin', ...this.#selfFields(), use: wire });
+  }
+
+  /** The first event of an attempt has come. `service`: undefined where planners need not know. */
+  onReadDone(attemptId: string, service: string | undefined): void {
     this.parts.fleet.onReadDone(attemptId);
-    if (isTold) this.#broadcast({ kind: 'read', ...this.#selfFields(), attempt: attemptId });
+    this.#tellPlanners(service, { kind: 'read', ...this.#selfFields(), attempt: attemptId });
   }
 
-  /** An attempt is over. */
-  end(attemptId: string): void {
+  /** An attempt is over, or won't begin. */
+  end(attemptId: string, service: string | undefined): void {
     this.parts.fleet.end(attemptId);
-    this.#broadcast({ kind: 'end', ...this.#selfFields(), attempt: attemptId });
+    this.#tellPlanners(service, { kind: 'end', ...this.#selfFields(), attempt: attemptId });
   }
 
   /** All hosts avoid `server` for `forMs` from now. */
   suspect(server: string, forMs: Milliseconds): void {
-    this.parts.fleet.suspect(server, this.parts.clock.monotonicMs() + forMs);
-    this.#broadcast({ kind: 'suspect', ...this.#selfFields(), server, forMs });
+    const { clock, fleet } = this.parts;
+    const isKnown = fleet.isSuspect(server, clock.monotonicMs());
+    fleet.suspect(server, clock.monotonicMs() + forMs);
+    if (!isKnown) this.#broadcast({ kind: 'suspect', ...this.#selfFields(), server, forMs });
   }
 
   /** Takes in one message; `address` is where it came from. */
   receive(message: PeerMessage, address: string): void {
     if (this.#isStopped || message.host === this.parts.self.host) return;
     this.#hear(message, address);
-    const { fleet, queue, clock } = this.parts;
+    const { fleet, planner, clock } = this.parts;
     const nowMs = clock.monotonicMs();
     match(message)
       .with({ kind: 'beat' }, (beat) => {
         this.#takeBeat(beat);
       })
-      .with({ kind: 'begin' }, ({ request, use, host }) => {
-        queue.remove(request);
+      .with({ kind: 'begin' }, ({ use, host }) => {
         fleet.begin(fromWireUse(use, host, nowMs));
       })
-      .with({ kind: 'wait' }, ({ wait, host }) => {
-        queue.add(fromWireWait(wait, host, nowMs));
+      .with({ kind: 'ask' }, ({ ask, host }) => {
+        planner.submit(fromWireAsk(ask, host, nowMs), (answer) => {
+          this.#sendTo(host, {
+            kind: 'plan',
+            ...this.#selfFields(),
+            attempt: ask.attempt,
+            answer: toWireAnswer(answer),
+          });
+        });
+      })
+      .with({ kind: 'plan' }, ({ attempt, answer }) => {
+        this.parts.onPlan(attempt, answer);
       })
-      .with({ kind: 'unwait' }, ({ request }) => {
-        queue.remove(request);
+      .with({ kind: 'withdraw' }, ({ attempt }) => {
+        planner.withdraw(attempt);
       })
       .with({ kind: 'read' }, ({ attempt }) => {
         fleet.onReadDone(attempt);
@@ -180,16 +201,10 @@
   }
 
   #takeBeat(beat: Beat): void {
-    const { clock, fleet, knowledge, queue, self } = this.parts;
+    const { clock, fleet, knowledge, self } = this.parts;
     const nowMs = clock.monotonicMs();
-    queue.replaceHost(
-      beat.host,
-      beat.waits.map((wait) => fromWireWait(wait, beat.host, nowMs)),
-    );
-    fleet.replaceHost(
-      beat.host,
-      beat.uses.map((use) => fromWireUse(use, beat.host, nowMs)),
-    );
+    const uses = beat.uses.map((use) => fromWireUse(use, beat.host, nowMs));
+    fleet.replaceHost(beat.host, uses, nowMs);
     if (beat.isQuestion) this.#beat(beat.host, false);
     if (beat.echo?.incarnation !== self.incarnation) return;
     // Ages were told after our own beat had arrived there, so they held at that beat or later.
@@ -224,24 +239,19 @@
   }
 
   #dropWorkOf(host: string): void {
-    this.parts.fleet.replaceHost(host, []);
-    this.parts.queue.replaceHost(host, []);
+    this.parts.fleet.dropHost(host);
   }
 
   #beatAll(): void {
-    this.#beats += 1;
-    const asked = new Set(this.#peers.firstReaders().map((peer) => peer.host));
-    const isForAll = !this.#peers.isLarge || this.#beats % SELDOM_BEATS === 0;
-    for (const { host } of this.#peers.all()) {
-      if (asked.has(host)) this.#beat(host, true);
-      else if (isForAll) this.#beat(host, false);
-    }
+    const asked = this.#peers.toAsk(this.parts.engineServices());
+    this.#peers.noteAsked(asked);
+    for (const host of asked) this.#beat(host, true);
   }
 
   #beat(host: string, isQuestion: boolean): void {
     const peer = this.#peers.find(host);
     if (!peer) return;
-    const { clock, fleet, knowledge, queue, self, sender } = this.parts;
+    const { clock, fleet, knowledge, self, sender } = this.parts;
     const nowMs = clock.monotonicMs();
     sender.send(peer.address, peer.port, {
       kind: 'beat',
@@ -253,8 +263,8 @@
       ...knowledge.own,
       configurationAgeMs: finiteOrNull(knowledge.configurationAgeMs),
       listAgeMs: finiteOrNull(knowledge.listAgeMs),
+      capacity: self.capacity,
       uses: fleet.attemptsOf(self.host).map((use) => toWireUse(use, nowMs)),
-      waits: queue.ofHost(self.host).map((read) => toWireWait(read, nowMs)),
     });
   }
 
@@ -264,6 +274,16 @@
     }
   }
 
+  #tellPlanners(service: string | undefined, message: PeerMessage): void {
+    if (service === undefined) return;
+    for (const host of this.#peers.plannersOf(service)) this.#sendTo(host, message);
+  }
+
+  #sendTo(host: string, message: PeerMessage): void {
+    const peer = this.#peers.find(host);
+    if (peer) this.parts.sender.send(peer.address, peer.port, message);
+  }
+
   #selfFields() {
     const { host, incarnation, port } = this.parts.self;
     return { host, incarnation, port };
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -1,3 +1,4 @@
+import { PLACEMENT_RULES } from '@poppypond/fleet';
 import { pack, unpack } from 'msgpackr';
 import { z } from 'zod';
 
@@ -22,14 +23,41 @@
   port: z.number(),
 };
 
-/** A long prompt that waits, as it is told to peers. */
-const waitSchema = z.tuple([
-  z.string().describe('request'),
-  z.number().describe('reading time on one engine'),
-  z.number().describe('too late in'),
-  z.number().describe('overdue in'),
-  z.boolean().describe('lets others pass'),
-  z.number().describe('dropped in'),
+/** What a host asks of a planner: durations in place of instants of the sender's clock. */
+const askSchema = z.object({
+  attempt: z.string(),
+  request: z.string(),
+  service: z.string(),
+  promptTokens: z.number(),
+  answerTokens: z.number(),
+  aimMs: z.number(),
+  gapAimMs: z.number(),
+  /** Time since the request came. */
+  waitedMs: z.number(),
+  /** Time until its caller's limit. */
+  leftMs: z.number(),
+  avoidedIds: z.array(z.string()),
+});
+
+const ruleSchema = z.enum(PLACEMENT_RULES);
+
+/** What a planner answers. */
+const answerSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('place'),
+    stream: z.object({
+      rule: ruleSchema,
+      writerId: z.string(),
+      readerIds: z.array(z.string()),
+      partMs: z.number(),
+      shares: z.array(z.object({ engineId: z.string(), tokens: z.number() })),
+      expectedFirstMs: z.number(),
+      writersBefore: z.number(),
+      readingBeforeMs: z.number(),
+    }),
+  }),
+  z.object({ kind: z.literal('wait'), rule: ruleSchema }),
+  z.object({ kind: z.literal('refuse'), rule: ruleSchema }),
 ]);
 
 /** Sent every half second and as an answer to a new peer; holds all that the sender runs. */
@@ -49,23 +77,33 @@
   /** Stands for the list of backend servers as the sender knows it. */
   listDigest: z.string(),
   listAgeMs: z.number().nullable(),
+  /** Processor that the sender has, in cores of the usual speed; large hosts plan first. */
+  capacity: z.number(),
   uses: z.array(useSchema),
-  waits: z.array(waitSchema),
 });
 
-/** Sent when an attempt begins. */
+/** Sent to planners when an attempt begins. */
 const beginSchema = z.object({
   kind: z.literal('begin'),
   ...hostFields,
-  /** Waits no more. */
-  request: z.string(),
   use: useSchema,
 });
-/** Sent when a long prompt begins to wait. */
-const waitMessageSchema = z.object({ kind: z.literal('wait'), ...hostFields, wait: waitSchema });
-/** Sent when a long prompt waits no more without having been placed. */
-const unwaitSchema = z.object({ kind: z.literal('unwait'), ...hostFields, request: z.string() });
-/** Sent when the first event of a long read has come, and when an attempt has ended. */
+/** Sent to the planner of a service. */
+const askMessageSchema = z.object({ kind: z.literal('ask'), ...hostFields, ask: askSchema });
+/** Sent by a planner to the host that asked. */
+const planMessageSchema = z.object({
+  kind: z.literal('plan'),
+  ...hostFields,
+  attempt: z.string(),
+  answer: answerSchema,
+});
+/** Sent to a planner when a request won't run by its plan. */
+const withdrawSchema = z.object({
+  kind: z.literal('withdraw'),
+  ...hostFields,
+  attempt: z.string(),
+});
+/** Sent to planners when the first event of a long read has come, and when an attempt has ended. */
 const changeSchema = z.object({
   kind: z.enum(['read', 'end']),
   ...hostFields,
@@ -91,8 +129,9 @@
 const messageSchema = z.union([
   beatSchema,
   beginSchema,
-  waitMessageSchema,
-  unwaitSchema,
+  askMessageSchema,
+  planMessageSchema,
+  withdrawSchema,
   changeSchema,
   suspectSchema,
   newsSchema,
@@ -103,8 +142,10 @@
 export type PeerMessage = z.infer<typeof messageSchema>;
 /** The heartbeat of a relay. */
 export type Beat = z.infer<typeof beatSchema>;
-/** A waiting prompt on the way to a peer. */
-export type WireWait = z.infer<typeof waitSchema>;
+/** A planner's answer on its way. */
+export type WireAnswer = z.infer<typeof answerSchema>;
+/** A question to a planner on its way. */
+export type WireAsk = z.infer<typeof askSchema>;
 /** An attempt on the way to a peer. */
 export type WireUse = z.infer<typeof useSchema>;
 
--- a/packages/relay/src/peers/work-on-the-wire.ts
+++ b/packages/relay/src/peers/work-on-the-wire.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@poppypond/core';
-import type { AttemptUse, WaitingRead } from '@poppypond/fleet';
-import type { WireUse, WireWait } from './peer-messages.js';
+import type { AttemptUse } from '@poppypond/fleet';
+import type { PlanAnswer, PlanRequest } from '../planning/plan-request.js';
+import type { WireAnswer, WireAsk, WireUse } from './peer-messages.js';
 
 /** An attempt for the wire, as of `nowMs`. */
 export function toWireUse(use: AttemptUse, nowMs: Milliseconds): WireUse {
@@ -37,23 +38,40 @@
   };
 }
 
-/** A waiting prompt for the wire, as of `nowMs`. */
-export function toWireWait(read: WaitingRead, nowMs: Milliseconds): WireWait {
-  return [
-    read.requestId,
-    Math.round(read.readMs),
-    Math.round(read.aimAtMs - nowMs),
-    Math.round(read.overdueAtMs - nowMs),
-    read.isYielding,
-    Math.round(read.expiresAtMs - nowMs),
-  ];
+/** A question to a planner for the wire, as of `nowMs`. */
+export function toWireAsk(request: PlanRequest, nowMs: Milliseconds): WireAsk {
+  const { attemptId, requestId, service, promptTokens, answerTokens, aimMs, gapAimMs } = request;
+  return {
+    attempt: attemptId,
+    request: requestId,
+    service,
+    promptTokens,
+    answerTokens,
+    aimMs,
+    gapAimMs,
+    waitedMs: Math.round(nowMs - request.arrivedAtMs),
+    leftMs: Math.round(request.limitAtMs - nowMs),
+    avoidedIds: [...request.avoidedIds],
+  };
+}
+
+/** A question of `host` from the wire, on this process's clock. */
+export function fromWireAsk(wire: WireAsk, host: string, nowMs: Milliseconds): PlanRequest {
+  const { attempt, request, waitedMs, leftMs, ...same } = wire;
+  return {
+    ...same,
+    attemptId: attempt,
+    requestId: request,
+    host,
+    arrivedAtMs: nowMs - waitedMs,
+    limitAtMs: nowMs + leftMs,
+  };
 }
 
-/** A waiting prompt of `host` from the wire, on this process's clock. */
-export function fromWireWait(wire: WireWait, host: string, nowMs: Milliseconds): WaitingRead {
-  const [requestId, readMs, lateInMs, overdueInMs, isYielding, dropInMs] = wire;
-  const aimAtMs = nowMs + lateInMs;
-  const overdueAtMs = nowMs + overdueInMs;
-  const expiresAtMs = nowMs + dropInMs;
-  return { requestId, host, readMs, aimAtMs, overdueAtMs, isYielding, expiresAtMs };
+/** A planner's answer for the wire. */
+export function toWireAnswer(answer: PlanAnswer): WireAnswer {
+  if (answer.kind !== 'place') return answer;
+  const { stream } = answer;
+  const shares = stream.shares.map((share) => ({ ...share }));
+  return { kind: 'place', stream: { ...stream, readerIds: [...stream.readerIds], shares } };
 }
--- /dev/null
+++ b/packages/relay/src/planning/placing.test.ts
@@ -0,0 +1,102 @@
+import type { Milliseconds } from '@poppypond/core';
+import { FleetView, ReadQueue } from '@poppypond/fleet';
+import { ManualClock } from '@poppypond/mocks';
+import { ConfigurationInForce } from '@poppypond/routing';
+import { silentLog } from '@poppypond/telemetry';
+import { describe, expect, it } from 'vitest';
+import { ServerList } from '../store/server-list.js';
+import { Placing } from './placing.js';
+import type { PlanAnswer, PlanRequest } from './plan-request.js';
+import { Planner } from './planner.js';
+
+const REQUEST: PlanRequest = {
+  attemptId: 'a',
+  requestId: 'r',
+  host: 'self',
+  service: 'engines',
+  promptTokens: 5000,
+  answerTokens: 1000,
+  aimMs: 300,
+  gapAimMs: 200,
+  arrivedAtMs: 0,
+  limitAtMs: 10_000,
+  avoidedIds: [],
+};
+const PLACE: PlanAnswer = {
+  kind: 'place',
+  stream: {
+    rule: 'packed',
+    writerId: 'i-1',
+    readerIds: [],
+    partMs: 20,
+    shares: [],
+    expectedFirstMs: 60,
+    writersBefore: 0,
+    readingBeforeMs: 0,
+  },
+};
+
+/** A host that asks, and the questions that its peers got. */
+function askingHost(planners: readonly string[]) {
+  const clock = new ManualClock();
+  const asked: string[] = [];
+  const withdrawn: string[] = [];
+  const inForce = new ConfigurationInForce();
+  const servers = new ServerList(clock, silentLog);
+  const fleet = new FleetView();
+  const placing = new Placing({
+    clock,
+    log: silentLog,
+    host: 'self',
+    peers: {
+      plannersOf: () => planners,
+      askPlan: (planner) => {
+        asked.push(planner);
+      },
+      withdrawPlan: (planner) => {
+        withdrawn.push(planner);
+      },
+    },
+    planner: new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue() }),
+  });
+  return { clock, asked, withdrawn, placing };
+}
+
+describe('Placing', () => {
+  it('takes the answer of the first planner', async () => {
+    const { asked, placing } = askingHost(['p1', 'p2']);
+    const placed = placing.place(REQUEST, () => false);
+    placing.hear('other', { kind: 'refuse', rule: 'no_engine' });
+    placing.hear('a', PLACE);
+    expect(await placed).toMatchObject({ kind: 'place', planner: 'p1' });
+    expect(asked).toEqual(['p1']);
+  });
+
+  it('asks the next one where the first is silent, spares it, and plans itself in the end', async () => {
+    const { clock, asked, placing } = askingHost(['p1', 'p2']);
+    const placed = placing.place(REQUEST, () => false);
+    await clock.advance(100);
+    // This host knows no configuration, so its own plan is a refusal.
+    expect(await placed).toMatchObject({ kind: 'refuse', planner: 'self' });
+    expect(asked).toEqual(['p1', 'p2']);
+    void placing.place(REQUEST, () => false);
+    await clock.advance(1000);
+    void placing.place({ ...REQUEST, attemptId: 'b' }, () => false);
+    expect(asked).toEqual(['p1', 'p2', 'p1']);
+  });
+
+  it('asks again while it waits, and withdraws when the caller has left', async () => {
+    const { clock, asked, withdrawn, placing } = askingHost(['p1']);
+    let isOver = false;
+    const placed = placing.place(REQUEST, () => isOver);
+    placing.hear('a', { kind: 'wait', rule: 'waits_for_turn' });
+    const waitedMs: Milliseconds = 320;
+    for (let passedMs = 0; passedMs < waitedMs; passedMs += 10) await clock.advance(10);
+    expect(asked).toEqual(['p1', 'p1']);
+    placing.hear('a', { kind: 'wait', rule: 'waits_for_turn' });
+    isOver = true;
+    await clock.advance(60);
+    expect(await placed).toEqual({ kind: 'over' });
+    expect(withdrawn).toEqual(['p1']);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/planning/placing.ts
@@ -0,0 +1,125 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { PlacementRule } from '@poppypond/fleet';
+import type { Log } from '@poppypond/telemetry';
+import type { PlanAnswer, PlannedStream, PlanRequest } from './plan-request.js';
+import type { Planner } from './planner.js';
+import { Replies } from './replies.js';
+
+/** What a host knows of a plan when it stops asking. */
+export type Placed =
+  | { readonly kind: 'place'; readonly stream: PlannedStream; readonly planner: string }
+  | { readonly kind: 'refuse'; readonly rule: PlacementRule; readonly planner: string }
+  | { readonly kind: 'over' };
+
+/** How other hosts that plan are found and asked. */
+export interface PlannerPeers {
+  /** Hosts that plan for a service, the first in rank before others; this host may be among them. */
+  plannersOf(service: string): readonly string[];
+  /** Asks; the answers are heard later, or never. */
+  askPlan(planner: string, request: PlanRequest): void;
+  /** Tells that a request won't run by a plan. */
+  withdrawPlan(planner: string, attemptId: string): void;
+}
+
+/** What asking needs. */
+export interface PlacingParts {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly host: string;
+  readonly peers: PlannerPeers;
+  /** Plans where this host is the planner, or no planner answers. */
+  readonly planner: Planner;
+}
+
+/**
+ * Silence after which another host is asked. Answers come within 3 ms on calm days; a busy small
+ * host adds some ten.
+ */
+const ANSWER_PATIENCE_MS: Milliseconds = 40;
+/** A waiting request is told again this often, in case its planner was replaced or forgot it. */
+const ASK_AGAIN_MS: Milliseconds = 300;
+/** Pause before a waiting request looks whether its caller has left. */
+const LOOK_AGAIN_MS: Milliseconds = 50;
+/** A host that did not answer is not asked for this long. */
+const SILENT_FOR_MS: Milliseconds = 1000;
+
+/** Asks the host that plans for a service where a stream is to run, and plans here if none answers. */
+export class Placing {
+  readonly #silentUntil = new Map<string, Milliseconds>();
+  readonly #replies = new Map<string, Replies>();
+
+  constructor(readonly parts: PlacingParts) {}
+
+  /** Takes in a planner's answer; one that nobody waits for any more is dropped. */
+  hear(attemptId: string, answer: PlanAnswer): void {
+    this.#replies.get(attemptId)?.push(answer);
+  }
+
+  /** Asks until the stream is placed or refused, or `isOver` holds. */
+  async place(request: PlanRequest, isOver: () => boolean): Promise<Placed> {
+    const replies = new Replies(this.parts.clock);
+    this.#replies.set(request.attemptId, replies);
+    try {
+      for (;;) {
+        const planner = this.#plannerOf(request.service);
+        if (isOver()) return this.#withdraw(planner, request.attemptId);
+        this.#ask(planner, request);
+        const answer = await replies.next(ANSWER_PATIENCE_MS);
+        if (!answer) this.#onSilent(planner, request);
+        const decided = answer?.kind === 'wait' ? await this.#decided(replies, isOver) : answer;
+        if (decided && decided.kind !== 'wait') return { ...decided, planner };
+      }
+    } finally {
+      this.#replies.delete(request.attemptId);
+    }
+  }
+
+  /** The answer after one to wait; undefined where it is time to ask again or to stop. */
+  async #decided(replies: Replies, isOver: () => boolean): Promise<PlanAnswer | undefined> {
+    const { clock } = this.parts;
+    const untilMs = clock.monotonicMs() + ASK_AGAIN_MS;
+    while (!isOver() && clock.monotonicMs() < untilMs) {
+      const answer = await replies.next(LOOK_AGAIN_MS);
+      if (answer && answer.kind !== 'wait') return answer;
+    }
+    return undefined;
+  }
+
+  /** The host that plans for a service: the first in rank that answers, or this one. */
+  #plannerOf(service: string): string {
+    const { clock, host, peers } = this.parts;
+    const nowMs = clock.monotonicMs();
+    const isSilent = (candidate: string) => (this.#silentUntil.get(candidate) ?? 0) > nowMs;
+    return peers.plannersOf(service).find((candidate) => !isSilent(candidate)) ?? host;
+  }
+
+  #ask(planner: string, request: PlanRequest): void {
+    const { host, peers } = this.parts;
+    if (planner !== host) {
+      peers.askPlan(planner, request);
+      return;
+    }
+    this.parts.planner.submit(request, (answer) => {
+      this.hear(request.attemptId, answer);
+    });
+  }
+
+  #onSilent(planner: string, { requestId, service }: PlanRequest): void {
+    const { clock, log } = this.parts;
+    this.#silentUntil.set(planner, clock.monotonicMs() + SILENT_FOR_MS);
+    log.warn('planner_silent', {
+      request: requestId,
+      service,
+      planner,
+      after_ms: ANSWER_PATIENCE_MS,
+      not_asked_for_ms: SILENT_FOR_MS,
+    });
+  }
+
+  #withdraw(planner: string, attemptId: string): Placed {
+    const { host, peers } = this.parts;
+    if (planner === host) this.parts.planner.withdraw(attemptId);
+    else peers.withdrawPlan(planner, attemptId);
+    return { kind: 'over' };
+  }
+}
--- /dev/null
+++ b/packages/relay/src/planning/planner.test.ts
@@ -0,0 +1,120 @@
+import { FleetView, ReadQueue } from '@poppypond/fleet';
+import { ManualClock } from '@poppypond/mocks';
+import { ConfigurationInForce } from '@poppypond/routing';
+import { silentLog } from '@poppypond/telemetry';
+import { describe, expect, it } from 'vitest';
+import { ServerList } from '../store/server-list.js';
+import type { PlanAnswer, PlanRequest } from './plan-request.js';
+import { Planner } from './planner.js';
+
+const FIGURES = {
+  slots: 11,
+  memoryTokens: 450_000,
+  stepsPerPass: 46,
+  stepMs: 0.925,
+  stepMsPerWriter: 0.007,
+  stepMsPerThousandTokens: 0.00254,
+  readTokensPerMs: 256,
+  readMsPerMillionPairs: 0.0917,
+  usualAnswerTokens: 1540,
+};
+
+function long(requestId: string, more: Partial<PlanRequest> = {}): PlanRequest {
+  return {
+    attemptId: `attempt-${requestId}`,
+    requestId,
+    host: 'asker',
+    service: 'engines',
+    promptTokens: 300_000,
+    answerTokens: 1000,
+    aimMs: 4000,
+    gapAimMs: 800,
+    arrivedAtMs: 0,
+    limitAtMs: 15_000,
+    avoidedIds: [],
+    ...more,
+  };
+}
+
+function planner(engines: number) {
+  const clock = new ManualClock();
+  const inForce = new ConfigurationInForce();
+  inForce.apply({
+    version: 1,
+    routes: [],
+    services: [{ name: 'engines', engine: FIGURES }],
+    workspaces: [],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  });
+  const servers = new ServerList(clock, silentLog);
+  const listed = Array.from({ length: engines }, (_unused, index) => ({
+    id: `i-${String(index).padStart(3, '0')}`,
+    service: 'engines',
+    address: 'a',
+    port: 1,
+    availabilityZone: 'z',
+    slots: 11,
+    isDraining: false,
+  }));
+  servers.replace(listed, 0);
+  const fleet = new FleetView();
+  const made = new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue() });
+  const answers: PlanAnswer[] = [];
+  const ask = (request: PlanRequest) => {
+    made.submit(request, (answer) => {
+      answers.push(answer);
+    });
+  };
+  return { clock, fleet, made, answers, ask };
+}
+
+function enginesOf(answer: PlanAnswer | undefined): readonly string[] {
+  if (answer?.kind !== 'place') return [];
+  return [answer.stream.writerId, ...answer.stream.readerIds];
+}
+
+describe('Planner', () => {
+  it('reads as many long prompts at once as there are groups of engines, none on the same engine', () => {
+    const { answers, ask } = planner(60);
+    for (const id of ['a', 'b', 'c', 'd']) ask(long(id));
+    expect(answers.map(({ kind }) => kind)).toEqual(['place', 'place', 'place', 'wait']);
+    const used = answers.flatMap(enginesOf);
+    expect(new Set(used).size).toBe(used.length);
+  });
+
+  it('places what waits when a read has ended, and forgets what its host withdraws', async () => {
+    const { clock, fleet, made, answers, ask } = planner(18);
+    for (const id of ['a', 'b', 'c']) ask(long(id));
+    expect(answers.map(({ kind }) => kind)).toEqual(['place', 'wait', 'wait']);
+    made.withdraw('attempt-b');
+    fleet.onReadDone('attempt-a');
+    await clock.advance(20);
+    expect(answers.map(({ kind }) => kind)).toEqual(['place', 'wait', 'wait', 'place']);
+    expect(made.waitingCount).toBe(0);
+    expect(fleet.attemptsOf('asker').map(({ attemptId }) => attemptId)).toEqual([
+      'attempt-a',
+      'attempt-c',
+    ]);
+  });
+
+  it('keeps to a read that takes longer than foreseen', async () => {
+    const { clock, answers, ask } = planner(18);
+    ask(long('a'));
+    const [first] = answers;
+    if (first?.kind !== 'place') throw new Error('not placed');
+    await clock.advance(Math.ceil(first.stream.partMs * 1.3));
+    ask(long('b'));
+    expect(answers.at(-1)).toEqual({ kind: 'wait', rule: 'waits_for_turn' });
+  });
+
+  it('answers a question that is repeated anew, and drops those that nobody repeats', async () => {
+    const { clock, fleet, made, answers, ask } = planner(18);
+    ask(long('a'));
+    ask(long('a'));
+    expect(answers.map(({ kind }) => kind)).toEqual(['place', 'place']);
+    expect(fleet.size).toBe(1);
+    ask(long('b'));
+    for (let passedMs = 0; passedMs < 1100; passedMs += 10) await clock.advance(10);
+    expect(made.waitingCount).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/planning/planner.ts
@@ -0,0 +1,104 @@
+import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
+import type { FleetView, ReadQueue } from '@poppypond/fleet';
+import type { ConfigurationInForce } from '@poppypond/routing';
+import type { ServerList } from '../store/server-list.js';
+import { planEngines } from './plan-engines.js';
+import type { PlanAnswer, PlanRequest } from './plan-request.js';
+import { toAttemptUse } from './planned-use.js';
+
+/** Takes a planner's answer. */
+export type AnswerListener = (answer: PlanAnswer) => void;
+
+/** What a planner needs. */
+export interface PlannerParts {
+  readonly clock: Clock;
+  readonly inForce: ConfigurationInForce;
+  readonly servers: ServerList;
+  readonly fleet: FleetView;
+  readonly queue: ReadQueue;
+}
+
+interface Waiting {
+  readonly request: PlanRequest;
+  readonly onAnswer: AnswerListener;
+  /** When its host was heard last, on this process's clock. */
+  readonly askedAtMs: Milliseconds;
+}
+
+/** Pause before waiting requests are looked at again. */
+const LOOK_AGAIN_MS: Milliseconds = 10;
+/** A waiting request whose host does not ask again for this long is dropped; hosts ask every 300 ms. */
+const ASKED_LATELY_MS: Milliseconds = 1000;
+
+/** Decides for hosts where their streams run, and keeps those that must wait. */
+export class Planner {
+  readonly #waiting = new Map<string, Waiting>();
+  #cancelLook: CancelTimer | undefined;
+
+  constructor(readonly parts: PlannerParts) {}
+
+  /** Requests that wait here. */
+  get waitingCount(): number {
+    return this.#waiting.size;
+  }
+
+  /** Takes a request in; `onAnswer` is called now, and once more after `wait`. */
+  submit(request: PlanRequest, onAnswer: AnswerListener): void {
+    const answer = this.#decide(request);
+    if (answer.kind === 'wait') {
+      const askedAtMs = this.parts.clock.monotonicMs();
+      this.#waiting.set(request.attemptId, { request, onAnswer, askedAtMs });
+      this.#cancelLook ??= this.parts.clock.every(LOOK_AGAIN_MS, () => {
+        this.#lookAgain();
+      });
+    } else {
+      this.#waiting.delete(request.attemptId);
+    }
+    onAnswer(answer);
+  }
+
+  /** Forgets a request that waits or was placed, and that won't run by this plan. */
+  withdraw(attemptId: string): void {
+    const waiting = this.#waiting.get(attemptId);
+    if (waiting) this.#drop(waiting.request);
+    this.parts.fleet.end(attemptId);
+  }
+
+  #drop(request: PlanRequest): void {
+    this.#waiting.delete(request.attemptId);
+    this.parts.queue.remove(request.requestId);
+  }
+
+  #lookAgain(): void {
+    const nowMs = this.parts.clock.monotonicMs();
+    for (const { request, onAnswer, askedAtMs } of [...this.#waiting.values()]) {
+      const isLeft = nowMs - askedAtMs > ASKED_LATELY_MS || nowMs >= request.limitAtMs;
+      if (isLeft) this.#drop(request);
+      else this.#lookAgainAt(request, onAnswer);
+    }
+    if (this.#waiting.size > 0) return;
+    this.#cancelLook?.();
+    this.#cancelLook = undefined;
+  }
+
+  #lookAgainAt(request: PlanRequest, onAnswer: AnswerListener): void {
+    const answer = this.#decide(request);
+    if (answer.kind === 'wait') return;
+    this.#waiting.delete(request.attemptId);
+    onAnswer(answer);
+  }
+
+  #decide(request: PlanRequest): PlanAnswer {
+    const { clock, fleet, inForce, queue } = this.parts;
+    const figures = inForce.table?.service(request.service)?.engine;
+    if (!figures) return { kind: 'refuse', rule: 'no_engine' };
+    fleet.end(request.attemptId);
+    const answer = planEngines(this.parts, figures, request);
+    if (answer.kind === 'wait') return answer;
+    queue.remove(request.requestId);
+    if (answer.kind === 'place') {
+      fleet.begin(toAttemptUse(request, answer.stream, clock.monotonicMs()));
+    }
+    return answer;
+  }
+}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,7 +1,7 @@
 import { delay } from '@poppypond/core';
 import type { Milliseconds } from '@poppypond/core';
 import type { Server } from 'node:http';
-import { composeBase, composeParts, composePeers } from './compose.js';
+import { composeBase, composeParts, composePeers, selfAddress } from './compose.js';
 import type { RelayBase } from './compose.js';
 import { DatagramSender } from './peers/datagram-sender.js';
 import { MemberDirectory } from './peers/member-directory.js';
@@ -124,8 +124,8 @@
 
   #compose(sender: DatagramSender): Running {
     const { clock, inForce } = this.#base;
-    const peers = composePeers(this.#base, sender);
-    const serving = new Serving(composeParts(this.#base, peers));
+    const { peers, placing } = composePeers(this.#base, sender);
+    const serving = new Serving(composeParts(this.#base, peers, placing));
     const front = new FrontServer({
       clock,
       wire: this.ports.wire,
@@ -167,9 +167,9 @@
   }
 
   async #join(peers: PeerMesh): Promise<void> {
-    const { host, address, peerPort } = this.settings;
+    const self = selfAddress(this.settings);
     while (!this.#isStopping) {
-      const members = await this.#directory.join({ host, address, port: peerPort });
+      const members = await this.#directory.join(self);
       if (members) {
         peers.learn(members);
         return;
--- a/packages/relay/src/request/attempt-use.ts
+++ b/packages/relay/src/request/attempt-use.ts
@@ -1,28 +1,26 @@
 import type { AttemptUse } from '@poppypond/fleet';
-import type { CallerHead } from '../ports.js';
+import type { Milliseconds } from '@poppypond/core';
+import { LIMIT_SLACK_MS } from '../planning/planned-use.js';
 import type { Choice } from './choice.js';
 
-/** What an attempt is known by besides its choice of engines. */
-export type PlacedAttempt = Pick<
-  AttemptUse,
-  'attemptId' | 'host' | 'gapAimMs' | 'placedAtMs' | 'expiresAtMs'
->;
-
-/** What an attempt takes up: its whole context, less what other engines hold, on the writer. */
-export function toAttemptUse(
-  { placement, server }: Choice,
-  { promptTokens, answerTokens }: CallerHead,
-  placed: PlacedAttempt,
+/** What a call of a plain service takes up: a place on its server. */
+export function callUse(
+  { attemptId, server }: Choice,
+  host: string,
+  placedAtMs: Milliseconds,
+  limitAtMs: Milliseconds,
 ): AttemptUse {
-  const shares = placement?.shares ?? [];
-  const sharedTokens = shares.reduce((sum, { tokens }) => sum + tokens, 0);
   return {
-    ...placed,
+    attemptId,
+    host,
     writerId: server.id,
-    readerIds: (placement?.readers ?? []).map((load) => load.server.id),
-    partMs: placement?.partMs ?? 0,
-    contextTokens: promptTokens + answerTokens - sharedTokens,
-    held: shares.map(({ engine, tokens }) => ({ engineId: engine.server.id, tokens })),
-    isReading: placement !== undefined,
+    readerIds: [],
+    partMs: 0,
+    contextTokens: 0,
+    held: [],
+    gapAimMs: 0,
+    isReading: false,
+    placedAtMs,
+    expiresAtMs: limitAtMs + LIMIT_SLACK_MS,
   };
 }
--- a/packages/relay/src/request/patience.ts
+++ b/packages/relay/src/request/patience.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@poppypond/core';
-import type { StreamPlacement } from '@poppypond/fleet';
+import type { Route } from '@poppypond/routing';
+import type { PlannedStream } from '../planning/plan-request.js';
 
 /** Silence beyond the expected first event after which an engine is asked whether it lives. */
 const FIRST_EVENT_SLACK_MS: Milliseconds = 300;
@@ -9,8 +10,15 @@
 const SHORTEST_STALL_MS: Milliseconds = 600;
 /** The same, as a multiple of the pause that the route aims at. */
 const STALL_GAPS = 2;
-/** Silence after which another engine is tried though this one lives: callers leave at 2 s. */
-const BUSY_PATIENCE_MS: Milliseconds = 1300;
+/**
+ * Callers leave a stream that was silent for this long, or for so many aims or pauses, whichever
+ * is longest.
+ */
+const SHORTEST_CALLER_SILENCE_MS: Milliseconds = 2000;
+const CALLER_SILENCE_AIMS = 4;
+const CALLER_SILENCE_GAPS = 8;
+/** Part of that after which another engine is tried though this one lives. */
+const BUSY_PATIENCE_SHARE = 0.65;
 /** Added to that for each millisecond in which the first event was expected. */
 const BUSY_FACTOR = 2;
 /** Share of the time limit after which a plain call that may be repeated is tried elsewhere. */
@@ -18,11 +26,11 @@
 
 /** Silence after which a server that has sent nothing yet is looked after. */
 export function firstPatienceMs(
-  placement: StreamPlacement | undefined,
+  stream: PlannedStream | undefined,
   timeLeftMs: Milliseconds,
 ): Milliseconds {
-  if (!placement) return timeLeftMs * CALL_PATIENCE_SHARE;
-  return placement.expectedFirstMs * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK_MS;
+  if (!stream) return timeLeftMs * CALL_PATIENCE_SHARE;
+  return stream.expectedFirstMs * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK_MS;
 }
 
 /** Silence after which an engine that has sent events is looked after. */
@@ -31,6 +39,14 @@
 }
 
 /** Silence after which an engine is given up even if it lives. */
-export function busyPatienceMs({ expectedFirstMs }: StreamPlacement): Milliseconds {
-  return BUSY_PATIENCE_MS + expectedFirstMs * BUSY_FACTOR;
+export function busyPatienceMs(
+  { aimMs, gapAimMs }: Route,
+  { expectedFirstMs }: PlannedStream,
+): Milliseconds {
+  const callerSilenceMs = Math.max(
+    SHORTEST_CALLER_SILENCE_MS,
+    aimMs * CALLER_SILENCE_AIMS,
+    gapAimMs * CALLER_SILENCE_GAPS,
+  );
+  return callerSilenceMs * BUSY_PATIENCE_SHARE + expectedFirstMs * BUSY_FACTOR;
 }
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -1,8 +1,9 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { FleetView, ReadQueue, RetryBudget } from '@poppypond/fleet';
+import type { FleetView, RetryBudget } from '@poppypond/fleet';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { Log, Measures } from '@poppypond/telemetry';
 import type { PeerMesh } from '../peers/peer-mesh.js';
+import type { Placing } from '../planning/placing.js';
 import type { EngineMemory, RelayWire } from '../ports.js';
 import type { ServerList } from '../store/server-list.js';
 
@@ -19,9 +20,9 @@
   /** Keys count only while the configuration was proved to be the newest this lately. */
   readonly keysTrustedMs: Milliseconds;
   readonly fleet: FleetView;
-  readonly queue: ReadQueue;
   readonly servers: ServerList;
   readonly peers: PeerMesh;
+  readonly placing: Placing;
   readonly budget: RetryBudget;
   /** Uniform random numbers in [0, 1). */
   readonly draw: () => number;
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -1,5 +1,6 @@
-import { fault, randomId } from '@poppypond/core';
+import { fault } from '@poppypond/core';
 import type { CancelTimer, Fault, Milliseconds, ResultName } from '@poppypond/core';
+import { TOLD_READ_MS } from '@poppypond/fleet';
 import type { AttemptFailure, BackendServer } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
 import type { EventFrame } from '../backend/event-frames.js';
@@ -8,7 +9,8 @@
 import type { AnswerHead, CallerHead } from '../ports.js';
 import type { Admitted } from './admit.js';
 import { AttemptTally } from './attempt-tally.js';
-import { toAttemptUse } from './attempt-use.js';
+import { LIMIT_SLACK_MS, toAttemptUse } from '../planning/planned-use.js';
+import { callUse } from './attempt-use.js';
 import type { CallerAnswer } from './caller-answer.js';
 import { choose, findReader, readersOf } from './choice.js';
 import type { Choice } from './choice.js';
@@ -25,16 +27,12 @@
   hasEvents: boolean;
 }
 
-/** A server's own word that time is up may take this long to come back. */
-const LIMIT_SLACK_MS: Milliseconds = 20;
 /** Pause before a silent engine that lives is looked after again. */
 const BUSY_LOOK_AGAIN_MS: Milliseconds = 500;
 /** A server that failed to answer is avoided for this long. */
 const SUSPECT_MS: Milliseconds = 1500;
 /** When to come back after a refusal for want of a server. */
 const REFUSED_RETRY_MS: Milliseconds = 250;
-/** Reads shorter than this end before peers could make use of knowing so. */
-const TOLD_READ_MS: Milliseconds = 60;
 const SERVER_ERROR_FROM = 500;
 const MISDIRECTED = 421;
 /** Statuses that promise that nothing was run; only a server's own mark makes that true. */
@@ -80,7 +78,7 @@
 
   /** Serves the request; resolves when its answer is over. */
   async run(): Promise<void> {
-    const { clock, budget, peers, queue } = this.parts;
+    const { clock, budget } = this.parts;
     budget.onRequest(this.admitted.service);
     const cancelLimit = clock.after(this.#leftMs() + LIMIT_SLACK_MS, () => {
       this.#isTimeUp = true;
@@ -97,7 +95,6 @@
     } finally {
       cancelLimit();
       this.#cancelSilence();
-      if (queue.find(this.caller.requestId)) peers.unwait(this.caller.requestId);
     }
   }
 
@@ -108,8 +105,8 @@
       caller,
       admitted,
       arrivedAtMs,
+      limitAtMs: this.#limitAtMs,
       failedIds: this.#tally.failedIds,
-      leftMs: () => this.#leftMs(),
       isOver: () => this.#isOver(),
       onWriterLost: () => {
         this.#passOver('no answer to a question for its state');
@@ -133,19 +130,19 @@
   }
 
   async #attempt(choice: Choice): Promise<AttemptEnd> {
-    const id = randomId();
+    const id = choice.attemptId;
     const timeLeftMs = Math.max(1, Math.floor(this.#leftMs()));
-    this.#record.placed(id, choice.server, choice.placement, timeLeftMs);
-    this.#announce(id, choice, timeLeftMs);
+    this.#record.placed(id, choice.server, choice.plan, timeLeftMs);
+    this.#announce(choice);
     const attempt = this.#open(choice, timeLeftMs);
     const startedAtMs = this.parts.clock.monotonicMs();
     this.#lastEventAtMs = startedAtMs;
     this.#current = { id, choice, attempt, startedAtMs, hasEvents: false };
-    this.#watchSilence(firstPatienceMs(choice.placement, this.#leftMs()));
+    this.#watchSilence(firstPatienceMs(choice.plan?.stream, this.#leftMs()));
     const end = await attempt.done;
     this.#current = undefined;
     this.#cancelSilence();
-    this.parts.peers.end(id);
+    this.parts.peers.end(id, this.#engineService);
     void choice.held?.release();
     this.#record.attemptEnded(end.kind);
     return end;
@@ -175,14 +172,18 @@
     );
   }
 
-  #announce(attemptId: string, choice: Choice, timeLeftMs: Milliseconds): void {
+  #announce(choice: Choice): void {
     const { clock, host, peers } = this.parts;
-    const { caller } = this;
-    const { gapAimMs } = this.#route;
     const placedAtMs = clock.monotonicMs();
-    const expiresAtMs = placedAtMs + timeLeftMs + LIMIT_SLACK_MS;
-    const placed = { attemptId, host, gapAimMs, placedAtMs, expiresAtMs };
-    peers.begin(caller.requestId, toAttemptUse(choice, caller, placed));
+    const use = choice.plan
+      ? toAttemptUse(choice.plan.request, choice.plan.stream, placedAtMs)
+      : callUse(choice, host, placedAtMs, this.#limitAtMs);
+    peers.begin(use, this.#engineService);
+  }
+
+  /** The service by whose planners attempts are known; undefined for plain services. */
+  get #engineService(): string | undefined {
+    return this.admitted.figures && this.admitted.service;
   }
 
   /** Looks after a server that stays silent, where the request may be repeated. */
@@ -198,9 +199,9 @@
   async #onSilence(): Promise<void> {
     const silent = this.#current;
     if (!silent) return;
-    const { server, placement } = silent.choice;
+    const { server, plan } = silent.choice;
     const silentMs = this.parts.clock.monotonicMs() - this.#lastEventAtMs;
-    const mayBeBusy = placement !== undefined && silentMs < busyPatienceMs(placement);
+    const mayBeBusy = plan !== undefined && silentMs < busyPatienceMs(this.#route, plan.stream);
     const isBusy = mayBeBusy && (await this.parts.memory.isAlive(server));
     if (this.#current !== silent) return;
     if (isBusy) this.#watchSilence(BUSY_LOOK_AGAIN_MS);
@@ -244,8 +245,9 @@
     running.hasEvents = true;
     const { id, choice, startedAtMs } = running;
     const { clock, fleet, peers } = this.parts;
-    const { partMs = 0, expectedFirstMs = 0 } = choice.placement ?? {};
-    peers.onReadDone(id, partMs >= TOLD_READ_MS);
+    const { partMs = 0, expectedFirstMs = 0 } = choice.plan?.stream ?? {};
+    const isTold = partMs >= TOLD_READ_MS;
+    peers.onReadDone(id, isTold ? this.#engineService : undefined);
     fleet.trust(choice.server.id);
     const tookMs = clock.monotonicMs() - startedAtMs;
     this.#record.firstEvent(id, choice.server, tookMs, expectedFirstMs);
--- a/packages/relay/src/request/request-record.ts
+++ b/packages/relay/src/request/request-record.ts
@@ -1,10 +1,6 @@
 import type { Milliseconds, ResultName } from '@poppypond/core';
-import type {
-  AttemptFailure,
-  BackendServer,
-  RetryDecision,
-  StreamPlacement,
-} from '@poppypond/fleet';
+import type { AttemptFailure, BackendServer, RetryDecision } from '@poppypond/fleet';
+import type { StreamPlan } from './choice.js';
 import type { CallerHead } from '../ports.js';
 import type { Admitted } from './admit.js';
 import type { RelayParts } from './relay-parts.js';
@@ -53,11 +49,12 @@
   placed(
     attempt: string,
     server: BackendServer,
-    placement: StreamPlacement | undefined,
+    plan: StreamPlan | undefined,
     leftMs: Milliseconds,
   ): void {
-    const rule = placement?.rule ?? 'least_outstanding';
-    if (placement) this.parts.measures.count('poppypond_placements_total', { rule });
+    const stream = plan?.stream;
+    const rule = stream?.rule ?? 'least_outstanding';
+    if (stream) this.parts.measures.count('poppypond_placements_total', { rule });
     this.parts.log.info('placed', {
       request: this.caller.requestId,
       attempt,
@@ -71,10 +68,13 @@
       tokens: this.caller.promptTokens,
       waited_ms: Math.round(this.#sinceArrivalMs()),
       left_ms: Math.round(leftMs),
-      writers: placement?.writer.writers,
-      reading_ms: placement && Math.round(placement.writer.pendingReadMs),
-      parts: placement && placement.readers.length + 1,
-      part_ms: placement && Math.round(placement.partMs),
+      writers: stream?.writersBefore,
+      reading_ms: stream && Math.round(stream.readingBeforeMs),
+      parts: stream && stream.readerIds.length + 1,
+      part_ms: stream && Math.round(stream.partMs),
+      expected_ms: stream && Math.round(stream.expectedFirstMs),
+      readers: stream && stream.readerIds.length > 0 ? stream.readerIds.join(',') : undefined,
+      planner: plan?.planner,
     });
   }
 
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -17,6 +17,8 @@
   address: z.string().describe('IP address of this host'),
   listen: hostAndPort.describe('address and port for callers'),
   readinessListen: hostAndPort.describe('address and port for the balancer'),
+  coreShare: numberSetting.default(1).describe('share of a core that this host has'),
+  coreSpeed: numberSetting.default(1).describe('speed of that core, against the usual'),
   peerPort: portSetting.describe('UDP port for other relays'),
   metricsPort: portSetting.default(9464).describe('port of /metrics on the address of this host'),
   store: hostAndPort.describe('address and port of the platform store'),
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -26,12 +26,16 @@
   readonly #routesByHost = new Map<string, readonly Route[]>();
   readonly #services: ReadonlyMap<string, ServiceDescription>;
   readonly #workspacesByKey = new Map<string, WorkspaceKeys>();
+  readonly #engineServices: readonly string[];
   readonly needsKeys: boolean;
 
   constructor(readonly configuration: RoutingConfiguration) {
     this.version = configuration.version;
     this.needsKeys = configuration.workspaces.length > 0;
     this.#services = new Map(configuration.services.map((service) => [service.name, service]));
+    this.#engineServices = configuration.services.flatMap(({ name, engine }) =>
+      engine ? [name] : [],
+    );
     for (const workspace of configuration.workspaces) {
       for (const key of workspace.keys) this.#workspacesByKey.set(key, workspace);
     }
@@ -52,6 +56,11 @@
     return routes?.find((route) => plainPath.startsWith(route.pathPrefix));
   }
 
+  /** Names of the services whose servers are model engines. */
+  get engineServices(): readonly string[] {
+    return this.#engineServices;
+  }
+
   service(name: string): ServiceDescription | undefined {
     return this.#services.get(name);
   }
