Read the store as often as the bounds of the site need; wake the watches in place of polling

Cause: hosts that go by the word of readers looked every 60 ms whether they had to ask, and asked after 1.5 s also where the bound is 3 s. Two settings carry the bounds (a new configuration in force, leaving servers out of use); periods are shares of them, the same as before at 2 s. Ruled out: longer shares (an own read that fails must still leave time for a second one).

--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -33,6 +33,7 @@
   #isConfigurationBehind = false;
   #isListDifferent = false;
   #storeFailedAtMs: Milliseconds | undefined;
+  #onBehind: () => void = () => undefined;
 
   constructor(readonly parts: SharedKnowledgeParts) {}
 
@@ -73,11 +74,21 @@
     return this.#isListDifferent;
   }
 
+  /** `callback` is called when a peer is found to know more. */
+  onBehind(callback: () => void): void {
+    this.#onBehind = callback;
+  }
+
   /** Takes in undated news. */
   hear(word: PeerWord): void {
     const { inForce, list } = this.parts;
     if (word.configurationVersion > inForce.version) this.#isConfigurationBehind = true;
     if (word.listDigest !== list.digest) this.#isListDifferent = true;
+    this.#tellBehind();
+  }
+
+  #tellBehind(): void {
+    if (this.#isConfigurationBehind || this.#isListDifferent) this.#onBehind();
   }
 
   /** Takes in what a peer knew at instants of this process's clock. */
@@ -87,10 +98,12 @@
     if (word.configurationVersion === inForce.version && word.configurationAtMs !== undefined) {
       freshness.prove(word.configurationAtMs);
     }
-    if (word.listAtMs === undefined) return;
-    if (word.listDigest === list.digest) list.freshness.prove(word.listAtMs);
-    // An older list than this host's own says nothing.
-    else if (list.freshness.isOlderThan(word.listAtMs)) this.#isListDifferent = true;
+    if (word.listAtMs !== undefined) {
+      if (word.listDigest === list.digest) list.freshness.prove(word.listAtMs);
+      // An older list than this host's own says nothing.
+      else if (list.freshness.isOlderThan(word.listAtMs)) this.#isListDifferent = true;
+    }
+    this.#tellBehind();
   }
 
   /** The store has told the newest configuration. */
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -25,6 +25,12 @@
   keysTrustedMs: millisecondsSetting
     .default(5000)
     .describe('keys count only while the configuration was proved newest this lately'),
+  configurationWithinMs: millisecondsSetting
+    .default(2000)
+    .describe('a new configuration is in force on every host this long after it was taken'),
+  leavingWithinMs: millisecondsSetting
+    .default(2000)
+    .describe('servers get no new work this long after it was taken that they leave'),
   retryRatio: numberSetting.default(0.2).describe('retries for each request of all hosts'),
   retryWindowSeconds: numberSetting.default(10).describe('window in which retries are counted'),
   retrySlack: countSetting
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -6,13 +6,19 @@
 import type { PlatformRows, RowSet, RowStore } from '../ports.js';
 import { DependencyState } from './dependency-state.js';
 import { StoreClock } from './store-clock.js';
+import { Wakeup } from './wakeup.js';
 
-/** How long the store may hold a question open; the configuration is proved new this often. */
-const WAIT_MS: Milliseconds = 700;
-/** A host that goes by the word of those that read asks for itself when that is older than this. */
-const OWN_READ_AFTER_MS: Milliseconds = 1600;
-/** Pause before such a host looks again whether it has to ask. */
-const LOOK_AGAIN_MS: Milliseconds = 60;
+/**
+ * How long the store may hold a question open; the configuration is proved new this often. As a
+ * share of the time in which a new version must be in force.
+ */
+const WAIT_SHARE = 0.35;
+/** A host that goes by the word of those that read asks itself when that is older than this. */
+const OWN_READ_AFTER_SHARE = 0.8;
+/** The longest pause of such a host before it looks whether it has to read for all. */
+const LOOK_AGAIN_MS: Milliseconds = 250;
+/** The shortest. */
+const SHORTEST_PAUSE_MS: Milliseconds = 20;
 /** Pause after a failed call; each costs the store a call. */
 const FAILURE_PAUSE_MS: Milliseconds = 250;
 
@@ -27,6 +33,8 @@
   readonly knowledge: SharedKnowledge;
   /** Whether this host reads for the others. */
   readonly isReader: () => boolean;
+  /** A new version is in force this long after the store took it. */
+  readonly withinMs: Milliseconds;
   /** Called after each change of what is in force. */
   readonly onChange: (table: RouteTable) => void;
 }
@@ -37,10 +45,12 @@
   #isStopped = false;
   readonly #storeClock: StoreClock;
   readonly #state: DependencyState;
+  readonly #wakeup: Wakeup;
 
   constructor(readonly parts: ConfigurationWatchParts) {
     this.#storeClock = new StoreClock(parts.clock);
     this.#state = new DependencyState(parts.clock, parts.log, 'store.configuration');
+    this.#wakeup = new Wakeup(parts.clock);
   }
 
   /** Runs until `stop`. */
@@ -52,15 +62,24 @@
     this.#isStopped = true;
   }
 
+  /** Ends the present pause, as a peer knows a newer version. */
+  wake(): void {
+    if (this.#mustRead()) this.#wakeup.wake();
+  }
+
   /** Asks once and takes in the answer. */
   async step(): Promise<void> {
-    const { clock, store, rows, isReader } = this.parts;
-    if (!this.#mustRead()) return delay(clock, LOOK_AGAIN_MS);
+    const { clock, store, rows, isReader, withinMs } = this.parts;
+    if (!this.#mustRead()) return this.#wakeup.sleep(this.#untilOwnReadMs());
     const askedAtMs = clock.monotonicMs();
     const answer =
       this.#version === undefined
         ? await store.read(rows.configurationTable)
-        : await store.changes(rows.configurationTable, this.#version, isReader() ? WAIT_MS : 0);
+        : await store.changes(
+            rows.configurationTable,
+            this.#version,
+            isReader() ? withinMs * WAIT_SHARE : 0,
+          );
     if (answer.isOk) return this.#take(answer.value, askedAtMs);
     if (answer.error.kind === 'history_gone') {
       this.parts.log.info('history_gone', { table: rows.configurationTable, after: this.#version });
@@ -78,7 +97,18 @@
   #mustRead(): boolean {
     const { inForce, isReader, knowledge } = this.parts;
     if (isReader() || !inForce.table || knowledge.isConfigurationBehind) return true;
-    return knowledge.configurationAgeMs >= OWN_READ_AFTER_MS;
+    return knowledge.configurationAgeMs >= this.#ownReadAfterMs;
+  }
+
+  get #ownReadAfterMs(): Milliseconds {
+    return this.parts.withinMs * OWN_READ_AFTER_SHARE;
+  }
+
+  /** The pause of a host that goes by the word of others. */
+  #untilOwnReadMs(): Milliseconds {
+    if (this.#mustRead()) return SHORTEST_PAUSE_MS;
+    const leftMs = this.#ownReadAfterMs - this.parts.knowledge.configurationAgeMs;
+    return Math.min(LOOK_AGAIN_MS, Math.max(SHORTEST_PAUSE_MS, leftMs));
   }
 
   #take(set: RowSet, askedAtMs: Milliseconds): void {
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -1,4 +1,3 @@
-import { delay } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
@@ -6,16 +5,19 @@
 import { DependencyState } from './dependency-state.js';
 import type { SharedKnowledge } from '../peers/shared-knowledge.js';
 import type { ServerList } from './server-list.js';
+import { Wakeup } from './wakeup.js';
 
 /**
- * Pause between reads of the list. Servers that leave must get nothing new two seconds after the
- * store took their word; the list changes with every heartbeat, so waiting for a change saves no calls.
+ * Pause between reads of the list, as a share of the time in which word of a leaving server must
+ * have come. The list changes with every heartbeat, so waiting for a change saves no calls.
  */
-const READ_PERIOD_MS: Milliseconds = 800;
-/** A host that goes by the word of those that read asks for itself when that is older than this. */
-const OWN_READ_AFTER_MS: Milliseconds = 1500;
-/** Pause before such a host looks again whether it has to ask. */
-const LOOK_AGAIN_MS: Milliseconds = 60;
+const READ_PERIOD_SHARE = 0.4;
+/** The same for a host that goes by the word of those that read: older than this, it asks itself. */
+const OWN_READ_AFTER_SHARE = 0.75;
+/** The longest pause of such a host before it looks whether it has to read for all. */
+const LOOK_AGAIN_MS: Milliseconds = 250;
+/** The shortest. */
+const SHORTEST_PAUSE_MS: Milliseconds = 20;
 /** Pause after a failed read. */
 const FAILURE_PAUSE_MS: Milliseconds = 300;
 
@@ -29,6 +31,8 @@
   readonly knowledge: SharedKnowledge;
   /** Whether this host reads for the others. */
   readonly isReader: () => boolean;
+  /** Servers that leave get nothing new this long after the store took their word. */
+  readonly withinMs: Milliseconds;
   /** Called when the list has changed. */
   readonly onChange: () => void;
 }
@@ -37,23 +41,30 @@
 export class ServerWatch {
   #isStopped = false;
   readonly #state: DependencyState;
+  readonly #wakeup: Wakeup;
 
   constructor(readonly parts: ServerWatchParts) {
     this.#state = new DependencyState(parts.clock, parts.log, 'store.servers');
+    this.#wakeup = new Wakeup(parts.clock);
   }
 
   async run(): Promise<void> {
-    while (!this.#isStopped) await delay(this.parts.clock, await this.step());
+    while (!this.#isStopped) await this.#wakeup.sleep(await this.step());
   }
 
   stop(): void {
     this.#isStopped = true;
   }
 
+  /** Ends the present pause, as a peer knows another list. */
+  wake(): void {
+    if (this.#mustRead()) this.#wakeup.wake();
+  }
+
   /** Reads once; the pause until the next read. */
   async step(): Promise<Milliseconds> {
     const { clock, store, rows, list, knowledge } = this.parts;
-    if (!this.#mustRead()) return LOOK_AGAIN_MS;
+    if (!this.#mustRead()) return this.#untilOwnReadMs();
     const askedAtMs = clock.monotonicMs();
     const answer = await store.read(rows.serverTable);
     if (answer.isErr) {
@@ -70,13 +81,25 @@
     );
     knowledge.onListRead();
     if (list.digest !== before) this.parts.onChange();
-    return this.parts.isReader() ? READ_PERIOD_MS : LOOK_AGAIN_MS;
+    if (this.parts.isReader()) return this.parts.withinMs * READ_PERIOD_SHARE;
+    return list.keepsUnlisted ? FAILURE_PAUSE_MS : this.#untilOwnReadMs();
   }
 
   #mustRead(): boolean {
     const { isReader, knowledge, list } = this.parts;
     if (isReader() || !list.isKnown || knowledge.isListDifferent || list.keepsUnlisted) return true;
-    return knowledge.listAgeMs >= OWN_READ_AFTER_MS;
+    return knowledge.listAgeMs >= this.#ownReadAfterMs;
+  }
+
+  get #ownReadAfterMs(): Milliseconds {
+    return this.parts.withinMs * OWN_READ_AFTER_SHARE;
+  }
+
+  /** The pause of a host that goes by the word of others. */
+  #untilOwnReadMs(): Milliseconds {
+    if (this.#mustRead()) return SHORTEST_PAUSE_MS;
+    const leftMs = this.#ownReadAfterMs - this.parts.knowledge.listAgeMs;
+    return Math.min(LOOK_AGAIN_MS, Math.max(SHORTEST_PAUSE_MS, leftMs));
   }
 
   #readRow({ key, value }: StoredRow): readonly BackendServer[] {
--- a/packages/relay/src/store/start-watches.ts
+++ b/packages/relay/src/store/start-watches.ts
@@ -12,6 +12,7 @@
 ): () => void {
   const { clock, log, knowledge, inForce, freshness, servers } = base;
   const { store, rows } = base.ports;
+  const { configurationWithinMs, leavingWithinMs } = base.settings;
   const isReader = () => peers.isReader();
   const shared = { clock, log, store, rows, knowledge, isReader };
   const tellNews = () => {
@@ -19,6 +20,7 @@
   };
   const configurationWatch = new ConfigurationWatch({
     ...shared,
+    withinMs: configurationWithinMs,
     inForce,
     freshness,
     onChange: (table) => {
@@ -26,7 +28,16 @@
       tellNews();
     },
   });
-  const serverWatch = new ServerWatch({ ...shared, list: servers, onChange: tellNews });
+  const serverWatch = new ServerWatch({
+    ...shared,
+    withinMs: leavingWithinMs,
+    list: servers,
+    onChange: tellNews,
+  });
+  knowledge.onBehind(() => {
+    configurationWatch.wake();
+    serverWatch.wake();
+  });
   void configurationWatch.run();
   void serverWatch.run();
   return () => {
