Tell peers a changed list of servers whole; plan only where the list is known; spread out where alone

Each change of the list made every host ask the store (79 calls on a grown site); a planner that has just started, or that never reached the store, knew no servers and would have refused for all; hosts cut off from every planner would all have begun with the same first engines; a host that has not read the member list took all shared retries for its own. Ruled out: telling the list without its version (an older list could bring a leaving server back). Each has a test that failed first (server-list, planner, peer-mesh).

--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -74,6 +74,8 @@
   };
 }
 
+const draw = Math.random;
+
 /** How other relays reach this one. */
 export function selfAddress(settings: RelaySettings): PeerAddress {
   const { host, address, peerPort, coreShare, coreSpeed } = settings;
@@ -87,7 +89,7 @@
 ): { readonly peers: PeerMesh; readonly placing: Placing } {
   const { clock, log, fleet, inForce, knowledge, incarnation, servers, settings } = base;
   const { host } = settings;
-  const planner = new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue() });
+  const planner = new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue(), draw });
   const peers = new PeerMesh({
     clock,
     log,
@@ -128,6 +130,6 @@
     peers,
     placing,
     budget: new RetryBudget(clock, retryFigures, () => peers.hostCount),
-    draw: Math.random,
+    draw,
   };
 }
--- a/packages/relay/src/peers/peer-list.ts
+++ b/packages/relay/src/peers/peer-list.ts
@@ -23,6 +23,8 @@
   readonly lastSentAtMs: Milliseconds | undefined;
   /** Since when it was asked for a heartbeat without an answer, on this process's clock. */
   readonly askedSinceMs: Milliseconds | undefined;
+  /** Whether it said that it knows what planning takes. */
+  readonly canPlan: boolean;
   /** Whether it said that its way to the store is broken; true until it has said otherwise. */
   readonly isStoreLost: boolean;
 }
@@ -44,12 +46,13 @@
   heardAtMs: undefined,
   lastSentAtMs: undefined,
   askedSinceMs: undefined,
+  canPlan: false,
   isStoreLost: true,
 } as const;
 
 /** What a heartbeat says of its sender. */
-function saidBy({ sentAtMs, isStoreLost, capacity }: Beat) {
-  return { lastSentAtMs: sentAtMs, isStoreLost, capacity };
+function saidBy({ sentAtMs, isStoreLost, capacity, canPlan }: Beat) {
+  return { lastSentAtMs: sentAtMs, isStoreLost, capacity, canPlan };
 }
 
 /** The other hosts that were listed or heard, and which of them are there. */
@@ -62,6 +65,8 @@
   constructor(
     readonly clock: Clock,
     readonly self: PeerAddress,
+    /** Whether this host knows what planning takes. */
+    readonly canPlan: () => boolean,
   ) {
     this.#startedAtMs = clock.monotonicMs();
   }
@@ -196,10 +201,13 @@
     return host === this.self.host || (peer !== undefined && this.isAlive(peer));
   }
 
+  /** Whether a host knows what planning takes, and what others run. */
   #isSettled({ host }: PeerAddress): boolean {
-    const sinceMs =
-      host === this.self.host ? this.#startedAtMs : this.#peers.get(host)?.heardSinceMs;
-    return sinceMs !== undefined && this.clock.monotonicMs() - sinceMs > SETTLED_AFTER_MS;
+    const peer = this.#peers.get(host);
+    const isSelf = host === this.self.host;
+    const sinceMs = isSelf ? this.#startedAtMs : peer?.heardSinceMs;
+    if (sinceMs === undefined || !(isSelf ? this.canPlan() : peer?.canPlan)) return false;
+    return this.clock.monotonicMs() - sinceMs > SETTLED_AFTER_MS;
   }
 
   #isStoreLost({ host }: PeerAddress): boolean {
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -31,6 +31,7 @@
   readonly answer: PlanAnswer;
 }
 
+const draw = () => 0.5;
 const SERVICE = 'engines';
 const ENGINE: BackendServer = {
   id: 'i-1',
@@ -67,6 +68,7 @@
   readonly mesh: PeerMesh;
   readonly fleet: FleetView;
   readonly freshness: Freshness;
+  readonly list: ServerList;
   readonly knowledge: SharedKnowledge;
   readonly startedAtMs: Milliseconds;
   /** Answers of planners. */
@@ -80,7 +82,7 @@
   readonly hosts = new Map<number, Host>();
   #lives = 0;
 
-  start(port: number, known: readonly number[]): Host {
+  start(port: number, known: readonly number[], knowsServers = true, isListed = true): Host {
     const startedAtMs = this.clock.monotonicMs();
     const clock = clockFrom(this.clock, startedAtMs);
     const inForce = new ConfigurationInForce();
@@ -107,17 +109,18 @@
       },
       self: { ...addressOf(port), incarnation: `life-${String(this.#lives)}` },
       fleet,
-      planner: new Planner({ clock, inForce, servers: list, fleet, queue: new ReadQueue() }),
+      planner: new Planner({ clock, inForce, servers: list, fleet, queue: new ReadQueue(), draw }),
       engineServices: () => [SERVICE],
       onPlan: (attemptId, answer) => {
         answers.push({ attemptId, answer });
       },
       knowledge,
     });
-    list.replace([ENGINE], 0);
-    const host = { mesh, fleet, freshness, knowledge, startedAtMs, answers };
+    if (knowsServers) list.replace([ENGINE], 0, 1);
+    const host = { mesh, fleet, freshness, list, knowledge, startedAtMs, answers };
     this.hosts.set(port, host);
-    mesh.start(known.map(addressOf));
+    mesh.start();
+    if (isListed) mesh.learn(known.map(addressOf));
     return host;
   }
 
@@ -228,6 +231,36 @@
     expect(others).not.toContain(planner);
   });
 
+  it('asks no planner that does not know the servers yet', async () => {
+    const network = new Network();
+    for (const port of PORTS) network.start(port, PORTS, port === 4);
+    await network.run(3000);
+    for (const { mesh } of network.hosts.values()) {
+      expect(mesh.plannersOf(SERVICE)[0]).toBe('host-4');
+    }
+  });
+
+  it('spends nothing of shared budgets before it knows how many share them', () => {
+    const { mesh } = new Network().start(1, []);
+    expect(mesh.hostCount).toBe(1);
+    const unlisted = new Network().start(1, [], true, false);
+    expect(unlisted.mesh.hostCount).toBe(Number.POSITIVE_INFINITY);
+  });
+
+  it('tells all a changed list of servers, so that they need not ask the store', async () => {
+    const network = new Network();
+    for (const port of PORTS) network.start(port, PORTS);
+    await network.run(1000);
+    const reader = network.hosts.get(1);
+    reader?.list.replace([ENGINE, { ...ENGINE, id: 'i-2', isDraining: true }], 0, 2);
+    reader?.mesh.tellNews();
+    await network.run(50);
+    for (const { list, knowledge } of network.hosts.values()) {
+      expect(list.digest).toBe(reader?.list.digest);
+      expect(knowledge.isListDifferent).toBe(false);
+    }
+  });
+
   it('plans for the host that asks, and tells it', async () => {
     const network = new Network();
     for (const port of [1, 2]) network.start(port, [1, 2]);
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -2,6 +2,7 @@
 import type { AttemptUse, FleetView } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
 import { match } from 'ts-pattern';
+import { fromWireList, toWireList } from './list-on-the-wire.js';
 import { PeerList } from './peer-list.js';
 import type { Peer, PeerAddress } from './peer-list.js';
 import type { Beat, PeerMessage } from './peer-messages.js';
@@ -57,9 +58,10 @@
   readonly #peers: PeerList;
   #cancel: CancelTimer = () => undefined;
   #isStopped = false;
+  #isListRead = false;
 
   constructor(readonly parts: PeerMeshParts) {
-    this.#peers = new PeerList(parts.clock, parts.self);
+    this.#peers = new PeerList(parts.clock, parts.self, () => parts.planner.canPlan);
   }
 
   /** Whether this host is one of the few that read the store for all: the first by name. */
@@ -71,20 +73,22 @@
 
   /** Tells all that the store told something new. */
   tellNews(): void {
-    this.#broadcast({ kind: 'news', ...this.#selfFields(), ...this.parts.knowledge.own });
+    const { knowledge } = this.parts;
+    const list = toWireList(knowledge.listed);
+    this.#broadcast({ kind: 'news', ...this.#selfFields(), ...knowledge.own, list });
   }
 
-  /** Begins to send heartbeats, also to the hosts in `known`. */
-  start(known: readonly PeerAddress[]): void {
-    for (const peer of known) this.#learn(peer);
+  /** Begins to send heartbeats. */
+  start(): void {
     this.#beatAll();
     this.#cancel = this.parts.clock.every(BEAT_PERIOD_MS, () => {
       this.#tick();
     });
   }
 
-  /** Adds hosts that are listed as members. */
+  /** Adds all hosts that are listed as members. */
   learn(known: readonly PeerAddress[]): void {
+    this.#isListRead = true;
     for (const peer of known) this.#learn(peer);
   }
 
@@ -95,9 +99,9 @@
     this.#broadcast({ kind: 'leave', ...this.#selfFields() });
   }
 
-  /** Hosts that share budgets with this one, itself included. */
+  /** Hosts that share budgets with this one, itself included; infinite while that is not known. */
   get hostCount(): number {
-    return this.#peers.size + 1;
+    return this.#isListRead ? this.#peers.size + 1 : Number.POSITIVE_INFINITY;
   }
 
   /** Peers heard from lately. */
@@ -184,7 +188,7 @@
         fleet.suspect(server, nowMs + forMs);
       })
       .with({ kind: 'news' }, (news) => {
-        this.parts.knowledge.hear(news);
+        this.parts.knowledge.hear(news, news.list ? fromWireList(news.list) : undefined);
       })
       .with({ kind: 'leave' }, ({ host }) => {
         this.#forget(host, 'left');
@@ -251,7 +255,7 @@
   #beat(host: string, isQuestion: boolean): void {
     const peer = this.#peers.find(host);
     if (!peer) return;
-    const { clock, fleet, knowledge, self, sender } = this.parts;
+    const { clock, fleet, knowledge, planner, self, sender } = this.parts;
     const nowMs = clock.monotonicMs();
     sender.send(peer.address, peer.port, {
       kind: 'beat',
@@ -264,6 +268,7 @@
       configurationAgeMs: finiteOrNull(knowledge.configurationAgeMs),
       listAgeMs: finiteOrNull(knowledge.listAgeMs),
       capacity: self.capacity,
+      canPlan: planner.canPlan,
       uses: fleet.attemptsOf(self.host).map((use) => toWireUse(use, nowMs)),
     });
   }
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -79,6 +79,8 @@
   listAgeMs: z.number().nullable(),
   /** Processor that the sender has, in cores of the usual speed; large hosts plan first. */
   capacity: z.number(),
+  /** Whether the sender knows the configuration and the servers, without which nobody can plan. */
+  canPlan: z.boolean(),
   uses: z.array(useSchema),
 });
 
@@ -116,12 +118,27 @@
   server: z.string(),
   forMs: z.number(),
 });
+/** A backend server as it is told to peers. */
+const serverSchema = z.tuple([
+  z.string().describe('id'),
+  z.string().describe('service'),
+  z.string().describe('address'),
+  z.number().describe('port'),
+  z.string().describe('availability zone'),
+  z.number().describe('slots'),
+  z.boolean().describe('is draining'),
+]);
+
 /** Sent by a host that reads the store when a version or the list of servers has changed. */
 const newsSchema = z.object({
   kind: z.literal('news'),
   ...hostFields,
   configurationVersion: z.number(),
   listDigest: z.string(),
+  /** Null where it is too long for a datagram; whoever knows another then asks the store. */
+  list: z
+    .object({ version: z.number(), graceMs: z.number(), servers: z.array(serverSchema) })
+    .nullable(),
 });
 /** Sent on a planned stop. */
 const leaveSchema = z.object({ kind: z.literal('leave'), ...hostFields });
@@ -142,6 +159,8 @@
 export type PeerMessage = z.infer<typeof messageSchema>;
 /** The heartbeat of a relay. */
 export type Beat = z.infer<typeof beatSchema>;
+/** The list of servers on its way. */
+export type WireList = z.infer<typeof newsSchema>['list'];
 /** A planner's answer on its way. */
 export type WireAnswer = z.infer<typeof answerSchema>;
 /** A question to a planner on its way. */
--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
-import type { ServerList } from '../store/server-list.js';
+import type { ListedServers, ServerList } from '../store/server-list.js';
 
 /** What a peer said it knows of the store. */
 export interface PeerWord {
@@ -48,6 +48,11 @@
     this.#storeFailedAtMs = this.parts.clock.monotonicMs();
   }
 
+  /** The list of servers that this host tells its peers when it has changed. */
+  get listed(): ListedServers {
+    return this.parts.list.listed;
+  }
+
   /** What this host tells its peers. */
   get own(): PeerWord {
     const { inForce, list } = this.parts;
@@ -79,11 +84,12 @@
     this.#onBehind = callback;
   }
 
-  /** Takes in undated news. */
-  hear(word: PeerWord): void {
+  /** Takes in undated news, with the whole list where it came along. */
+  hear(word: PeerWord, listed: ListedServers | undefined): void {
     const { inForce, list } = this.parts;
+    if (listed) list.adopt(listed);
     if (word.configurationVersion > inForce.version) this.#isConfigurationBehind = true;
-    if (word.listDigest !== list.digest) this.#isListDifferent = true;
+    this.#isListDifferent = word.listDigest !== list.digest;
     this.#tellBehind();
   }
 
--- a/packages/relay/src/planning/placing.test.ts
+++ b/packages/relay/src/planning/placing.test.ts
@@ -9,6 +9,7 @@
 import type { PlanAnswer, PlanRequest } from './plan-request.js';
 import { Planner } from './planner.js';
 
+const draw = () => 0.5;
 const REQUEST: PlanRequest = {
   attemptId: 'a',
   requestId: 'r',
@@ -57,7 +58,7 @@
         withdrawn.push(planner);
       },
     },
-    planner: new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue() }),
+    planner: new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue(), draw }),
   });
   return { clock, asked, withdrawn, placing };
 }
--- a/packages/relay/src/planning/placing.ts
+++ b/packages/relay/src/planning/placing.ts
@@ -99,9 +99,11 @@
       peers.askPlan(planner, request);
       return;
     }
-    this.parts.planner.submit(request, (answer) => {
+    const isAlone = peers.plannersOf(request.service)[0] !== host;
+    const onAnswer = (answer: PlanAnswer) => {
       this.hear(request.attemptId, answer);
-    });
+    };
+    this.parts.planner.submit(request, onAnswer, isAlone);
   }
 
   #onSilent(planner: string, { requestId, service }: PlanRequest): void {
--- a/packages/relay/src/planning/plan-engines.ts
+++ b/packages/relay/src/planning/plan-engines.ts
@@ -26,6 +26,12 @@
   readonly queue: ReadQueue;
 }
 
+/** Brings servers into the order in which they are filled. */
+export type ServerOrder = (servers: readonly BackendServer[]) => readonly BackendServer[];
+
+/** The order that all hosts agree on, in which the list has them. */
+export const inAgreedOrder: ServerOrder = (servers) => servers;
+
 /** `servers` without those in `avoidedIds`; all of them where none is left. */
 export function without(
   servers: readonly BackendServer[],
@@ -83,10 +89,11 @@
   inputs: PlanInputs,
   figures: EngineFigures,
   request: PlanRequest,
+  order: ServerOrder,
 ): PlanAnswer {
   const { clock, fleet, queue, servers } = inputs;
   const nowMs = clock.monotonicMs();
-  const usable = without(servers.available(request.service), request.avoidedIds);
+  const usable = order(without(servers.available(request.service), request.avoidedIds));
   const loads = usable.map((server) => fleet.load(server, figures, nowMs));
   const readMs = readTimeMs(figures, request.promptTokens);
   const isLong = readMs >= LONG_READ_MS;
--- a/packages/relay/src/planning/planner.test.ts
+++ b/packages/relay/src/planning/planner.test.ts
@@ -19,6 +19,15 @@
   usualAnswerTokens: 1540,
 };
 
+/** Numbers that fall evenly over [0, 1). */
+function spreadDraw(): () => number {
+  let drawn = 0;
+  return () => {
+    drawn = (drawn + 0.381966) % 1;
+    return drawn;
+  };
+}
+
 function long(requestId: string, more: Partial<PlanRequest> = {}): PlanRequest {
   return {
     attemptId: `attempt-${requestId}`,
@@ -36,7 +45,7 @@
   };
 }
 
-function planner(engines: number) {
+function planner(engines: number, draw = () => 0.5) {
   const clock = new ManualClock();
   const inForce = new ConfigurationInForce();
   inForce.apply({
@@ -56,9 +65,9 @@
     slots: 11,
     isDraining: false,
   }));
-  servers.replace(listed, 0);
+  servers.replace(listed, 0, 1);
   const fleet = new FleetView();
-  const made = new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue() });
+  const made = new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue(), draw });
   const answers: PlanAnswer[] = [];
   const ask = (request: PlanRequest) => {
     made.submit(request, (answer) => {
@@ -117,4 +126,14 @@
     for (let passedMs = 0; passedMs < 1100; passedMs += 10) await clock.advance(10);
     expect(made.waitingCount).toBe(0);
   });
+
+  it('spreads short prompts where it is alone, as others begin with the first engines', () => {
+    const { made } = planner(18, spreadDraw());
+    const used = new Set<string>();
+    for (let index = 0; index < 10; index += 1) {
+      const request = { ...long(String(index)), promptTokens: 3000, aimMs: 300, gapAimMs: 200 };
+      made.submit(request, (answer) => used.add(enginesOf(answer)[0] ?? ''), true);
+    }
+    expect(used.size).toBeGreaterThan(4);
+  });
 });
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -1,8 +1,8 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
-import type { FleetView, ReadQueue } from '@poppypond/fleet';
+import type { BackendServer, FleetView, ReadQueue } from '@poppypond/fleet';
 import type { ConfigurationInForce } from '@poppypond/routing';
 import type { ServerList } from '../store/server-list.js';
-import { planEngines } from './plan-engines.js';
+import { inAgreedOrder, planEngines } from './plan-engines.js';
 import type { PlanAnswer, PlanRequest } from './plan-request.js';
 import { toAttemptUse } from './planned-use.js';
 
@@ -16,6 +16,8 @@
   readonly servers: ServerList;
   readonly fleet: FleetView;
   readonly queue: ReadQueue;
+  /** Uniform random numbers in [0, 1). */
+  readonly draw: () => number;
 }
 
 interface Waiting {
@@ -23,6 +25,7 @@
   readonly onAnswer: AnswerListener;
   /** When its host was heard last, on this process's clock. */
   readonly askedAtMs: Milliseconds;
+  readonly isAlone: boolean;
 }
 
 /** Pause before waiting requests are looked at again. */
@@ -34,20 +37,34 @@
 export class Planner {
   readonly #waiting = new Map<string, Waiting>();
   #cancelLook: CancelTimer | undefined;
+  /** Hosts that don't know of each other must not all begin with the same engines. */
+  readonly #shuffled = (servers: readonly BackendServer[]) =>
+    servers
+      .map((server) => ({ server, place: this.parts.draw() }))
+      .sort((left, right) => left.place - right.place)
+      .map(({ server }) => server);
 
   constructor(readonly parts: PlannerParts) {}
 
+  /** Whether this host knows the configuration and the servers. */
+  get canPlan(): boolean {
+    return this.parts.inForce.table !== undefined && this.parts.servers.isKnown;
+  }
+
   /** Requests that wait here. */
   get waitingCount(): number {
     return this.#waiting.size;
   }
 
-  /** Takes a request in; `onAnswer` is called now, and once more after `wait`. */
-  submit(request: PlanRequest, onAnswer: AnswerListener): void {
-    const answer = this.#decide(request);
+  /**
+   * Takes a request in; `onAnswer` is called now, and once more after `wait`. `isAlone`: this host
+   * plans because it found no planner, and may not know what others run.
+   */
+  submit(request: PlanRequest, onAnswer: AnswerListener, isAlone = false): void {
+    const answer = this.#decide(request, isAlone);
     if (answer.kind === 'wait') {
       const askedAtMs = this.parts.clock.monotonicMs();
-      this.#waiting.set(request.attemptId, { request, onAnswer, askedAtMs });
+      this.#waiting.set(request.attemptId, { request, onAnswer, askedAtMs, isAlone });
       this.#cancelLook ??= this.parts.clock.every(LOOK_AGAIN_MS, () => {
         this.#lookAgain();
       });
@@ -71,29 +88,31 @@
 
   #lookAgain(): void {
     const nowMs = this.parts.clock.monotonicMs();
-    for (const { request, onAnswer, askedAtMs } of [...this.#waiting.values()]) {
+    for (const waiting of [...this.#waiting.values()]) {
+      const { request, askedAtMs } = waiting;
       const isLeft = nowMs - askedAtMs > ASKED_LATELY_MS || nowMs >= request.limitAtMs;
       if (isLeft) this.#drop(request);
-      else this.#lookAgainAt(request, onAnswer);
+      else this.#lookAgainAt(waiting);
     }
     if (this.#waiting.size > 0) return;
     this.#cancelLook?.();
     this.#cancelLook = undefined;
   }
 
-  #lookAgainAt(request: PlanRequest, onAnswer: AnswerListener): void {
-    const answer = this.#decide(request);
+  #lookAgainAt({ request, onAnswer, isAlone }: Waiting): void {
+    const answer = this.#decide(request, isAlone);
     if (answer.kind === 'wait') return;
     this.#waiting.delete(request.attemptId);
     onAnswer(answer);
   }
 
-  #decide(request: PlanRequest): PlanAnswer {
+  #decide(request: PlanRequest, isAlone: boolean): PlanAnswer {
     const { clock, fleet, inForce, queue } = this.parts;
     const figures = inForce.table?.service(request.service)?.engine;
     if (!figures) return { kind: 'refuse', rule: 'no_engine' };
     fleet.end(request.attemptId);
-    const answer = planEngines(this.parts, figures, request);
+    const order = isAlone ? this.#shuffled : inAgreedOrder;
+    const answer = planEngines(this.parts, figures, request, order);
     if (answer.kind === 'wait') return answer;
     queue.remove(request.requestId);
     if (answer.kind === 'place') {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -72,7 +72,7 @@
     );
     const running = this.#compose(sender);
     this.#running = running;
-    running.peers.start([]);
+    running.peers.start();
     await this.#openSmallPages();
     this.#onStop.push(() => {
       sender.close();
--- a/packages/relay/src/store/server-list.test.ts
+++ b/packages/relay/src/store/server-list.test.ts
@@ -16,34 +16,52 @@
 describe('ServerList', () => {
   it('drops what the store no longer lists at once, and what is leaving', () => {
     const list = new ServerList(new ManualClock(), silentLog);
-    list.replace([server('a'), server('b')], 0);
-    list.replace([server('a', true)], 0);
+    list.replace([server('a'), server('b')], 0, 0);
+    list.replace([server('a', true)], 0, 0);
     expect(idsOf(list)).toEqual([]);
   });
 
   it('keeps entries that lapsed while the store was away for two seconds after its return', async () => {
     const clock = new ManualClock();
     const list = new ServerList(clock, silentLog);
-    list.replace([server('a'), server('b')], 0);
+    list.replace([server('a'), server('b')], 0, 0);
     list.onStoreAway();
     await clock.advance(8000);
-    list.replace([server('a')], 0);
+    list.replace([server('a')], 0, 0);
     expect(idsOf(list)).toEqual(['a', 'b']);
     expect(list.keepsUnlisted).toBe(true);
     await clock.advance(1900);
-    list.replace([server('a')], 0);
+    list.replace([server('a')], 0, 0);
     expect(idsOf(list)).toEqual(['a', 'b']);
     await clock.advance(200);
-    list.replace([server('a')], 0);
+    list.replace([server('a')], 0, 0);
     expect(idsOf(list)).toEqual(['a']);
     expect(list.keepsUnlisted).toBe(false);
   });
 
+  it('takes a newer list from a peer, never an older one, and keeps what may come back', async () => {
+    const clock = new ManualClock();
+    const list = new ServerList(clock, silentLog);
+    list.adopt({ servers: [server('x')], version: 9, graceMs: 0 });
+    expect(list.isKnown).toBe(false);
+    list.replace([server('a'), server('b')], clock.monotonicMs(), 5);
+    await clock.advance(100);
+    list.adopt({ servers: [server('a')], version: 4, graceMs: 0 });
+    expect(idsOf(list)).toEqual(['a', 'b']);
+    list.adopt({ servers: [server('a')], version: 6, graceMs: 500 });
+    expect(idsOf(list)).toEqual(['a', 'b']);
+    expect(list.keepsUnlisted).toBe(true);
+    expect(list.freshness.ageMs()).toBe(100);
+    await clock.advance(600);
+    list.adopt({ servers: [server('a')], version: 7, graceMs: 0 });
+    expect(idsOf(list)).toEqual(['a']);
+  });
+
   it('believes a server that another has its address, until it is listed no more', () => {
     const list = new ServerList(new ManualClock(), silentLog);
-    list.replace([server('a'), server('b')], 0);
+    list.replace([server('a'), server('b')], 0, 0);
     list.onGone('a');
-    list.replace([server('a'), server('b')], 0);
+    list.replace([server('a'), server('b')], 0, 0);
     expect(idsOf(list)).toEqual(['b']);
   });
 
@@ -76,6 +94,7 @@
             list.replace(
               played.ids.map((id) => server(id)),
               0,
+              0,
             );
           }
           expect(idsOf(list)).toEqual([...expected].sort());
--- a/packages/relay/src/store/server-list.ts
+++ b/packages/relay/src/store/server-list.ts
@@ -17,6 +17,15 @@
   return createHash('sha1').update(lines.join('\n')).digest('base64url').slice(0, DIGEST_LENGTH);
 }
 
+/** The store's list as of one moment. */
+export interface ListedServers {
+  readonly servers: readonly BackendServer[];
+  /** Rises with every change in the store. */
+  readonly version: number;
+  /** How long entries that lapsed during an outage may still come back. */
+  readonly graceMs: Milliseconds;
+}
+
 /** The backend servers that may take work, by what the store and the servers themselves said. */
 export class ServerList {
   readonly #servers = new Map<string, BackendServer>();
@@ -28,6 +37,8 @@
   #isKnown = false;
   #keepsUnlisted = false;
   #digest = '';
+  #listed: readonly BackendServer[] = [];
+  #version = 0;
   /** How recently the list was proved to be the store's. */
   readonly freshness: Freshness;
 
@@ -43,6 +54,12 @@
     return this.#digest;
   }
 
+  /** The list as the store told it last. */
+  get listed(): ListedServers {
+    const graceMs = Math.max(0, this.#graceUntilMs - this.clock.monotonicMs());
+    return { servers: this.#listed, version: this.#version, graceMs };
+  }
+
   /** Whether the store has answered at least once. */
   get isKnown(): boolean {
     return this.#isKnown;
@@ -63,10 +80,24 @@
   }
 
   /** Takes in the store's whole list, for which it was asked at `askedAtMs`. */
-  replace(listed: readonly BackendServer[], askedAtMs: Milliseconds): void {
+  replace(listed: readonly BackendServer[], askedAtMs: Milliseconds, version: number): void {
+    this.freshness.prove(askedAtMs);
+    this.#take(listed, version);
+  }
+
+  /** Takes in a list that a peer has read, if it is newer; how old it is must be told otherwise. */
+  adopt({ servers, version, graceMs }: ListedServers): void {
+    if (!this.#isKnown || version <= this.#version) return;
+    const graceUntilMs = this.clock.monotonicMs() + graceMs;
+    if (graceMs > 0) this.#graceUntilMs = Math.max(this.#graceUntilMs, graceUntilMs);
+    this.#take(servers, version);
+  }
+
+  #take(listed: readonly BackendServer[], version: number): void {
     const nowMs = this.clock.monotonicMs();
     this.#digest = digestOf(listed);
-    this.freshness.prove(askedAtMs);
+    this.#listed = listed;
+    this.#version = version;
     if (this.#wasAway && this.#isKnown) this.#graceUntilMs = nowMs + RETURN_GRACE_MS;
     this.#wasAway = false;
     this.#isKnown = true;
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -78,6 +78,7 @@
     list.replace(
       answer.value.rows.flatMap((row) => this.#readRow(row)),
       askedAtMs,
+      answer.value.version,
     );
     knowledge.onListRead();
     if (list.digest !== before) this.parts.onChange();
