Avoid a server longer each time it fails again, and never more than two in five of a service

Cause: read for the grown sites' flapping servers and false health answers: a server was avoided for 1.5 s after each failure however often it failed, and engines that answer 500 to all were not avoided at all; a burst of lost answers on many engines left their whole load to the few that had lost none.

--- a/packages/fleet/src/engine-load.ts
+++ b/packages/fleet/src/engine-load.ts
@@ -3,6 +3,7 @@
 import type { AttemptUse } from './attempt-use.js';
 import type { BackendServer } from './backend-server.js';
 import { passTimeMs } from './engine-times.js';
+import { LONG_READ_MS } from './long-read.js';
 import { streamWorth } from './stream-worth.js';
 
 /** What is believed about one engine at one moment. */
@@ -24,8 +25,8 @@
   readonly pendingReadMs: Milliseconds;
   /** The reading that the next pass may take in without a late event for any writer. */
   readonly slackMs: Milliseconds;
-  /** Whether it is avoided where there is another. */
-  readonly isSuspect: boolean;
+  /** How long it is avoided still where there are others; 0 where it is not. */
+  readonly avoidedMs: Milliseconds;
 }
 
 /** Part of the allowed pause that is planned with; the rest covers what was not foreseen. */
@@ -39,6 +40,8 @@
 const LONGEST_OVERRUN_MS: Milliseconds = 300;
 /** What a read is taken to need still that should be over. */
 const LATE_READ_MS: Milliseconds = 60;
+/** A read on fewer engines than this leaves enough of them for the next. */
+const ENGINES_OF_A_TURN = 5;
 /** Stands for "no writer to disturb": longer than any read that is worth placing. */
 const UNDISTURBED_SLACK_MS: Milliseconds = 60_000;
 
@@ -60,6 +63,12 @@
   return nowMs < use.placedAtMs + use.partMs * READ_OVERRUN + LONGEST_OVERRUN_MS;
 }
 
+/** Whether an attempt's prompt is long, and read by so many engines that it takes a turn. */
+export function isLongRead({ readerIds, partMs }: AttemptUse): boolean {
+  const engines = readerIds.length + 1;
+  return engines >= ENGINES_OF_A_TURN && partMs * engines >= LONG_READ_MS;
+}
+
 /**
  * Reading that lies before an engine: reads follow each other, each with a pass of the writers.
  * One that is over time by the plan takes a little longer yet.
@@ -105,7 +114,7 @@
   server: BackendServer,
   figures: EngineFigures,
   uses: ReadonlySet<AttemptUse>,
-  { nowMs, isSuspect }: { readonly nowMs: Milliseconds; readonly isSuspect: boolean },
+  { nowMs, avoidedMs }: { readonly nowMs: Milliseconds; readonly avoidedMs: Milliseconds },
 ): EngineLoad {
   const { shortestGapMs, ...sums } = sumWriters(server.id, uses);
   const { writers, contextTokens } = sums;
@@ -119,6 +128,6 @@
     passMs,
     pendingReadMs,
     slackMs: allowedMs - passMs - pendingReadMs,
-    isSuspect,
+    avoidedMs,
   };
 }
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -2,12 +2,10 @@
 import type { EngineFigures } from '@poppypond/routing';
 import type { AttemptUse } from './attempt-use.js';
 import type { BackendServer } from './backend-server.js';
-import { engineLoad, isReadingStill } from './engine-load.js';
+import { engineLoad, isLongRead, isReadingStill } from './engine-load.js';
 import type { EngineLoad } from './engine-load.js';
-import { LONG_READ_MS } from './long-read.js';
+import { Suspicions } from './suspicions.js';
 
-/** A read on fewer engines than this leaves enough of them for the next. */
-const ENGINES_OF_A_TURN = 5;
 /** A host hears of a placement that was made for it within a few milliseconds of its last heartbeat. */
 const JUST_PLACED_MS: Milliseconds = 200;
 
@@ -15,7 +13,8 @@
 export class FleetView {
   readonly #attempts = new Map<string, AttemptUse>();
   readonly #byEngine = new Map<string, Set<AttemptUse>>();
-  readonly #suspectUntil = new Map<string, Milliseconds>();
+  /** Servers that failed lately. */
+  readonly suspicions = new Suspicions();
 
   /** Attempts that are known, of all hosts. */
   get size(): number {
@@ -79,35 +78,18 @@
     for (const use of [...this.#attempts.values()]) {
       if (use.expiresAtMs <= nowMs) this.end(use.attemptId);
     }
+    this.suspicions.expire(nowMs);
   }
 
   /** Prompts that take many engines to themselves and are being read, as far as can be foreseen. */
   longReadsRunning(nowMs: Milliseconds): number {
     let running = 0;
     for (const use of this.#attempts.values()) {
-      const engines = use.readerIds.length + 1;
-      if (!use.isReading || engines < ENGINES_OF_A_TURN) continue;
-      if (use.partMs * engines < LONG_READ_MS) continue;
-      if (isReadingStill(use, nowMs)) running += 1;
+      if (isLongRead(use) && isReadingStill(use, nowMs)) running += 1;
     }
     return running;
   }
 
-  /** Avoids a server until `untilMs`, unless there is no other. */
-  suspect(serverId: string, untilMs: Milliseconds): void {
-    this.#suspectUntil.set(serverId, untilMs);
-  }
-
-  /** Avoids a server no more. */
-  trust(serverId: string): void {
-    this.#suspectUntil.delete(serverId);
-  }
-
-  /** Whether a server is avoided. */
-  isSuspect(serverId: string, nowMs: Milliseconds): boolean {
-    return (this.#suspectUntil.get(serverId) ?? 0) > nowMs;
-  }
-
   /** Attempts that run on a server, those that it only helps to read left out. */
   writersOn(serverId: string): number {
     let writers = 0;
@@ -121,7 +103,7 @@
     const uses = this.#byEngine.get(server.id) ?? new Set();
     return engineLoad(server, figures, uses, {
       nowMs,
-      isSuspect: this.isSuspect(server.id, nowMs),
+      avoidedMs: this.suspicions.leftMs(server.id, nowMs),
     });
   }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,3 +13,4 @@
 export * from './retry-decision.js';
 export * from './share-memory.js';
 export * from './stream-plan.js';
+export { Suspicions } from './suspicions.js';
--- a/packages/fleet/src/place-stream.ts
+++ b/packages/fleet/src/place-stream.ts
@@ -6,6 +6,7 @@
 import { readInParts } from './read-in-parts.js';
 import { freeTokens } from './share-memory.js';
 import type { StreamDemand, StreamPlan } from './stream-plan.js';
+import { withoutAvoided } from './suspicions.js';
 
 /** Prompts that take no longer to read than this go whole to one engine. */
 const WHOLE_READ_MS: Milliseconds = 60;
@@ -15,11 +16,6 @@
 /** Prompts above this share of an engine's memory may be held on several. */
 const LARGE_SHARE = 0.75;
 
-function trustedOrAll(loads: readonly EngineLoad[]): readonly EngineLoad[] {
-  const trusted = loads.filter((load) => !load.isSuspect);
-  return trusted.length > 0 ? trusted : loads;
-}
-
 function waitForMemory(demand: StreamDemand): StreamPlan {
   const isPatient = demand.waitedMs < demand.aimMs * MEMORY_PATIENCE_AIMS;
   return isPatient
@@ -40,7 +36,7 @@
 ): StreamPlan {
   if (loads.length === 0) return { kind: 'refuse', rule: 'no_engine' };
   const readMs = readTimeMs(figures, demand.promptTokens);
-  const usable = trustedOrAll(loads);
+  const usable = withoutAvoided(loads);
   const wanted = demand.promptTokens + demand.answerTokens;
   const roomy = usable.filter((load) => freeTokens(load, figures) >= wanted);
   const isLarge = wanted > figures.memoryTokens * LARGE_SHARE;
--- a/packages/fleet/src/placement.test.ts
+++ b/packages/fleet/src/placement.test.ts
@@ -102,10 +102,10 @@
 
   it('avoids suspects, unless there is nothing else', () => {
     const view = new FleetView();
-    view.suspect('i-00', 1000);
+    view.suspicions.add('i-00', 0);
     const placed = plan(view, 5000);
     expect(placed.kind === 'place' && placed.writer.server.id).toBe('i-01');
-    for (const server of servers) view.suspect(server.id, 1000);
+    for (const server of servers) view.suspicions.add(server.id, 0);
     expect(plan(view, 5000).kind).toBe('place');
   });
 
--- /dev/null
+++ b/packages/fleet/src/suspicions.test.ts
@@ -0,0 +1,42 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { Suspicions, withoutAvoided } from './suspicions.js';
+
+describe('Suspicions', () => {
+  it('avoids a server longer each time it fails soon again, and starts anew after a while', () => {
+    const suspicions = new Suspicions();
+    expect(suspicions.add('a', 0)).toBe(1500);
+    expect(suspicions.add('a', 500)).toBe(1000);
+    expect(suspicions.leftMs('a', 1500)).toBe(0);
+    expect(suspicions.add('a', 2000)).toBe(3000);
+    expect(suspicions.add('a', 5500)).toBe(6000);
+    expect(suspicions.add('a', 12_000)).toBe(12_000);
+    expect(suspicions.add('a', 25_000)).toBe(12_000);
+    suspicions.expire(60_000);
+    expect(suspicions.add('a', 60_000)).toBe(1500);
+  });
+
+  it('tries a server again that has served, and remembers that it failed', () => {
+    const suspicions = new Suspicions();
+    suspicions.add('a', 0);
+    suspicions.clear('a', 100);
+    expect(suspicions.leftMs('a', 100)).toBe(0);
+    expect(suspicions.add('a', 200)).toBe(3000);
+  });
+});
+
+describe('withoutAvoided', () => {
+  it('never leaves out more than two in five, and those first that are avoided longest', () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat(3), { minLength: 1, maxLength: 20 }), (times) => {
+        const items = times.map((avoidedMs, index) => ({ avoidedMs, index }));
+        const kept = withoutAvoided(items);
+        const out = items.filter((item) => !kept.includes(item));
+        expect(out.length).toBeLessThanOrEqual(items.length * 0.4);
+        const shortestOut = Math.min(...out.map(({ avoidedMs }) => avoidedMs));
+        for (const { avoidedMs } of kept) expect(avoidedMs).toBeLessThanOrEqual(shortestOut);
+      }),
+      { numRuns: 300, seed: 3 },
+    );
+  });
+});
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -141,12 +141,14 @@
     this.#tellPlanners(service, { kind: 'end', ...this.#selfFields(), attempt: attemptId });
   }
 
-  /** All hosts avoid `server` for `forMs` from now. */
-  suspect(server: string, forMs: Milliseconds): void {
+  /** A server failed, so all hosts avoid it; for how long from now. */
+  suspect(server: string): Milliseconds {
     const { clock, fleet } = this.parts;
-    const isKnown = fleet.isSuspect(server, clock.monotonicMs());
-    fleet.suspect(server, clock.monotonicMs() + forMs);
+    const nowMs = clock.monotonicMs();
+    const isKnown = fleet.suspicions.leftMs(server, nowMs) > 0;
+    const forMs = fleet.suspicions.add(server, nowMs);
     if (!isKnown) this.#broadcast({ kind: 'suspect', ...this.#selfFields(), server, forMs });
+    return forMs;
   }
 
   /** Takes in one message; `address` is where it came from. */
@@ -185,7 +187,7 @@
         fleet.end(attempt);
       })
       .with({ kind: 'suspect' }, ({ server, forMs }) => {
-        fleet.suspect(server, nowMs + forMs);
+        fleet.suspicions.avoid(server, forMs, nowMs);
       })
       .with({ kind: 'news' }, (news) => {
         this.parts.knowledge.hear(news, news.list ? fromWireList(news.list) : undefined);
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -13,7 +13,7 @@
   const candidates = without(parts.servers.available(service), failedIds).map((server) => ({
     server,
     outstanding: parts.fleet.writersOn(server.id),
-    isSuspect: parts.fleet.isSuspect(server.id, nowMs),
+    avoidedMs: parts.fleet.suspicions.leftMs(server.id, nowMs),
   }));
   return placeCall(candidates, parts.draw())?.server;
 }
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -29,11 +29,11 @@
 
 /** Pause before a silent engine that lives is looked after again. */
 const BUSY_LOOK_AGAIN_MS: Milliseconds = 500;
-/** A server that failed to answer is avoided for this long. */
-const SUSPECT_MS: Milliseconds = 1500;
 /** When to come back after a refusal for want of a server. */
 const REFUSED_RETRY_MS: Milliseconds = 250;
 const SERVER_ERROR_FROM = 500;
+/** Engines have no errors of an application; plain services do. */
+const INTERNAL_ERROR = 500;
 const MISDIRECTED = 421;
 /** Statuses that promise that nothing was run; only a server's own mark makes that true. */
 const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
@@ -248,7 +248,7 @@
     const { partMs = 0, expectedFirstMs = 0 } = choice.plan?.stream ?? {};
     const isTold = partMs >= TOLD_READ_MS;
     peers.onReadDone(id, isTold ? this.#engineService : undefined);
-    fleet.trust(choice.server.id);
+    fleet.suspicions.clear(choice.server.id, clock.monotonicMs());
     const tookMs = clock.monotonicMs() - startedAtMs;
     this.#record.firstEvent(id, choice.server, tookMs, expectedFirstMs);
   }
@@ -289,6 +289,7 @@
     }
     if (PROMISE_STATUSES.has(head.status)) return this.#finishFailed('unknown', choice, detail);
     const isServerError = head.status >= SERVER_ERROR_FROM;
+    if (head.status === INTERNAL_ERROR && choice.plan) this.#suspect(choice.server, detail);
     if (isServerError && this.#noteFailure('failed', choice, detail)) return false;
     if (!isServerError) this.#tally.onAnswered();
     if (this.answer.isBegun) this.answer.breakOff();
@@ -321,8 +322,8 @@
   }
 
   #suspect(server: BackendServer, why: string): void {
-    this.parts.peers.suspect(server.id, SUSPECT_MS);
-    this.#record.serverSuspect(server, why, SUSPECT_MS);
+    const forMs = this.parts.peers.suspect(server.id);
+    this.#record.serverSuspect(server, why, forMs);
   }
 
   /** The caller has left, or the time is up. */
--- a/packages/relay/src/request/request-record.ts
+++ b/packages/relay/src/request/request-record.ts
@@ -127,7 +127,12 @@
 
   serverSuspect(server: BackendServer, why: string, forMs: Milliseconds): void {
     const request = this.caller.requestId;
-    this.parts.log.warn('server_suspect', { request, server: server.id, why, for_ms: forMs });
+    this.parts.log.warn('server_suspect', {
+      request,
+      server: server.id,
+      why,
+      for_ms: Math.round(forMs),
+    });
   }
 
   answered(end: AnswerEnd): void {
