Let pauses grow after failed calls to the store; let an older list told by a peer count for nothing

Hosts that the store turned away asked it eight times a second each. With the list told to peers, a reader that knew an older list, proved later than this host's own word, sent the host to the store: lists are now compared by their version in the store. Ruled out: fewer readers (they are 2 of 79 and ask five times a second together). Test that failed first: peer-mesh, 'is not sent to the store by a reader that knows an older list'.

--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -261,6 +261,24 @@
     }
   });
 
+  it('is not sent to the store by a reader that knows an older list', async () => {
+    const network = new Network();
+    for (const port of PORTS) network.start(port, PORTS);
+    await network.run(1000);
+    const [first, second] = [network.hosts.get(1), network.hosts.get(2)];
+    first?.list.replace([ENGINE, { ...ENGINE, id: 'i-2' }], 0, 2);
+    first?.mesh.tellNews();
+    const isNewsToSecond = ({ to, message }: Sent) => to === 2 && message.kind === 'news';
+    network.sent.splice(network.sent.findIndex(isNewsToSecond), 1);
+    for (let round = 0; round < 3; round += 1) {
+      await network.run(300);
+      second?.list.freshness.prove(network.clock.monotonicMs() - second.startedAtMs);
+    }
+    await network.run(600);
+    expect(network.hosts.get(5)?.list.digest).toBe(first?.list.digest);
+    expect(network.hosts.get(5)?.knowledge.isListDifferent).toBe(false);
+  });
+
   it('plans for the host that asks, and tells it', async () => {
     const network = new Network();
     for (const port of [1, 2]) network.start(port, [1, 2]);
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -220,6 +220,7 @@
       configurationVersion: beat.configurationVersion,
       configurationAtMs: dated(beat.configurationAgeMs),
       listDigest: beat.listDigest,
+      listVersion: beat.listVersion,
       listAtMs: dated(beat.listAgeMs),
     });
   }
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -76,6 +76,7 @@
   configurationAgeMs: z.number().nullable(),
   /** Stands for the list of backend servers as the sender knows it. */
   listDigest: z.string(),
+  listVersion: z.number(),
   listAgeMs: z.number().nullable(),
   /** Processor that the sender has, in cores of the usual speed; large hosts plan first. */
   capacity: z.number(),
@@ -135,6 +136,7 @@
   ...hostFields,
   configurationVersion: z.number(),
   listDigest: z.string(),
+  listVersion: z.number(),
   /** Null where it is too long for a datagram; whoever knows another then asks the store. */
   list: z
     .object({ version: z.number(), graceMs: z.number(), servers: z.array(serverSchema) })
--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -6,6 +6,8 @@
 export interface PeerWord {
   readonly configurationVersion: number;
   readonly listDigest: string;
+  /** Rises with every change in the store. */
+  readonly listVersion: number;
 }
 
 /** The same, with instants of this process's clock at which it held, or undefined for never. */
@@ -33,7 +35,7 @@
   #isConfigurationBehind = false;
   #isListDifferent = false;
   #storeFailedAtMs: Milliseconds | undefined;
-  #onBehind: () => void = () => undefined;
+  #onNews: () => void = () => undefined;
 
   constructor(readonly parts: SharedKnowledgeParts) {}
 
@@ -56,7 +58,11 @@
   /** What this host tells its peers. */
   get own(): PeerWord {
     const { inForce, list } = this.parts;
-    return { configurationVersion: inForce.version, listDigest: list.digest };
+    return {
+      configurationVersion: inForce.version,
+      listDigest: list.digest,
+      listVersion: list.listed.version,
+    };
   }
 
   /** Time since the configuration was proved the newest; infinite before that. */
@@ -79,9 +85,9 @@
     return this.#isListDifferent;
   }
 
-  /** `callback` is called when a peer is found to know more. */
-  onBehind(callback: () => void): void {
-    this.#onBehind = callback;
+  /** `callback` is called when a peer is found to know more, or the store is back. */
+  onNews(callback: () => void): void {
+    this.#onNews = callback;
   }
 
   /** Takes in undated news, with the whole list where it came along. */
@@ -89,12 +95,18 @@
     const { inForce, list } = this.parts;
     if (listed) list.adopt(listed);
     if (word.configurationVersion > inForce.version) this.#isConfigurationBehind = true;
-    this.#isListDifferent = word.listDigest !== list.digest;
+    this.#isListDifferent = this.#isNewerList(word);
     this.#tellBehind();
   }
 
+  /** An older list than this host's own says nothing. */
+  #isNewerList({ listDigest, listVersion }: PeerWord): boolean {
+    const { list } = this.parts;
+    return listDigest !== list.digest && listVersion > list.listed.version;
+  }
+
   #tellBehind(): void {
-    if (this.#isConfigurationBehind || this.#isListDifferent) this.#onBehind();
+    if (this.#isConfigurationBehind || this.#isListDifferent) this.#onNews();
   }
 
   /** Takes in what a peer knew at instants of this process's clock. */
@@ -106,16 +118,17 @@
     }
     if (word.listAtMs !== undefined) {
       if (word.listDigest === list.digest) list.freshness.prove(word.listAtMs);
-      // An older list than this host's own says nothing.
-      else if (list.freshness.isOlderThan(word.listAtMs)) this.#isListDifferent = true;
+      else if (this.#isNewerList(word)) this.#isListDifferent = true;
     }
     this.#tellBehind();
   }
 
   /** The store has told the newest configuration. */
   onConfigurationRead(): void {
+    const wasLost = this.#storeFailedAtMs !== undefined;
     this.#storeFailedAtMs = undefined;
     this.#isConfigurationBehind = false;
+    if (wasLost) this.#onNews();
   }
 
   /** The store has told its list. */
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -1,4 +1,3 @@
-import { delay } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
 import type { ConfigurationInForce, Freshness, RouteTable } from '@poppypond/routing';
 import type { Log } from '@poppypond/telemetry';
@@ -6,6 +5,7 @@
 import type { PlatformRows, RowSet, RowStore } from '../ports.js';
 import { DependencyState } from './dependency-state.js';
 import { StoreClock } from './store-clock.js';
+import { GrowingPause } from './growing-pause.js';
 import { Wakeup } from './wakeup.js';
 
 /**
@@ -19,8 +19,9 @@
 const LOOK_AGAIN_MS: Milliseconds = 250;
 /** The shortest. */
 const SHORTEST_PAUSE_MS: Milliseconds = 20;
-/** Pause after a failed call; each costs the store a call. */
-const FAILURE_PAUSE_MS: Milliseconds = 250;
+/** Pauses after failed calls: each costs, and a host is to be in touch 3 s after an outage. */
+const FIRST_FAILURE_PAUSE_MS: Milliseconds = 250;
+const LONGEST_FAILURE_PAUSE_MS: Milliseconds = 1200;
 
 /** What the watch needs. */
 export interface ConfigurationWatchParts {
@@ -46,6 +47,7 @@
   readonly #storeClock: StoreClock;
   readonly #state: DependencyState;
   readonly #wakeup: Wakeup;
+  readonly #failurePause = new GrowingPause(FIRST_FAILURE_PAUSE_MS, LONGEST_FAILURE_PAUSE_MS);
 
   constructor(readonly parts: ConfigurationWatchParts) {
     this.#storeClock = new StoreClock(parts.clock);
@@ -91,7 +93,7 @@
     // What was missed meanwhile may be gone from the history; a whole read is never wrong.
     this.#version = undefined;
     this.#storeClock.reset();
-    await delay(clock, FAILURE_PAUSE_MS);
+    await this.#wakeup.sleep(this.#failurePause.next());
   }
 
   #mustRead(): boolean {
@@ -114,6 +116,7 @@
   #take(set: RowSet, askedAtMs: Milliseconds): void {
     const { rows } = this.parts;
     this.#state.onSuccess();
+    this.#failurePause.reset();
     this.#version = set.version;
     const row = set.rows.findLast(({ key }) => key === rows.configurationKey);
     if (row?.value && !this.#apply(row.value)) return;
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -5,6 +5,7 @@
 import { DependencyState } from './dependency-state.js';
 import type { SharedKnowledge } from '../peers/shared-knowledge.js';
 import type { ServerList } from './server-list.js';
+import { GrowingPause } from './growing-pause.js';
 import { Wakeup } from './wakeup.js';
 
 /**
@@ -18,8 +19,14 @@
 const LOOK_AGAIN_MS: Milliseconds = 250;
 /** The shortest. */
 const SHORTEST_PAUSE_MS: Milliseconds = 20;
-/** Pause after a failed read. */
-const FAILURE_PAUSE_MS: Milliseconds = 300;
+/**
+ * Pauses after failed reads. The watch of the configuration asks more often and tells when the
+ * store is back.
+ */
+const FIRST_FAILURE_PAUSE_MS: Milliseconds = 300;
+const LONGEST_FAILURE_PAUSE_MS: Milliseconds = 2400;
+/** Pause between reads while servers may come back that lapsed during an outage. */
+const RETURN_PAUSE_MS: Milliseconds = 300;
 
 /** What the watch needs. */
 export interface ServerWatchParts {
@@ -42,6 +49,7 @@
   #isStopped = false;
   readonly #state: DependencyState;
   readonly #wakeup: Wakeup;
+  readonly #failurePause = new GrowingPause(FIRST_FAILURE_PAUSE_MS, LONGEST_FAILURE_PAUSE_MS);
 
   constructor(readonly parts: ServerWatchParts) {
     this.#state = new DependencyState(parts.clock, parts.log, 'store.servers');
@@ -71,9 +79,10 @@
       this.#state.onFailure(answer.error.detail);
       list.onStoreAway();
       knowledge.onStoreFailure();
-      return FAILURE_PAUSE_MS;
+      return this.#failurePause.next();
     }
     this.#state.onSuccess();
+    this.#failurePause.reset();
     const before = list.digest;
     list.replace(
       answer.value.rows.flatMap((row) => this.#readRow(row)),
@@ -83,7 +92,7 @@
     knowledge.onListRead();
     if (list.digest !== before) this.parts.onChange();
     if (this.parts.isReader()) return this.parts.withinMs * READ_PERIOD_SHARE;
-    return list.keepsUnlisted ? FAILURE_PAUSE_MS : this.#untilOwnReadMs();
+    return list.keepsUnlisted ? RETURN_PAUSE_MS : this.#untilOwnReadMs();
   }
 
   #mustRead(): boolean {
--- a/packages/relay/src/store/start-watches.ts
+++ b/packages/relay/src/store/start-watches.ts
@@ -34,7 +34,7 @@
     list: servers,
     onChange: tellNews,
   });
-  knowledge.onBehind(() => {
+  knowledge.onNews(() => {
     configurationWatch.wake();
     serverWatch.wake();
   });
--- a/packages/routing/src/freshness.ts
+++ b/packages/routing/src/freshness.ts
@@ -16,11 +16,6 @@
       this.#provedAtMs = instantMs;
   }
 
-  /** Whether nothing was proved as of `instantMs` or later. */
-  isOlderThan(instantMs: Milliseconds): boolean {
-    return this.#provedAtMs === undefined || this.#provedAtMs < instantMs;
-  }
-
   /** Time since the last proof; infinite before the first. */
   ageMs(): Milliseconds {
     if (this.#provedAtMs === undefined) return Number.POSITIVE_INFINITY;
