Share the pause until an own read between the two watches of the store

ConfigurationWatch and ServerWatch each had the same bounds and the same computation; they now take them from store/own-read-pause.ts. Imports of both are in order; ServerWatch.run has a doc comment. Behaviour is unchanged.

--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -4,8 +4,9 @@
 import type { SharedKnowledge } from '../peers/shared-knowledge.js';
 import type { PlatformRows, RowSet, RowStore } from '../ports.js';
 import { DependencyState } from './dependency-state.js';
-import { StoreClock } from './store-clock.js';
 import { GrowingPause } from './growing-pause.js';
+import { ownReadPauseMs } from './own-read-pause.js';
+import { StoreClock } from './store-clock.js';
 import { Wakeup } from './wakeup.js';
 
 /**
@@ -15,10 +16,6 @@
 const WAIT_SHARE = 0.35;
 /** A host that goes by the word of those that read asks itself when that is older than this. */
 const OWN_READ_AFTER_SHARE = 0.8;
-/** The longest pause of such a host before it looks whether it has to read for all. */
-const LOOK_AGAIN_MS: Milliseconds = 250;
-/** The shortest. */
-const SHORTEST_PAUSE_MS: Milliseconds = 20;
 /** Pauses after failed calls: each costs, and a host is to be in touch 3 s after an outage. */
 const FIRST_FAILURE_PAUSE_MS: Milliseconds = 250;
 const LONGEST_FAILURE_PAUSE_MS: Milliseconds = 1200;
@@ -108,9 +105,8 @@
 
   /** The pause of a host that goes by the word of others. */
   #untilOwnReadMs(): Milliseconds {
-    if (this.#mustRead()) return SHORTEST_PAUSE_MS;
-    const leftMs = this.#ownReadAfterMs - this.parts.knowledge.configurationAgeMs;
-    return Math.min(LOOK_AGAIN_MS, Math.max(SHORTEST_PAUSE_MS, leftMs));
+    if (this.#mustRead()) return ownReadPauseMs(0);
+    return ownReadPauseMs(this.#ownReadAfterMs - this.parts.knowledge.configurationAgeMs);
   }
 
   #take(set: RowSet, askedAtMs: Milliseconds): void {
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -1,11 +1,12 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
+import type { SharedKnowledge } from '../peers/shared-knowledge.js';
 import type { PlatformRows, RowStore, StoredRow } from '../ports.js';
 import { DependencyState } from './dependency-state.js';
-import type { SharedKnowledge } from '../peers/shared-knowledge.js';
-import type { ServerList } from './server-list.js';
 import { GrowingPause } from './growing-pause.js';
+import { ownReadPauseMs } from './own-read-pause.js';
+import type { ServerList } from './server-list.js';
 import { Wakeup } from './wakeup.js';
 
 /**
@@ -15,10 +16,6 @@
 const READ_PERIOD_SHARE = 0.4;
 /** The same for a host that goes by the word of those that read: older than this, it asks itself. */
 const OWN_READ_AFTER_SHARE = 0.75;
-/** The longest pause of such a host before it looks whether it has to read for all. */
-const LOOK_AGAIN_MS: Milliseconds = 250;
-/** The shortest. */
-const SHORTEST_PAUSE_MS: Milliseconds = 20;
 /**
  * Pauses after failed reads. The watch of the configuration asks more often and tells when the
  * store is back.
@@ -56,6 +53,7 @@
     this.#wakeup = new Wakeup(parts.clock);
   }
 
+  /** Runs until `stop`. */
   async run(): Promise<void> {
     while (!this.#isStopped) await this.#wakeup.sleep(await this.step());
   }
@@ -107,9 +105,8 @@
 
   /** The pause of a host that goes by the word of others. */
   #untilOwnReadMs(): Milliseconds {
-    if (this.#mustRead()) return SHORTEST_PAUSE_MS;
-    const leftMs = this.#ownReadAfterMs - this.parts.knowledge.listAgeMs;
-    return Math.min(LOOK_AGAIN_MS, Math.max(SHORTEST_PAUSE_MS, leftMs));
+    if (this.#mustRead()) return ownReadPauseMs(0);
+    return ownReadPauseMs(this.#ownReadAfterMs - this.parts.knowledge.listAgeMs);
   }
 
   #readRow({ key, value }: StoredRow): readonly BackendServer[] {
