Take the making of heartbeats and the dating of what they say out of the peer mesh

peers/heartbeat.ts makes a heartbeat and dates what one says of the store; the handling of a planner's question has a method of its own; a wrapper of one call is gone; imports are in order; public methods of the mesh have doc comments. Behaviour is unchanged.

--- /dev/null
+++ b/packages/relay/src/peers/heartbeat.ts
@@ -0,0 +1,69 @@
+import type { Milliseconds } from '@poppypond/core';
+import type { FleetView } from '@poppypond/fleet';
+import type { Peer, PeerAddress } from './peer-list.js';
+import type { Beat } from './peer-messages.js';
+import type { DatedWord, SharedKnowledge } from './shared-knowledge.js';
+import { toWireUse } from './work-on-the-wire.js';
+
+/** What a heartbeat is made from. */
+export interface BeatInputs {
+  readonly self: PeerAddress & { readonly incarnation: string };
+  readonly fleet: FleetView;
+  readonly knowledge: SharedKnowledge;
+  readonly canPlan: boolean;
+  /** Whether the receiver is asked to answer at once. */
+  readonly isQuestion: boolean;
+  /** The sender's monotonic clock. */
+  readonly nowMs: Milliseconds;
+}
+
+function finiteOrNull(ageMs: Milliseconds): Milliseconds | null {
+  return Number.isFinite(ageMs) ? ageMs : null;
+}
+
+function echoOf({ incarnation, lastSentAtMs }: Peer): Beat['echo'] {
+  if (incarnation === undefined || lastSentAtMs === undefined) return null;
+  return { incarnation, sentAtMs: lastSentAtMs };
+}
+
+/** The heartbeat of this host for `peer`. */
+export function makeBeat(
+  { self, fleet, knowledge, canPlan, isQuestion, nowMs }: BeatInputs,
+  peer: Peer,
+): Beat {
+  const { host, incarnation, port, capacity } = self;
+  return {
+    kind: 'beat',
+    host,
+    incarnation,
+    port,
+    sentAtMs: nowMs,
+    echo: echoOf(peer),
+    isStoreLost: knowledge.isStoreLost,
+    isQuestion,
+    ...knowledge.own,
+    configurationAgeMs: finiteOrNull(knowledge.configurationAgeMs),
+    listAgeMs: finiteOrNull(knowledge.listAgeMs),
+    capacity,
+    canPlan,
+    uses: fleet.attemptsOf(host).map((use) => toWireUse(use, nowMs)),
+  };
+}
+
+/**
+ * What the sender of `beat` knew of the store, in instants of this process's clock; undefined where
+ * it echoes no heartbeat of this process.
+ */
+export function datedWordOf(beat: Beat, incarnation: string): DatedWord | undefined {
+  if (beat.echo?.incarnation !== incarnation) return undefined;
+  // Ages were told after our own beat had arrived there, so they held at that beat or later.
+  const { sentAtMs } = beat.echo;
+  const dated = (ageMs: number | null) => (ageMs === null ? undefined : sentAtMs - ageMs);
+  return {
+    configurationVersion: beat.configurationVersion,
+    configurationAtMs: dated(beat.configurationAgeMs),
+    listDigest: beat.listDigest,
+    listVersion: beat.listVersion,
+    listAtMs: dated(beat.listAgeMs),
+  };
+}
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -2,13 +2,14 @@
 import type { AttemptUse, FleetView } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
 import { match } from 'ts-pattern';
-import { fromWireList, toWireList } from './list-on-the-wire.js';
-import { PeerList } from './peer-list.js';
-import type { Peer, PeerAddress } from './peer-list.js';
-import type { Beat, PeerMessage } from './peer-messages.js';
 import type { PlannerPeers } from '../planning/placing.js';
 import type { PlanAnswer, PlanRequest } from '../planning/plan-request.js';
 import type { Planner } from '../planning/planner.js';
+import { datedWordOf, makeBeat } from './heartbeat.js';
+import { fromWireList, toWireList } from './list-on-the-wire.js';
+import { PeerList } from './peer-list.js';
+import type { PeerAddress } from './peer-list.js';
+import type { Beat, PeerMessage, WireAsk } from './peer-messages.js';
 import type { SharedKnowledge } from './shared-knowledge.js';
 import {
   fromWireAsk,
@@ -25,15 +26,6 @@
 
 const BEAT_PERIOD_MS: Milliseconds = 500;
 
-function finiteOrNull(ageMs: Milliseconds): Milliseconds | null {
-  return Number.isFinite(ageMs) ? ageMs : null;
-}
-
-function echoOf({ incarnation, lastSentAtMs }: Peer): Beat['echo'] {
-  if (incarnation === undefined || lastSentAtMs === undefined) return null;
-  return { incarnation, sentAtMs: lastSentAtMs };
-}
-
 /** What the mesh needs. */
 export interface PeerMeshParts {
   readonly clock: Clock;
@@ -71,7 +63,7 @@
     return this.#peers.isAmongReaders(host);
   }
 
-  /** Tells all that the store told something new. */
+  /** Tells all known hosts that the store told something new. */
   tellNews(): void {
     const { knowledge } = this.parts;
     const list = toWireList(knowledge.listed);
@@ -92,7 +84,7 @@
     for (const peer of known) this.#learn(peer);
   }
 
-  /** Tells all that this host leaves; sends no more heartbeats and takes in nothing afterwards. */
+  /** Tells all known hosts that this one leaves; sends no more heartbeats and takes in nothing afterwards. */
   stop(): void {
     this.#cancel();
     this.#isStopped = true;
@@ -109,15 +101,18 @@
     return this.#peers.aliveCount;
   }
 
+  /** Hosts that plan for a service, the first in rank before others; this host may be among them. */
   plannersOf(service: string): readonly string[] {
     return this.#peers.plannersOf(service);
   }
 
+  /** Asks `planner`; the answers go to `onPlan`, or are lost. */
   askPlan(planner: string, request: PlanRequest): void {
     const ask = toWireAsk(request, this.parts.clock.monotonicMs());
     this.#sendTo(planner, { kind: 'ask', ...this.#selfFields(), ask });
   }
 
+  /** Tells `planner` that an attempt won't run by its plan. */
   withdrawPlan(planner: string, attemptId: string): void {
     this.#sendTo(planner, { kind: 'withdraw', ...this.#selfFields(), attempt: attemptId });
   }
@@ -165,14 +160,7 @@
         fleet.begin(fromWireUse(use, host, nowMs));
       })
       .with({ kind: 'ask' }, ({ ask, host }) => {
-        planner.submit(fromWireAsk(ask, host, nowMs), (answer) => {
-          this.#sendTo(host, {
-            kind: 'plan',
-            ...this.#selfFields(),
-            attempt: ask.attempt,
-            answer: toWireAnswer(answer),
-          });
-        });
+        this.#takeAsk(ask, host);
       })
       .with({ kind: 'plan' }, ({ attempt, answer }) => {
         this.parts.onPlan(attempt, answer);
@@ -201,7 +189,7 @@
   #hear(message: PeerMessage, address: string): void {
     const { host, incarnation } = message;
     if (!this.#peers.hear(message, address)) return;
-    this.#dropWorkOf(host);
+    this.parts.fleet.dropHost(host);
     this.parts.log.info('peer_heard', { peer: host, address, incarnation });
     this.#beat(host, true);
   }
@@ -212,16 +200,17 @@
     const uses = beat.uses.map((use) => fromWireUse(use, beat.host, nowMs));
     fleet.replaceHost(beat.host, uses, nowMs);
     if (beat.isQuestion) this.#beat(beat.host, false);
-    if (beat.echo?.incarnation !== self.incarnation) return;
-    // Ages were told after our own beat had arrived there, so they held at that beat or later.
-    const { sentAtMs } = beat.echo;
-    const dated = (ageMs: number | null) => (ageMs === null ? undefined : sentAtMs - ageMs);
-    knowledge.hearDated({
-      configurationVersion: beat.configurationVersion,
-      configurationAtMs: dated(beat.configurationAgeMs),
-      listDigest: beat.listDigest,
-      listVersion: beat.listVersion,
-      listAtMs: dated(beat.listAgeMs),
+    const word = datedWordOf(beat, self.incarnation);
+    if (word) knowledge.hearDated(word);
+  }
+
+  /** Plans for `host`; it is told each answer. */
+  #takeAsk(ask: WireAsk, host: string): void {
+    const { clock, planner } = this.parts;
+    const { attempt } = ask;
+    planner.submit(fromWireAsk(ask, host, clock.monotonicMs()), (answer) => {
+      const wire = toWireAnswer(answer);
+      this.#sendTo(host, { kind: 'plan', ...this.#selfFields(), attempt, answer: wire });
     });
   }
 
@@ -234,19 +223,15 @@
     this.parts.fleet.expire(this.parts.clock.monotonicMs());
     for (const peer of this.#peers.all()) {
       if (this.#peers.isForgotten(peer)) this.#forget(peer.host, 'silent');
-      else if (!this.#peers.isAlive(peer)) this.#dropWorkOf(peer.host);
+      else if (!this.#peers.isAlive(peer)) this.parts.fleet.dropHost(peer.host);
     }
     this.#beatAll();
   }
 
   #forget(host: string, why: 'left' | 'silent'): void {
     this.#peers.remove(host);
-    this.#dropWorkOf(host);
-    this.parts.log.info('peer_forgotten', { peer: host, why });
-  }
-
-  #dropWorkOf(host: string): void {
     this.parts.fleet.dropHost(host);
+    this.parts.log.info('peer_forgotten', { peer: host, why });
   }
 
   #beatAll(): void {
@@ -260,20 +245,9 @@
     if (!peer) return;
     const { clock, fleet, knowledge, planner, self, sender } = this.parts;
     const nowMs = clock.monotonicMs();
-    sender.send(peer.address, peer.port, {
-      kind: 'beat',
-      ...this.#selfFields(),
-      sentAtMs: nowMs,
-      echo: echoOf(peer),
-      isStoreLost: knowledge.isStoreLost,
-      isQuestion,
-      ...knowledge.own,
-      configurationAgeMs: finiteOrNull(knowledge.configurationAgeMs),
-      listAgeMs: finiteOrNull(knowledge.listAgeMs),
-      capacity: self.capacity,
-      canPlan: planner.canPlan,
-      uses: fleet.attemptsOf(self.host).map((use) => toWireUse(use, nowMs)),
-    });
+    const { canPlan } = planner;
+    const beat = makeBeat({ self, fleet, knowledge, canPlan, isQuestion, nowMs }, peer);
+    sender.send(peer.address, peer.port, beat);
   }
 
   #broadcast(message: PeerMessage): void {
