Divide the choice of a server by kind: engines, plain services, and what a choice is

choose-engines.ts has a stream planned and holds its memory; choose-server.ts chooses for both kinds; choice.ts keeps the shapes. useOf tells what an attempt of either kind takes up, in place of a condition in RelayRun. choosePlainServer, choosePlain and callUse are private to their files; imports are in order. Behaviour is unchanged.

--- a/packages/relay/src/request/attempt-use.ts
+++ b/packages/relay/src/request/attempt-use.ts
@@ -1,10 +1,10 @@
-import type { AttemptUse } from '@poppypond/fleet';
 import type { Milliseconds } from '@poppypond/core';
-import { LIMIT_SLACK_MS } from '../planning/planned-use.js';
+import type { AttemptUse } from '@poppypond/fleet';
+import { LIMIT_SLACK_MS, toAttemptUse } from '../planning/planned-use.js';
 import type { Choice } from './choice.js';
 
 /** What a call of a plain service takes up: a place on its server. */
-export function callUse(
+function callUse(
   { attemptId, server }: Choice,
   host: string,
   placedAtMs: Milliseconds,
@@ -24,3 +24,15 @@
     expiresAtMs: limitAtMs + LIMIT_SLACK_MS,
   };
 }
+
+/** What an attempt takes up that is placed on `host` at `placedAtMs`, until `limitAtMs` at the latest. */
+export function useOf(
+  choice: Choice,
+  host: string,
+  placedAtMs: Milliseconds,
+  limitAtMs: Milliseconds,
+): AttemptUse {
+  const { plan } = choice;
+  if (plan) return toAttemptUse(plan.request, plan.stream, placedAtMs);
+  return callUse(choice, host, placedAtMs, limitAtMs);
+}
--- /dev/null
+++ b/packages/relay/src/request/choose-engines.ts
@@ -0,0 +1,99 @@
+import { delay, randomId } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
+import type { BackendServer } from '@poppypond/fleet';
+import { HeldMemory } from '../backend/held-memory.js';
+import type { PlannedStream, PlanRequest } from '../planning/plan-request.js';
+import type { Choice, ChoiceInputs, Chosen, StreamPlan } from './choice.js';
+
+/** Pause before a request is planned again whose plan could not be used. */
+const PLAN_AGAIN_MS: Milliseconds = 10;
+
+function toPlanRequest(inputs: ChoiceInputs, avoidedIds: Iterable<string>): PlanRequest {
+  const { parts, caller, admitted, arrivedAtMs, limitAtMs } = inputs;
+  return {
+    attemptId: randomId(),
+    requestId: caller.requestId,
+    host: parts.host,
+    service: admitted.service,
+    promptTokens: caller.promptTokens,
+    answerTokens: caller.answerTokens,
+    aimMs: admitted.route.aimMs,
+    gapAimMs: admitted.route.gapAimMs,
+    arrivedAtMs,
+    limitAtMs,
+    avoidedIds: [...avoidedIds],
+  };
+}
+
+/** The servers of a plan, or the ids of those that may take no work by what this host knows. */
+function findServers(
+  { parts, admitted }: ChoiceInputs,
+  { writerId, readerIds }: PlannedStream,
+): { readonly servers: readonly BackendServer[]; readonly unusableIds: readonly string[] } {
+  const available = parts.servers.available(admitted.service);
+  const servers: BackendServer[] = [];
+  const unusableIds: string[] = [];
+  for (const id of [writerId, ...readerIds]) {
+    const server = available.find((candidate) => candidate.id === id);
+    if (server) servers.push(server);
+    else unusableIds.push(id);
+  }
+  return { servers, unusableIds };
+}
+
+/** Holds memory on the engines that share the prompt; undefined where one had none. */
+function holdShares(
+  { parts, caller, onWriterLost }: ChoiceInputs,
+  writer: BackendServer,
+  readers: readonly BackendServer[],
+  { shares }: PlannedStream,
+): Promise<HeldMemory | undefined> {
+  return HeldMemory.take(parts, randomId(), {
+    requestId: caller.requestId,
+    writer,
+    needs: shares.flatMap(({ engineId, tokens }) => {
+      const server = readers.find(({ id }) => id === engineId);
+      return server ? [{ server, tokens }] : [];
+    }),
+    onWriterLost,
+  });
+}
+
+/** The choice that a plan amounts to; undefined where the memory that it needs was not to be had. */
+async function chooseAsPlanned(
+  inputs: ChoiceInputs,
+  plan: StreamPlan,
+  [server, ...readers]: readonly BackendServer[],
+): Promise<Choice | undefined> {
+  if (!server) return undefined;
+  const { request, stream } = plan;
+  const choice = { attemptId: request.attemptId, server, plan, readers, held: undefined };
+  if (stream.shares.length === 0) return choice;
+  const held = await holdShares(inputs, server, readers, stream);
+  return held && { ...choice, held };
+}
+
+/** Has a stream planned until its plan can be used, and holds the memory that the plan needs. */
+export async function chooseEngines(inputs: ChoiceInputs): Promise<Chosen> {
+  const { parts, admitted, failedIds, isOver } = inputs;
+  const avoidedIds = new Set(failedIds);
+  for (;;) {
+    const request = toPlanRequest(inputs, avoidedIds);
+    const placed = await parts.placing.place(request, isOver);
+    if (placed.kind === 'over') return placed;
+    if (placed.kind === 'refuse') return { kind: 'refused', why: placed.rule };
+    const { stream, planner } = placed;
+    const { servers, unusableIds } = findServers(inputs, stream);
+    const isUsable = unusableIds.length === 0;
+    const choice = isUsable
+      ? await chooseAsPlanned(inputs, { request, stream, planner }, servers)
+      : undefined;
+    if (choice) return { kind: 'choice', choice };
+    parts.peers.end(request.attemptId, admitted.service);
+    for (const id of unusableIds) avoidedIds.add(id);
+    if (parts.servers.available(admitted.service).length === 0) {
+      return { kind: 'refused', why: 'no server of the service is listed' };
+    }
+    await delay(parts.clock, PLAN_AGAIN_MS);
+  }
+}
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -6,14 +6,15 @@
 import type { EventFrame } from '../backend/event-frames.js';
 import { ServerAttempt } from '../backend/server-attempt.js';
 import type { AttemptEnd } from '../backend/server-attempt.js';
+import { LIMIT_SLACK_MS } from '../planning/planned-use.js';
 import type { AnswerHead, CallerHead } from '../ports.js';
 import type { Admitted } from './admit.js';
 import { AttemptTally } from './attempt-tally.js';
-import { LIMIT_SLACK_MS, toAttemptUse } from '../planning/planned-use.js';
-import { callUse } from './attempt-use.js';
+import { useOf } from './attempt-use.js';
 import type { CallerAnswer } from './caller-answer.js';
-import { choose, findReader, readersOf } from './choice.js';
+import { findReader, readersOf } from './choice.js';
 import type { Choice } from './choice.js';
+import { choose } from './choose-server.js';
 import { busyPatienceMs, firstPatienceMs, stallPatienceMs } from './patience.js';
 import type { RelayParts } from './relay-parts.js';
 import { RequestRecord } from './request-record.js';
@@ -174,10 +175,7 @@
 
   #announce(choice: Choice): void {
     const { clock, host, peers } = this.parts;
-    const placedAtMs = clock.monotonicMs();
-    const use = choice.plan
-      ? toAttemptUse(choice.plan.request, choice.plan.stream, placedAtMs)
-      : callUse(choice, host, placedAtMs, this.#limitAtMs);
+    const use = useOf(choice, host, clock.monotonicMs(), this.#limitAtMs);
     peers.begin(use, this.#engineService);
   }
 
