Take the events of one answer out of RelayRun; put two more lists of imports in order

AnswerEvents passes each event on once and in order, and keeps the head under which they go out and the id of the last. Behaviour is unchanged.

--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -10,8 +10,8 @@
   writeStandardOutput,
 } from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
-import { PeerMesh } from './peers/peer-mesh.js';
 import type { PeerAddress } from './peers/peer-list.js';
+import { PeerMesh } from './peers/peer-mesh.js';
 import type { PeerSender } from './peers/peer-mesh.js';
 import { SharedKnowledge } from './peers/shared-knowledge.js';
 import { Placing } from './planning/placing.js';
--- /dev/null
+++ b/packages/relay/src/request/answer-events.ts
@@ -0,0 +1,45 @@
+import type { EventFrame } from '../backend/event-frames.js';
+import type { AnswerHead } from '../ports.js';
+import type { CallerAnswer } from './caller-answer.js';
+
+/** The events of one answer, from whichever attempts they come: each goes out once, in order. */
+export class AnswerEvents {
+  #lastId: number | undefined;
+  /** The head under which the events go out, also those of later attempts. */
+  #head: AnswerHead | undefined;
+
+  /** `lastId`: the last event that the caller has already; undefined for none. */
+  constructor(
+    readonly answer: CallerAnswer,
+    lastId: number | undefined,
+  ) {
+    this.#lastId = lastId;
+  }
+
+  /** The last event that the caller has or was sent; undefined for none. */
+  get lastId(): number | undefined {
+    return this.#lastId;
+  }
+
+  /** Passes on those of `frames` that are new; false where the caller must first take in more. */
+  write(frames: readonly EventFrame[], head: AnswerHead): boolean {
+    this.#head ??= head;
+    const fresh = frames.filter((frame) => this.#isNext(frame));
+    if (fresh.length === 0) return true;
+    return this.answer.writeEvents(this.#head, Buffer.concat(fresh.map(({ bytes }) => bytes)));
+  }
+
+  /** Ends the answer; its status. A stream taken up after its last event has only `head`. */
+  end(head: AnswerHead): number {
+    const used = this.#head ?? head;
+    this.answer.endEvents(used);
+    return used.status;
+  }
+
+  #isNext({ id }: EventFrame): boolean {
+    if (id === undefined) return true;
+    if (this.#lastId !== undefined && id <= this.#lastId) return false;
+    this.#lastId = id;
+    return true;
+  }
+}
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -9,6 +9,7 @@
 import { LIMIT_SLACK_MS } from '../planning/planned-use.js';
 import type { AnswerHead, CallerHead } from '../ports.js';
 import type { Admitted } from './admit.js';
+import { AnswerEvents } from './answer-events.js';
 import { AttemptTally } from './attempt-tally.js';
 import { useOf } from './attempt-use.js';
 import type { CallerAnswer } from './caller-answer.js';
@@ -45,10 +46,8 @@
   readonly #limitAtMs: Milliseconds;
   readonly #record: RequestRecord;
   readonly #tally: AttemptTally;
-  #lastEventId: number | undefined;
+  readonly #events: AnswerEvents;
   #lastEventAtMs: Milliseconds;
-  /** The head under which a stream's events go out, also those of later attempts. */
-  #streamHead: AnswerHead | undefined;
   #current: RunningAttempt | undefined;
   #cancelSilence: CancelTimer = () => undefined;
   /** Whether the current attempt was given up for its silence and another follows. */
@@ -73,7 +72,7 @@
     });
     const waitsMs = Math.min(caller.waitsMs ?? Number.POSITIVE_INFINITY, this.#route.timeoutMs);
     this.#limitAtMs = arrivedAtMs + waitsMs;
-    this.#lastEventId = caller.lastEventId;
+    this.#events = new AnswerEvents(answer, caller.lastEventId);
     this.#lastEventAtMs = arrivedAtMs;
   }
 
@@ -157,7 +156,7 @@
       server,
       timeLeftMs,
       workspace: this.admitted.workspace,
-      lastEventId: this.#lastEventId,
+      lastEventId: this.#events.lastId,
       readers: readersOf(choice),
       bodyLength: body.length,
     });
@@ -219,24 +218,11 @@
     const running = this.#current;
     if (!running || this.answer.isGone) return true;
     if (!running.hasEvents) this.#onFirstEvent(running);
-    this.#streamHead ??= head;
     const nowMs = this.parts.clock.monotonicMs();
     this.#record.eventGap(nowMs - this.#lastEventAtMs);
     this.#lastEventAtMs = nowMs;
     this.#watchSilence(stallPatienceMs(this.#route.gapAimMs));
-    const fresh = frames.filter((frame) => this.#isNext(frame));
-    if (fresh.length === 0) return true;
-    return this.answer.writeEvents(
-      this.#streamHead,
-      Buffer.concat(fresh.map(({ bytes }) => bytes)),
-    );
-  }
-
-  #isNext({ id }: EventFrame): boolean {
-    if (id === undefined) return true;
-    if (this.#lastEventId !== undefined && id <= this.#lastEventId) return false;
-    this.#lastEventId = id;
-    return true;
+    return this.#events.write(frames, head);
   }
 
   #onFirstEvent(running: RunningAttempt): void {
@@ -257,10 +243,7 @@
     if (end.kind === 'cancelled') return this.#finishCancelled();
     if (end.kind === 'events_done') {
       this.#tally.onAnswered();
-      // A stream that is taken up after its last event has a head and no events.
-      const head = this.#streamHead ?? end.head;
-      this.answer.endEvents(head);
-      this.#end('ok', head.status);
+      this.#end('ok', this.#events.end(end.head));
       return true;
     }
     this.#suspect(choice.server, end.detail);
@@ -352,7 +335,7 @@
       why,
       attemptsSent: this.#tally.sent,
       attemptsNotSent: this.#tally.notSent,
-      lastEventId: this.#lastEventId,
+      lastEventId: this.#events.lastId,
     });
   }
 }
--- a/packages/relay/src/request/request-record.ts
+++ b/packages/relay/src/request/request-record.ts
@@ -1,8 +1,8 @@
 import type { Milliseconds, ResultName } from '@poppypond/core';
 import type { AttemptFailure, BackendServer, RetryDecision } from '@poppypond/fleet';
-import type { StreamPlan } from './choice.js';
 import type { CallerHead } from '../ports.js';
 import type { Admitted } from './admit.js';
+import type { StreamPlan } from './choice.js';
 import type { RelayParts } from './relay-parts.js';
 
 const LONG_PROMPT_TOKENS = 100_000;
