Share the figures and the listed server of a model engine between three tests

ENGINE_FIGURES, ENGINE_SERVICE and engineServer of @poppypond/mocks replace three copies; no figure and no assertion is changed. Two fields that no test reads differ in placement.test.ts: address and availability zone of its servers. Behaviour is unchanged.

--- a/packages/fleet/src/placement.test.ts
+++ b/packages/fleet/src/placement.test.ts
@@ -1,4 +1,4 @@
-import type { EngineFigures } from '@poppypond/routing';
+import { ENGINE_FIGURES, engineServer } from '@poppypond/mocks';
 import { describe, expect, it } from 'vitest';
 import { readTimeMs } from './engine-times.js';
 import type { AttemptUse } from './attempt-use.js';
@@ -9,28 +9,9 @@
 import { shareMemory } from './share-memory.js';
 import type { StreamDemand } from './stream-plan.js';
 
-/** The engines of the first two users. */
-const FIGURES: EngineFigures = {
-  slots: 11,
-  memoryTokens: 450_000,
-  stepsPerPass: 46,
-  stepMs: 0.925,
-  stepMsPerWriter: 0.007,
-  stepMsPerThousandTokens: 0.00254,
-  readTokensPerMs: 256,
-  readMsPerMillionPairs: 0.0917,
-  usualAnswerTokens: 1540,
-};
-
-const servers: readonly BackendServer[] = Array.from({ length: 18 }, (_unused, index) => ({
-  id: `i-${String(index).padStart(2, '0')}`,
-  service: 'engines',
-  address: '10.0.0.1',
-  port: 1,
-  availabilityZone: 'a',
-  slots: 11,
-  isDraining: false,
-}));
+const servers: readonly BackendServer[] = Array.from({ length: 18 }, (_unused, index) =>
+  engineServer(`i-${String(index).padStart(2, '0')}`),
+);
 
 function use(attemptId: string, writerId: string, more: Partial<AttemptUse> = {}): AttemptUse {
   return {
@@ -50,9 +31,9 @@
 }
 
 function plan(view: FleetView, promptTokens: number, more: Partial<StreamDemand> = {}) {
-  const loads = servers.map((server) => view.load(server, FIGURES, 0));
+  const loads = servers.map((server) => view.load(server, ENGINE_FIGURES, 0));
   const long = promptTokens > 100_000;
-  return planStream(loads, FIGURES, {
+  return planStream(loads, ENGINE_FIGURES, {
     promptTokens,
     answerTokens: 1500,
     aimMs: long ? 3000 : 300,
@@ -85,7 +66,7 @@
     expect(placed.rule).toBe('parts_without_harm');
     expect(engines).not.toContain('i-00');
     expect(engines.length).toBeGreaterThan(10);
-    expect(placed.partMs * engines.length).toBeCloseTo(readTimeMs(FIGURES, 210_000));
+    expect(placed.partMs * engines.length).toBeCloseTo(readTimeMs(ENGINE_FIGURES, 210_000));
   });
 
   it('waits for its turn, and for engines that it would not disturb, but not until it is late', () => {
@@ -113,7 +94,7 @@
     const placed = plan(new FleetView(), 900_000, { aimMs: 30_000 });
     if (placed.kind !== 'place') throw new Error(placed.kind);
     const shared = placed.shares.reduce((sum, { tokens }) => sum + tokens, 0);
-    expect(shared).toBeGreaterThanOrEqual(900_000 + 1500 - FIGURES.memoryTokens);
+    expect(shared).toBeGreaterThanOrEqual(900_000 + 1500 - ENGINE_FIGURES.memoryTokens);
     const readerIds = placed.readers.map((load) => load.server.id);
     for (const { engine } of placed.shares) expect(readerIds).toContain(engine.server.id);
   });
@@ -122,11 +103,11 @@
 describe('shareMemory', () => {
   it('gives up where all engines together have too little', () => {
     const view = new FleetView();
-    const loads = servers.slice(0, 2).map((server) => view.load(server, FIGURES, 0));
+    const loads = servers.slice(0, 2).map((server) => view.load(server, ENGINE_FIGURES, 0));
     const [writer, ...readers] = loads;
     if (!writer) throw new Error('no engine');
-    expect(shareMemory(writer, readers, FIGURES, 1_000_000)).toBeUndefined();
-    expect(shareMemory(writer, readers, FIGURES, 400_000)).toEqual([]);
+    expect(shareMemory(writer, readers, ENGINE_FIGURES, 1_000_000)).toBeUndefined();
+    expect(shareMemory(writer, readers, ENGINE_FIGURES, 400_000)).toEqual([]);
   });
 });
 
@@ -136,9 +117,9 @@
     const [server] = servers;
     if (!server) throw new Error('no server');
     view.begin(use('a', server.id, { partMs: 100, isReading: true }));
-    expect(view.load(server, FIGURES, 0).pendingReadMs).toBeGreaterThanOrEqual(100);
+    expect(view.load(server, ENGINE_FIGURES, 0).pendingReadMs).toBeGreaterThanOrEqual(100);
     view.onReadDone('a');
-    expect(view.load(server, FIGURES, 0).pendingReadMs).toBe(0);
+    expect(view.load(server, ENGINE_FIGURES, 0).pendingReadMs).toBe(0);
     view.begin(use('b', server.id, { host: 'other', expiresAtMs: 10 }));
     view.expire(10);
     expect(view.size).toBe(1);
--- a/packages/mocks/src/index.ts
+++ b/packages/mocks/src/index.ts
@@ -1,3 +1,4 @@
+export * from './engines.js';
 export * from './fake-mesh.js';
 export * from './manual-clock.js';
 export * from './memory-table.js';
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -1,9 +1,8 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
 import { FleetView, ReadQueue } from '@poppypond/fleet';
-import type { AttemptUse, BackendServer } from '@poppypond/fleet';
-import { ManualClock } from '@poppypond/mocks';
+import type { AttemptUse } from '@poppypond/fleet';
+import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
-import type { EngineFigures } from '@poppypond/routing';
 import { silentLog } from '@poppypond/telemetry';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
@@ -32,27 +31,7 @@
 }
 
 const draw = () => 0.5;
-const SERVICE = 'engines';
-const ENGINE: BackendServer = {
-  id: 'i-1',
-  service: SERVICE,
-  address: 'a',
-  port: 1,
-  availabilityZone: 'z',
-  slots: 11,
-  isDraining: false,
-};
-const FIGURES: EngineFigures = {
-  slots: 11,
-  memoryTokens: 450_000,
-  stepsPerPass: 46,
-  stepMs: 0.925,
-  stepMsPerWriter: 0.007,
-  stepMsPerThousandTokens: 0.00254,
-  readTokensPerMs: 256,
-  readMsPerMillionPairs: 0.0917,
-  usualAnswerTokens: 1540,
-};
+const ENGINE = engineServer('i-1');
 
 function addressOf(port: number): PeerAddress {
   return { host: `host-${String(port)}`, address: 'a', port, capacity: 1 };
@@ -89,7 +68,7 @@
     inForce.apply({
       version: 1,
       routes: [],
-      services: [{ name: SERVICE, engine: FIGURES }],
+      services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
       workspaces: [],
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     });
@@ -110,7 +89,7 @@
       self: { ...addressOf(port), incarnation: `life-${String(this.#lives)}` },
       fleet,
       planner: new Planner({ clock, inForce, servers: list, fleet, queue: new ReadQueue(), draw }),
-      engineServices: () => [SERVICE],
+      engineServices: () => [ENGINE_SERVICE],
       onPlan: (attemptId, answer) => {
         answers.push({ attemptId, answer });
       },
@@ -179,10 +158,10 @@
     const first = network.start(1, [2]);
     const second = network.start(2, [1]);
     await network.run(600);
-    first.mesh.begin(use('a'), SERVICE);
+    first.mesh.begin(use('a'), ENGINE_SERVICE);
     await network.run(50);
     expect(second.fleet.attemptsOf('host-1')).toHaveLength(1);
-    first.mesh.begin(use('b'), SERVICE);
+    first.mesh.begin(use('b'), ENGINE_SERVICE);
     network.sent.length = 0;
     expect(second.fleet.attemptsOf('host-1')).toHaveLength(1);
     await network.run(600);
@@ -217,16 +196,18 @@
     expect(targets.size).toBeLessThanOrEqual(4);
     await network.run(1000);
     const last = network.hosts.get(5);
-    const [planner = ''] = last?.mesh.plannersOf(SERVICE) ?? [];
+    const [planner = ''] = last?.mesh.plannersOf(ENGINE_SERVICE) ?? [];
     for (const { mesh } of network.hosts.values()) {
-      expect(mesh.plannersOf(SERVICE)[0]).toBe(planner);
+      expect(mesh.plannersOf(ENGINE_SERVICE)[0]).toBe(planner);
     }
     const gonePort = Number(planner.replace('host-', ''));
     network.hosts.get(gonePort)?.mesh.stop();
     network.hosts.delete(gonePort);
     network.sent.length = 0;
     await network.run(3500);
-    const others = [...network.hosts.values()].map(({ mesh }) => mesh.plannersOf(SERVICE)[0]);
+    const others = [...network.hosts.values()].map(
+      ({ mesh }) => mesh.plannersOf(ENGINE_SERVICE)[0],
+    );
     expect(new Set(others).size).toBe(1);
     expect(others).not.toContain(planner);
   });
@@ -236,7 +217,7 @@
     for (const port of PORTS) network.start(port, PORTS, port === 4);
     await network.run(3000);
     for (const { mesh } of network.hosts.values()) {
-      expect(mesh.plannersOf(SERVICE)[0]).toBe('host-4');
+      expect(mesh.plannersOf(ENGINE_SERVICE)[0]).toBe('host-4');
     }
   });
 
@@ -288,7 +269,7 @@
       attemptId: 'a',
       requestId: 'r',
       host: 'host-1',
-      service: SERVICE,
+      service: ENGINE_SERVICE,
       promptTokens: 5000,
       answerTokens: 1500,
       aimMs: 300,
--- a/packages/relay/src/planning/planner.test.ts
+++ b/packages/relay/src/planning/planner.test.ts
@@ -1,5 +1,5 @@
 import { FleetView, ReadQueue } from '@poppypond/fleet';
-import { ManualClock } from '@poppypond/mocks';
+import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
 import { ConfigurationInForce } from '@poppypond/routing';
 import { silentLog } from '@poppypond/telemetry';
 import { describe, expect, it } from 'vitest';
@@ -7,18 +7,6 @@
 import type { PlanAnswer, PlanRequest } from './plan-request.js';
 import { Planner } from './planner.js';
 
-const FIGURES = {
-  slots: 11,
-  memoryTokens: 450_000,
-  stepsPerPass: 46,
-  stepMs: 0.925,
-  stepMsPerWriter: 0.007,
-  stepMsPerThousandTokens: 0.00254,
-  readTokensPerMs: 256,
-  readMsPerMillionPairs: 0.0917,
-  usualAnswerTokens: 1540,
-};
-
 /** Numbers that fall evenly over [0, 1). */
 function spreadDraw(): () => number {
   let drawn = 0;
@@ -33,7 +21,7 @@
     attemptId: `attempt-${requestId}`,
     requestId,
     host: 'asker',
-    service: 'engines',
+    service: ENGINE_SERVICE,
     promptTokens: 300_000,
     answerTokens: 1000,
     aimMs: 4000,
@@ -51,20 +39,14 @@
   inForce.apply({
     version: 1,
     routes: [],
-    services: [{ name: 'engines', engine: FIGURES }],
+    services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
     workspaces: [],
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   });
   const servers = new ServerList(clock, silentLog);
-  const listed = Array.from({ length: engines }, (_unused, index) => ({
-    id: `i-${String(index).padStart(3, '0')}`,
-    service: 'engines',
-    address: 'a',
-    port: 1,
-    availabilityZone: 'z',
-    slots: 11,
-    isDraining: false,
-  }));
+  const listed = Array.from({ length: engines }, (_unused, index) =>
+    engineServer(`i-${String(index).padStart(3, '0')}`),
+  );
   servers.replace(listed, 0, 1);
   const fleet = new FleetView();
   const made = new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue(), draw });
