--- a/packages/relay/src/peers/peer-list.ts
+++ b/packages/relay/src/peers/peer-list.ts
@@ -71,6 +71,7 @@
     this.#startedAtMs = clock.monotonicMs();
   }
 
+  /** Peers that count for shared budgets, alive or not. */
   get size(): number {
     return this.#peers.size;
   }
@@ -85,6 +86,7 @@
     return this.#peers.values();
   }
 
+  /** What is known of `host`; undefined where it was neither listed nor heard, or is removed. */
   find(host: string): Peer | undefined {
     return this.#peers.get(host);
   }
@@ -128,6 +130,7 @@
     }
   }
 
+  /** Forgets `host`; nothing where it is not known. */
   remove(host: string): void {
     this.#peers.delete(host);
     this.#ranks.clear();
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -57,6 +57,7 @@
     while (!this.#isStopped) await this.step();
   }
 
+  /** Ends `run` after the present step and its pause. */
   stop(): void {
     this.#isStopped = true;
   }
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -58,6 +58,7 @@
     while (!this.#isStopped) await this.#wakeup.sleep(await this.step());
   }
 
+  /** Ends `run` after the present step and pause. */
   stop(): void {
     this.#isStopped = true;
   }
