--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -7,6 +7,7 @@
 import type { Planner } from '../planning/planner.js';
 import { datedWordOf, makeBeat } from './heartbeat.js';
 import { fromWireList, toWireList } from './list-on-the-wire.js';
+import { packBytes, unpackBytes } from './packed-bytes.js';
 import { PeerList } from './peer-list.js';
 import type { PeerAddress } from './peer-list.js';
 import type { Beat, PeerMessage, WireAsk } from './peer-messages.js';
@@ -67,7 +68,15 @@
   tellNews(): void {
     const { knowledge } = this.parts;
     const list = toWireList(knowledge.listed);
-    this.#broadcast({ kind: 'news', ...this.#selfFields(), ...knowledge.own, list });
+    const { configurationBytes } = knowledge;
+    const configuration = configurationBytes ? packBytes(configurationBytes) : null;
+    this.#broadcast({
+      kind: 'news',
+      ...this.#selfFields(),
+      ...knowledge.own,
+      configuration,
+      list,
+    });
   }
 
   /** Begins to send heartbeats. */
@@ -178,7 +187,10 @@
         fleet.suspicions.avoid(server, forMs, nowMs);
       })
       .with({ kind: 'news' }, (news) => {
-        this.parts.knowledge.hear(news, news.list ? fromWireList(news.list) : undefined);
+        this.parts.knowledge.hear(news, {
+          configuration: news.configuration ? unpackBytes(news.configuration) : undefined,
+          list: news.list ? fromWireList(news.list) : undefined,
+        });
       })
       .with({ kind: 'leave' }, ({ host }) => {
         this.#forget(host, 'left');
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -137,6 +137,8 @@
   configurationVersion: z.number(),
   listDigest: z.string(),
   listVersion: z.number(),
+  /** The configuration as the store keeps it, compressed; null where it is too long. */
+  configuration: z.custom<Uint8Array>((value) => value instanceof Uint8Array).nullable(),
   /** Null where it is too long for a datagram; whoever knows another then asks the store. */
   list: z
     .object({ version: z.number(), graceMs: z.number(), servers: z.array(serverSchema) })
--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -16,6 +16,13 @@
   readonly listAtMs: Milliseconds | undefined;
 }
 
+/** What a peer sends along with its news; undefined where it is too long. */
+export interface ToldByPeer {
+  /** The configuration as the store keeps it. */
+  readonly configuration: Buffer | undefined;
+  readonly list: ListedServers | undefined;
+}
+
 /** After a failed call, others read the store for this long before this host is tried again. */
 const LOST_FOR_MS: Milliseconds = 3000;
 
@@ -36,6 +43,8 @@
   #isListDifferent = false;
   #storeFailedAtMs: Milliseconds | undefined;
   #onNews: () => void = () => undefined;
+  #onConfiguration: (bytes: Buffer) => void = () => undefined;
+  #configurationBytes: Buffer | undefined;
 
   constructor(readonly parts: SharedKnowledgeParts) {}
 
@@ -90,10 +99,27 @@
     this.#onNews = callback;
   }
 
-  /** Takes in undated news, with the whole list where it came along. */
-  hear(word: PeerWord, listed: ListedServers | undefined): void {
+  /** `callback` takes in a newer configuration that a peer has told. */
+  onConfiguration(callback: (bytes: Buffer) => void): void {
+    this.#onConfiguration = callback;
+  }
+
+  /** The configuration in force, as the store keeps it; undefined before the first. */
+  get configurationBytes(): Buffer | undefined {
+    return this.#configurationBytes;
+  }
+
+  /** A configuration was put in force. */
+  onConfigurationInForce(bytes: Buffer): void {
+    this.#configurationBytes = bytes;
+  }
+
+  /** Takes in undated news, with what came along. */
+  hear(word: PeerWord, told: ToldByPeer): void {
     const { inForce, list } = this.parts;
-    if (listed) list.adopt(listed);
+    if (told.list) list.adopt(told.list);
+    const isNewer = word.configurationVersion > inForce.version;
+    if (told.configuration && isNewer) this.#onConfiguration(told.configuration);
     if (word.configurationVersion > inForce.version) this.#isConfigurationBehind = true;
     this.#isListDifferent = this.#isNewerList(word);
     this.#tellBehind();
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -67,6 +67,11 @@
     if (this.#mustRead()) this.#wakeup.wake();
   }
 
+  /** Takes in a configuration that a peer has read; whether it is the newest must be told otherwise. */
+  takeTold(value: Buffer): void {
+    this.#apply(value);
+  }
+
   /** Asks once and takes in the answer. */
   async step(): Promise<void> {
     const { clock, store, rows, isReader, withinMs } = this.parts;
@@ -138,6 +143,7 @@
       routes: configuration.routes.length,
       workspaces: configuration.workspaces.length,
     });
+    this.parts.knowledge.onConfigurationInForce(value);
     if (inForce.table) onChange(inForce.table);
     return true;
   }
--- a/packages/relay/src/store/start-watches.ts
+++ b/packages/relay/src/store/start-watches.ts
@@ -34,6 +34,9 @@
     list: servers,
     onChange: tellNews,
   });
+  knowledge.onConfiguration((bytes) => {
+    configurationWatch.takeTold(bytes);
+  });
   knowledge.onNews(() => {
     configurationWatch.wake();
     serverWatch.wake();
