--- a/packages/fleet/src/suspicions.ts
+++ b/packages/fleet/src/suspicions.ts
@@ -24,13 +24,15 @@
     if (last && nowMs < last.untilMs) return last.untilMs - nowMs;
     const isRelapse = last !== undefined && nowMs - last.untilMs < RELAPSE_MS;
     const forMs = isRelapse ? Math.min(LONGEST_MS, last.forMs * 2) : FIRST_MS;
-    this.avoid(serverId, forMs, nowMs);
+    this.#suspicions.set(serverId, { untilMs: nowMs + forMs, forMs });
     return forMs;
   }
 
-  /** Avoids a server for as long as another host said. */
+  /** Avoids a server for as long as another host said, or as it is avoided anyway. */
   avoid(serverId: string, forMs: Milliseconds, nowMs: Milliseconds): void {
-    this.#suspicions.set(serverId, { untilMs: nowMs + forMs, forMs });
+    const last = this.#suspicions.get(serverId);
+    const untilMs = Math.max(nowMs + forMs, last?.untilMs ?? 0);
+    this.#suspicions.set(serverId, { untilMs, forMs: Math.max(forMs, last?.forMs ?? 0) });
   }
 
   /** The server has served; it is avoided no more, but a failure soon after counts as a relapse. */
@@ -59,9 +61,12 @@
   readonly avoidedMs: Milliseconds;
 }
 
-/** Leaves out those that are avoided, those longest that are avoided longest, but never too many. */
+/**
+ * Leaves out those that are avoided, those first that are avoided longest: one of a few, and never
+ * more than two in five of many.
+ */
 export function withoutAvoided<Item extends Avoidable>(items: readonly Item[]): readonly Item[] {
-  const most = Math.floor(items.length * MOST_AVOIDED_SHARE);
+  const most = items.length > 1 ? Math.max(1, Math.floor(items.length * MOST_AVOIDED_SHARE)) : 0;
   const avoided = items.filter((item) => item.avoidedMs > 0);
   if (avoided.length === 0) return items;
   const left = new Set(
--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -40,7 +40,8 @@
  */
 export class SharedKnowledge {
   #isConfigurationBehind = false;
-  #isListDifferent = false;
+  /** The newest version of another list than this host's that a peer has told of. */
+  #otherListVersion = 0;
   #storeFailedAtMs: Milliseconds | undefined;
   #onNews: () => void = () => undefined;
   #onConfiguration: (bytes: Buffer) => void = () => undefined;
@@ -89,9 +90,9 @@
     return this.#isConfigurationBehind;
   }
 
-  /** Whether a peer knows another list of servers. */
+  /** Whether a peer knows a newer list of servers. */
   get isListDifferent(): boolean {
-    return this.#isListDifferent;
+    return this.#otherListVersion > this.parts.list.listed.version;
   }
 
   /** `callback` is called when a peer is found to know more, or the store is back. */
@@ -121,18 +122,18 @@
     const isNewer = word.configurationVersion > inForce.version;
     if (told.configuration && isNewer) this.#onConfiguration(told.configuration);
     if (word.configurationVersion > inForce.version) this.#isConfigurationBehind = true;
-    this.#isListDifferent = this.#isNewerList(word);
+    this.#noteList(word);
     this.#tellBehind();
   }
 
   /** An older list than this host's own says nothing. */
-  #isNewerList({ listDigest, listVersion }: PeerWord): boolean {
-    const { list } = this.parts;
-    return listDigest !== list.digest && listVersion > list.listed.version;
+  #noteList({ listDigest, listVersion }: PeerWord): void {
+    if (listDigest === this.parts.list.digest) return;
+    this.#otherListVersion = Math.max(this.#otherListVersion, listVersion);
   }
 
   #tellBehind(): void {
-    if (this.#isConfigurationBehind || this.#isListDifferent) this.#onNews();
+    if (this.#isConfigurationBehind || this.isListDifferent) this.#onNews();
   }
 
   /** Takes in what a peer knew at instants of this process's clock. */
@@ -144,7 +145,7 @@
     }
     if (word.listAtMs !== undefined) {
       if (word.listDigest === list.digest) list.freshness.prove(word.listAtMs);
-      else if (this.#isNewerList(word)) this.#isListDifferent = true;
+      else this.#noteList(word);
     }
     this.#tellBehind();
   }
@@ -160,6 +161,5 @@
   /** The store has told its list. */
   onListRead(): void {
     this.#storeFailedAtMs = undefined;
-    this.#isListDifferent = false;
   }
 }
--- a/packages/relay/src/store/server-list.test.ts
+++ b/packages/relay/src/store/server-list.test.ts
@@ -57,6 +57,16 @@
     expect(idsOf(list)).toEqual(['a']);
   });
 
+  it('keeps a newer list that a peer told while its own question was on its way', () => {
+    const list = new ServerList(new ManualClock(), silentLog);
+    list.replace([server('a')], 0, 5);
+    list.adopt({ servers: [server('a', true)], version: 8, graceMs: 0 });
+    list.replace([server('a')], 0, 7);
+    expect(idsOf(list)).toEqual([]);
+    list.replace([server('a'), server('b')], 0, 9);
+    expect(idsOf(list)).toEqual(['a', 'b']);
+  });
+
   it('believes a server that another has its address, until it is listed no more', () => {
     const list = new ServerList(new ManualClock(), silentLog);
     list.replace([server('a'), server('b')], 0, 0);
--- a/packages/relay/src/store/server-list.ts
+++ b/packages/relay/src/store/server-list.ts
@@ -82,6 +82,8 @@
   /** Takes in the store's whole list, for which it was asked at `askedAtMs`. */
   replace(listed: readonly BackendServer[], askedAtMs: Milliseconds, version: number): void {
     this.freshness.prove(askedAtMs);
+    // A peer may have told a newer list while this answer was on its way.
+    if (this.#isKnown && version < this.#version) return;
     this.#take(listed, version);
   }
 
