Serve by the last known configuration while the store is away, where the installation wants it

Now a checked setting, keysNeedProof; true is exactly the former behaviour.

Hosts greet silent peers, one a period, and tell those that are behind; at most eight present hosts are asked during an outage. The answered line now holds the first event and longest pause.

--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -20,6 +20,7 @@
 import type { RelayParts } from './request/relay-parts.js';
 import type { RelaySettings } from './settings.js';
 import { CountedStore } from './store/counted-store.js';
+import { KeyTrust } from './store/key-trust.js';
 import { ServerList } from './store/server-list.js';
 
 /** What one relay process consists of before it has opened any port. */
@@ -37,6 +38,7 @@
   readonly fleet: FleetView;
   readonly servers: ServerList;
   readonly knowledge: SharedKnowledge;
+  readonly keyTrust: KeyTrust;
 }
 
 /** A key counts for this much less than allowed, for the way between check and use. */
@@ -58,6 +60,11 @@
   const freshness = new Freshness(clock);
   const servers = new ServerList(clock, log);
   const measures = new Measures();
+  const knowledge = new SharedKnowledge({ clock, inForce, freshness, list: servers });
+  const keyTrust = new KeyTrust(
+    { clock, log, measures, inForce, freshness, knowledge },
+    { trustedMs: settings.keysTrustedMs - KEY_MARGIN_MS, needsProof: settings.keysNeedProof },
+  );
   return {
     settings,
     ports: { ...ports, store: new CountedStore(ports.store, measures) },
@@ -70,7 +77,8 @@
     freshness,
     fleet: new FleetView(),
     servers,
-    knowledge: new SharedKnowledge({ clock, inForce, freshness, list: servers }),
+    knowledge,
+    keyTrust,
   };
 }
 
@@ -109,7 +117,7 @@
 
 /** Makes what every request shares. */
 export function composeParts(base: RelayBase, peers: PeerMesh, placing: Placing): RelayParts {
-  const { clock, log, measures, inForce, freshness, fleet, servers, settings } = base;
+  const { clock, log, measures, inForce, freshness, keyTrust, fleet, servers, settings } = base;
   const retryFigures = {
     ratio: settings.retryRatio,
     windowMs: settings.retryWindowSeconds * MS_PER_SECOND,
@@ -124,7 +132,7 @@
     memory: base.ports.memory,
     inForce,
     freshness,
-    keysTrustedMs: settings.keysTrustedMs - KEY_MARGIN_MS,
+    keyTrust,
     fleet,
     servers,
     peers,
--- a/packages/relay/src/peers/peer-list.ts
+++ b/packages/relay/src/peers/peer-list.ts
@@ -33,6 +33,11 @@
 const SILENT_AFTER_MS: Milliseconds = 2000;
 /** Hosts that read the store for all; a second one stands in at once when the first is gone. */
 const READERS = 2;
+/**
+ * Hosts that are there but have lost the store are asked too, as one may be the first to have it
+ * back; no more than these, so that an outage of the whole store does not make all ask all.
+ */
+const MOST_ASKED_IN_OUTAGE = 8;
 /** Hosts that know the attempts of a service: one plans, the other stands in. */
 const PLANNERS = 2;
 /** A host that has just started learns within a heartbeat what others run; until then it plans last. */
@@ -156,6 +161,19 @@
     return before.length < READERS;
   }
 
+  /** Whether this host is one of the first by name that are there, whatever they know of the store. */
+  isAmongFirst(): boolean {
+    const before = [...this.#peers.values()].filter(
+      (peer) => this.isAlive(peer) && peer.host < this.self.host,
+    );
+    return before.length < READERS;
+  }
+
+  /** Known hosts that are silent; one that has started anew may know nobody. */
+  silent(): readonly Peer[] {
+    return [...this.#peers.values()].filter((peer) => !this.isAlive(peer));
+  }
+
   /** Hosts that know what runs on a service's engines, the one that plans first; maybe this one. */
   plannersOf(service: string): readonly string[] {
     const settled: string[] = [];
@@ -192,10 +210,12 @@
     asked: Set<string>,
   ): void {
     let found = 0;
+    let here = 0;
     for (const peer of ranked) {
-      if (found >= wanted) return;
+      if (found >= wanted || here >= MOST_ASKED_IN_OUTAGE) return;
       asked.add(peer.host);
       if (counts(peer)) found += 1;
+      if (this.#isHere(peer)) here += 1;
     }
   }
 
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -280,6 +280,47 @@
     expect(network.hosts.get(5)?.knowledge.isListDifferent).toBe(false);
   });
 
+  it('tells a host that has started while the store is away, and that knows nobody, all it needs', async () => {
+    const network = new Network();
+    for (const port of PORTS) network.start(port, PORTS);
+    await network.run(1000);
+    const newest = { ...CONFIGURATION, version: 2 };
+    for (const { inForce, knowledge } of network.hosts.values()) {
+      inForce.apply(newest);
+      knowledge.onConfigurationInForce(Buffer.from('as it is kept'));
+      knowledge.onStoreFailure();
+    }
+    network.hosts.delete(5);
+    await network.run(2500);
+    const started = network.start(5, [], false, false);
+    const heard: string[] = [];
+    started.knowledge.onConfiguration((bytes) => {
+      heard.push(bytes.toString());
+      started.inForce.apply(newest);
+    });
+    await network.run(1500);
+    expect(heard[0]).toBe('as it is kept');
+    expect(started.list.isKnown).toBe(true);
+    expect(started.knowledge.isConfigurationBehind).toBe(false);
+    expect(started.mesh.aliveCount).toBeGreaterThan(0);
+  });
+
+  it('does not let all hosts ask all while the store is away from every one', async () => {
+    const network = new Network();
+    const ports = Array.from({ length: 30 }, (_unused, index) => index + 1);
+    for (const port of ports) network.start(port, ports);
+    await network.run(1000);
+    for (let round = 0; round < 4; round += 1) {
+      for (const { knowledge } of network.hosts.values()) knowledge.onStoreFailure();
+      await network.run(500);
+    }
+    network.sent.length = 0;
+    await network.clock.advance(500);
+    const asked = network.sent.filter(({ from }) => from === 'host-30').map(({ to }) => to);
+    expect(new Set(asked).size).toBeLessThanOrEqual(10);
+    expect(network.hosts.get(30)?.mesh.aliveCount).toBeGreaterThan(0);
+  });
+
   it('plans for the host that asks, and tells it', async () => {
     const network = new Network();
     for (const port of [1, 2]) network.start(port, [1, 2]);
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -52,6 +52,7 @@
   #cancel: CancelTimer = () => undefined;
   #isStopped = false;
   #isListRead = false;
+  #greeted = 0;
 
   constructor(readonly parts: PeerMeshParts) {
     this.#peers = new PeerList(parts.clock, parts.self, () => parts.planner.canPlan);
@@ -66,17 +67,7 @@
 
   /** Tells all known hosts that the store told something new. */
   tellNews(): void {
-    const { knowledge } = this.parts;
-    const list = toWireList(knowledge.listed);
-    const { configurationBytes } = knowledge;
-    const configuration = configurationBytes ? packBytes(configurationBytes) : null;
-    this.#broadcast({
-      kind: 'news',
-      ...this.#selfFields(),
-      ...knowledge.own,
-      configuration,
-      list,
-    });
+    this.#broadcast(this.#news());
   }
 
   /** Begins to send heartbeats. */
@@ -214,6 +205,7 @@
     if (beat.isQuestion) this.#beat(beat.host, false);
     const word = datedWordOf(beat, self.incarnation);
     if (word) knowledge.hearDated(word);
+    if (beat.configurationVersion < knowledge.own.configurationVersion) this.#tell(beat.host);
   }
 
   /** Plans for `host`; it is told each answer. */
@@ -250,6 +242,19 @@
     const asked = this.#peers.toAsk(this.parts.engineServices());
     this.#peers.noteAsked(asked);
     for (const host of asked) this.#beat(host, true);
+    this.#greetSilent();
+  }
+
+  /**
+   * The first hosts greet those that are silent, one a period and each in its turn: a host that has
+   * started while the store is away knows nobody and is told by them what it needs to serve.
+   */
+  #greetSilent(): void {
+    if (!this.#peers.isAmongFirst()) return;
+    const silent = this.#peers.silent();
+    const next = silent[this.#greeted % Math.max(1, silent.length)];
+    this.#greeted += 1;
+    if (next) this.#beat(next.host, true);
   }
 
   #beat(host: string, isQuestion: boolean): void {
@@ -278,6 +283,19 @@
     if (peer) this.parts.sender.send(peer.address, peer.port, message);
   }
 
+  /** Tells one host all that this one knows of the store: it missed the news, or has just started. */
+  #tell(host: string): void {
+    this.#sendTo(host, this.#news());
+  }
+
+  #news(): PeerMessage {
+    const { knowledge } = this.parts;
+    const { configurationBytes } = knowledge;
+    const configuration = configurationBytes ? packBytes(configurationBytes) : null;
+    const list = toWireList(knowledge.listed);
+    return { kind: 'news', ...this.#selfFields(), ...knowledge.own, configuration, list };
+  }
+
   #selfFields() {
     const { host, incarnation, port } = this.parts.self;
     return { host, incarnation, port };
--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -39,7 +39,8 @@
  * proves it to be recent; one that knows something else is a reason to ask the store.
  */
 export class SharedKnowledge {
-  #isConfigurationBehind = false;
+  /** The newest version that a peer has told of, and when it did, on this process's clock. */
+  #told = { version: 0, atMs: 0 };
   /** The newest version of another list than this host's that a peer has told of. */
   #otherListVersion = 0;
   #storeFailedAtMs: Milliseconds | undefined;
@@ -87,7 +88,7 @@
 
   /** Whether a peer knows a newer configuration. */
   get isConfigurationBehind(): boolean {
-    return this.#isConfigurationBehind;
+    return this.#told.version > this.parts.inForce.version;
   }
 
   /** Whether a peer knows a newer list of servers. */
@@ -121,11 +122,16 @@
     if (told.list) list.adopt(told.list);
     const isNewer = word.configurationVersion > inForce.version;
     if (told.configuration && isNewer) this.#onConfiguration(told.configuration);
-    if (word.configurationVersion > inForce.version) this.#isConfigurationBehind = true;
+    this.#noteConfiguration(word);
     this.#noteList(word);
     this.#tellBehind();
   }
 
+  #noteConfiguration({ configurationVersion }: PeerWord): void {
+    if (configurationVersion <= this.#told.version) return;
+    this.#told = { version: configurationVersion, atMs: this.parts.clock.monotonicMs() };
+  }
+
   /** An older list than this host's own says nothing. */
   #noteList({ listDigest, listVersion }: PeerWord): void {
     if (listDigest === this.parts.list.digest) return;
@@ -133,13 +139,13 @@
   }
 
   #tellBehind(): void {
-    if (this.#isConfigurationBehind || this.isListDifferent) this.#onNews();
+    if (this.isConfigurationBehind || this.isListDifferent) this.#onNews();
   }
 
   /** Takes in what a peer knew at instants of this process's clock. */
   hearDated(word: DatedWord): void {
     const { inForce, freshness, list } = this.parts;
-    if (word.configurationVersion > inForce.version) this.#isConfigurationBehind = true;
+    this.#noteConfiguration(word);
     if (word.configurationVersion === inForce.version && word.configurationAtMs !== undefined) {
       freshness.prove(word.configurationAtMs);
     }
@@ -150,11 +156,11 @@
     this.#tellBehind();
   }
 
-  /** The store has told the newest configuration. */
-  onConfigurationRead(): void {
+  /** The store, asked at `askedAtMs`, has told the newest configuration of then. */
+  onConfigurationRead(askedAtMs: Milliseconds): void {
     const wasLost = this.#storeFailedAtMs !== undefined;
     this.#storeFailedAtMs = undefined;
-    this.#isConfigurationBehind = false;
+    if (this.#told.atMs <= askedAtMs) this.#told = { version: 0, atMs: askedAtMs };
     if (wasLost) this.#onNews();
   }
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -179,14 +179,13 @@
   }
 
   #isReady(): boolean {
-    const { freshness, inForce, servers } = this.#base;
-    if (this.#isStopping || !servers.isKnown || !this.#running) return false;
-    const { keysTrustedMs } = this.#running.serving.parts;
-    return inForce.table !== undefined && freshness.ageMs() < keysTrustedMs;
+    if (this.#isStopping || !this.#base.servers.isKnown) return false;
+    return this.#base.keyTrust.verdict() !== 'refused';
   }
 
   #setGauges(): void {
-    const { freshness, inForce, measures, servers } = this.#base;
+    const { freshness, inForce, keyTrust, measures, servers } = this.#base;
+    keyTrust.verdict();
     measures.set('poppypond_requests_open', this.#openCount);
     measures.set('poppypond_configuration_version', inForce.version);
     measures.set('poppypond_configuration_age_milliseconds', freshness.ageMs());
--- a/packages/relay/src/request/admit.ts
+++ b/packages/relay/src/request/admit.ts
@@ -31,7 +31,7 @@
   const route = table.match(caller.hostName, caller.path);
   if (!route) return Result.err(fault('unknown_route', 'no route has this host and path'));
   const isKeyed = table.needsKeys && !route.isOpen;
-  if (isKeyed && parts.freshness.ageMs() > parts.keysTrustedMs) {
+  if (isKeyed && parts.keyTrust.verdict() === 'refused') {
     return Result.err(
       fault('not_ready', 'the configuration may be out of date', {
         retryAfterMs: CATCH_UP_RETRY_MS,
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -1,10 +1,11 @@
-import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Clock } from '@poppypond/core';
 import type { FleetView, RetryBudget } from '@poppypond/fleet';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { Log, Measures } from '@poppypond/telemetry';
 import type { PeerMesh } from '../peers/peer-mesh.js';
 import type { Placing } from '../planning/placing.js';
 import type { EngineMemory, RelayWire } from '../ports.js';
+import type { KeyTrust } from '../store/key-trust.js';
 import type { ServerList } from '../store/server-list.js';
 
 /** What every request of a relay shares. */
@@ -17,8 +18,7 @@
   readonly memory: EngineMemory;
   readonly inForce: ConfigurationInForce;
   readonly freshness: Freshness;
-  /** Keys count only while the configuration was proved to be the newest this lately. */
-  readonly keysTrustedMs: Milliseconds;
+  readonly keyTrust: KeyTrust;
   readonly fleet: FleetView;
   readonly servers: ServerList;
   readonly peers: PeerMesh;
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -218,9 +218,8 @@
     const running = this.#current;
     if (!running || this.answer.isGone) return true;
     if (!running.hasEvents) this.#onFirstEvent(running);
-    const nowMs = this.parts.clock.monotonicMs();
-    this.#record.eventGap(nowMs - this.#lastEventAtMs);
-    this.#lastEventAtMs = nowMs;
+    this.#record.events();
+    this.#lastEventAtMs = this.parts.clock.monotonicMs();
     this.#watchSilence(stallPatienceMs(this.#route.gapAimMs));
     return this.#events.write(frames, head);
   }
--- a/packages/relay/src/request/request-record.ts
+++ b/packages/relay/src/request/request-record.ts
@@ -36,6 +36,10 @@
 /** Writes the decisions about one request to the log and counts them. */
 export class RequestRecord {
   readonly #size: string;
+  /** When the first event came, since the request did; undefined before it. */
+  #firstEventMs: Milliseconds | undefined;
+  #lastEventAtMs: Milliseconds | undefined;
+  #longestGapMs: Milliseconds = 0;
 
   constructor(
     readonly parts: RelayParts,
@@ -85,6 +89,7 @@
     expectedMs: number,
   ): void {
     const afterMs = this.#sinceArrivalMs();
+    this.#firstEventMs ??= afterMs;
     this.parts.measures.observe('poppypond_first_event_milliseconds', afterMs, {
       size: this.#size,
     });
@@ -98,7 +103,13 @@
     });
   }
 
-  eventGap(gapMs: Milliseconds): void {
+  /** Events of the answer came, from whichever attempt. */
+  events(): void {
+    const nowMs = this.parts.clock.monotonicMs();
+    const gapMs = this.#lastEventAtMs === undefined ? undefined : nowMs - this.#lastEventAtMs;
+    this.#lastEventAtMs = nowMs;
+    if (gapMs === undefined) return;
+    this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
     this.parts.measures.observe('poppypond_event_gap_milliseconds', gapMs, { size: this.#size });
   }
 
@@ -137,10 +148,11 @@
 
   answered(end: AnswerEnd): void {
     const { log, measures } = this.parts;
-    const { kind, name } = this.admitted.route;
+    const { kind, name, aimMs, gapAimMs } = this.admitted.route;
+    const isStream = kind === 'stream';
     const tookMs = this.#sinceArrivalMs();
     measures.count('poppypond_requests_total', { kind, code: end.code });
-    if (kind !== 'stream') measures.observe('poppypond_call_milliseconds', tookMs, { kind });
+    if (!isStream) measures.observe('poppypond_call_milliseconds', tookMs, { kind });
     const line = {
       request: this.caller.requestId,
       code: end.code,
@@ -148,6 +160,11 @@
       why: end.why,
       route: name,
       took_ms: Math.round(tookMs),
+      aim_ms: aimMs,
+      tokens: isStream ? this.caller.promptTokens : undefined,
+      first_event_ms: this.#firstEventMs && Math.round(this.#firstEventMs),
+      longest_pause_ms: isStream ? Math.round(this.#longestGapMs) : undefined,
+      pause_aim_ms: isStream ? gapAimMs : undefined,
       attempts: end.attemptsSent,
       not_sent: end.attemptsNotSent,
       last_event: end.lastEventId,
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -4,6 +4,7 @@
   numberSetting,
   portSetting,
   nameSetting,
+  yesNoSetting,
 } from '@poppypond/settings';
 import { z } from 'zod';
 
@@ -24,7 +25,10 @@
   store: hostAndPort.describe('address and port of the platform store'),
   keysTrustedMs: millisecondsSetting
     .default(5000)
-    .describe('keys count only while the configuration was proved newest this lately'),
+    .describe('the configuration counts as proved newest for this long'),
+  keysNeedProof: yesNoSetting
+    .default(true)
+    .describe('refuse keys without that proof; else serve by the last known configuration'),
   configurationWithinMs: millisecondsSetting
     .default(2000)
     .describe('a new configuration is in force on every host this long after it was taken'),
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -122,7 +122,7 @@
     this.#version = set.version;
     const row = set.rows.findLast(({ key }) => key === rows.configurationKey);
     if (row?.value && !this.#apply(row.value)) return;
-    this.parts.knowledge.onConfigurationRead();
+    this.parts.knowledge.onConfigurationRead(askedAtMs);
     if (this.parts.inForce.table === undefined) return;
     this.parts.freshness.prove(this.#storeClock.dateAnswer(askedAtMs, set.storeNowMs));
   }
--- /dev/null
+++ b/packages/relay/src/store/key-trust.ts
@@ -0,0 +1,62 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import { judgeKeys } from '@poppypond/routing';
+import type {
+  ConfigurationInForce,
+  Freshness,
+  KeyTrustSettings,
+  KeyVerdict,
+} from '@poppypond/routing';
+import type { Log, Measures } from '@poppypond/telemetry';
+import type { SharedKnowledge } from '../peers/shared-knowledge.js';
+
+/** What the judgement of keys needs. */
+export interface KeyTrustParts {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly measures: Measures;
+  readonly inForce: ConfigurationInForce;
+  readonly freshness: Freshness;
+  readonly knowledge: SharedKnowledge;
+}
+
+/** Whether this host lets keys count now; tells in the log when that changes, and why. */
+export class KeyTrust {
+  #last: KeyVerdict = 'refused';
+  #sinceMs: Milliseconds;
+
+  constructor(
+    readonly parts: KeyTrustParts,
+    readonly settings: KeyTrustSettings,
+  ) {
+    this.#sinceMs = parts.clock.monotonicMs();
+  }
+
+  /** Judges keys by what is known at this moment. */
+  verdict(): KeyVerdict {
+    const { freshness, inForce, knowledge } = this.parts;
+    if (!inForce.table) return 'refused';
+    const inputs = { ageMs: freshness.ageMs(), isBehind: knowledge.isConfigurationBehind };
+    const verdict = judgeKeys(this.settings, inputs);
+    if (verdict !== this.#last) this.#onChange(verdict, inputs.ageMs, inputs.isBehind);
+    return verdict;
+  }
+
+  #onChange(verdict: KeyVerdict, ageMs: Milliseconds, isBehind: boolean): void {
+    const { clock, log, measures, inForce } = this.parts;
+    const nowMs = clock.monotonicMs();
+    log.warn('keys_judged', {
+      keys: verdict,
+      before: this.#last,
+      before_for_ms: Math.round(nowMs - this.#sinceMs),
+      configuration: inForce.version,
+      configuration_age_ms: Math.round(ageMs),
+      peer_has_newer: isBehind,
+      trusted_ms: this.settings.trustedMs,
+      needs_proof: this.settings.needsProof,
+    });
+    measures.set('poppypond_configuration_unproved', verdict === 'unproved' ? 1 : 0);
+    measures.count('poppypond_key_judgements_total', { keys: verdict });
+    this.#last = verdict;
+    this.#sinceMs = nowMs;
+  }
+}
--- a/packages/relay/src/store/server-list.ts
+++ b/packages/relay/src/store/server-list.ts
@@ -60,7 +60,7 @@
     return { servers: this.#listed, version: this.#version, graceMs };
   }
 
-  /** Whether the store has answered at least once. */
+  /** Whether the store, or a peer that has read it, has told the list at least once. */
   get isKnown(): boolean {
     return this.#isKnown;
   }
@@ -89,7 +89,7 @@
 
   /** Takes in a list that a peer has read, if it is newer; how old it is must be told otherwise. */
   adopt({ servers, version, graceMs }: ListedServers): void {
-    if (!this.#isKnown || version <= this.#version) return;
+    if (this.#isKnown && version <= this.#version) return;
     const graceUntilMs = this.clock.monotonicMs() + graceMs;
     if (graceMs > 0) this.#graceUntilMs = Math.max(this.#graceUntilMs, graceUntilMs);
     this.#take(servers, version);
--- a/packages/telemetry/src/measures.ts
+++ b/packages/telemetry/src/measures.ts
@@ -59,6 +59,16 @@
     help: 'Time since the configuration in force was proved to be the newest.',
     labels: [],
   },
+  poppypond_configuration_unproved: {
+    type: 'gauge',
+    help: 'Whether keys count by a configuration that was not proved the newest lately: 1 or 0.',
+    labels: [],
+  },
+  poppypond_key_judgements_total: {
+    type: 'counter',
+    help: 'Changes of whether keys count: proved, unproved or refused.',
+    labels: ['keys'],
+  },
   poppypond_backend_servers: {
     type: 'gauge',
     help: 'Backend servers that may take work.',
