--- /dev/null
+++ b/packages/emulator/src/deployment.ts
@@ -0,0 +1,63 @@
+import type { Milliseconds } from '@poppypond/core';
+import type { EngineFigures } from '@poppypond/routing';
+
+/** A number that varies: lognormal around its mean, and never above `most`. */
+export interface Spread {
+  readonly mean: number;
+  /** Standard deviation of the logarithm. */
+  readonly spread: number;
+  readonly most: number;
+}
+
+/** One kind of request, by what it asks for and what serving it is worth. */
+export interface RequestKind {
+  readonly name: string;
+  readonly requestsPerSecond: number;
+  readonly promptTokens: Spread;
+  /** Events of an answer. */
+  readonly events: Spread;
+  /** The first event is due within this time of the first try. */
+  readonly aimMs: Milliseconds;
+  /** The longest pause between events with which an answer is still in time. */
+  readonly gapAimMs: Milliseconds;
+  /** Time after which a caller expects nothing more. */
+  readonly limitMs: Milliseconds;
+  /** Worth of an answer of mean length that is in time, and of one that is late. */
+  readonly worth: number;
+  readonly lateWorth: number;
+}
+
+/** Engines and those who call them. */
+export interface Deployment {
+  readonly name: string;
+  readonly engines: number;
+  readonly figures: EngineFigures;
+  readonly kinds: readonly RequestKind[];
+}
+
+/** For a while, requests of some kinds come more or less often. */
+export interface Burst {
+  readonly kinds: readonly string[];
+  readonly fromMs: Milliseconds;
+  readonly toMs: Milliseconds;
+  readonly factor: number;
+}
+
+/** What happens on a day beside the usual. */
+export interface DayPlan {
+  readonly lengthMs: Milliseconds;
+  readonly bursts: readonly Burst[];
+  /** All hosts are killed at these instants, and start again knowing nothing. */
+  readonly restartsAtMs: readonly Milliseconds[];
+}
+
+/** What a request is worth at most, in answers of its kind's mean length. */
+const MOST_SIZE = 4;
+const WORTH_OF_ANY_SIZE = 0.3;
+
+/** Worth of an answer of this kind to a prompt of `promptTokens`, in time or late. */
+export function worthOf(kind: RequestKind, promptTokens: number, isInTime: boolean): number {
+  const size = promptTokens / kind.promptTokens.mean;
+  const sized = WORTH_OF_ANY_SIZE + (1 - WORTH_OF_ANY_SIZE) * size;
+  return Math.min(MOST_SIZE, sized) * (isInTime ? kind.worth : kind.lateWorth);
+}
--- /dev/null
+++ b/packages/emulator/src/draw-deployment.ts
@@ -0,0 +1,122 @@
+import type { Milliseconds } from '@poppypond/core';
+import type { EngineFigures } from '@poppypond/routing';
+import type { Burst, DayPlan, Deployment, RequestKind } from './deployment.js';
+
+/** Uniform numbers in [0, 1). */
+type Draw = () => number;
+
+const DAY_MS: Milliseconds = 50_000;
+/** Engines of a small and of a large deployment. */
+const SMALL_ENGINES = 18;
+const LARGE_ENGINES = 60;
+/** Share of its engine time that a deployment's callers ask for on a usual second. */
+const LEAST_LOAD = 0.4;
+const MOST_LOAD = 0.6;
+/** Kinds burst by turns and together. */
+const BURSTS_A_DAY = 4;
+
+function between(draw: Draw, least: number, most: number): number {
+  return least + draw() * (most - least);
+}
+
+function drawFigures(draw: Draw): EngineFigures {
+  return {
+    slots: Math.round(between(draw, 8, 16)),
+    memoryTokens: Math.round(between(draw, 300_000, 500_000)),
+    stepsPerPass: Math.round(between(draw, 30, 48)),
+    stepMs: between(draw, 0.9, 1.4),
+    stepMsPerWriter: 0.001,
+    stepMsPerThousandTokens: 0.002,
+    readTokensPerMs: between(draw, 140, 260),
+    readMsPerMillionPairs: between(draw, 0.1, 0.18),
+    usualAnswerTokens: 1300,
+  };
+}
+
+/** Short, middle and long prompts with rates of one each; scaled afterwards to the wanted load. */
+function drawKinds(draw: Draw): readonly RequestKind[] {
+  const shortAimMs = between(draw, 200, 400);
+  return [
+    {
+      name: 'short',
+      requestsPerSecond: between(draw, 20, 36),
+      promptTokens: { mean: between(draw, 1500, 6000), spread: 0.9, most: 24_000 },
+      events: { mean: between(draw, 25, 40), spread: 0.7, most: 96 },
+      aimMs: shortAimMs,
+      gapAimMs: between(draw, 200, 300),
+      limitMs: 10_000,
+      worth: 1.3,
+      lateWorth: 0.33,
+    },
+    {
+      name: 'middle',
+      requestsPerSecond: between(draw, 1, 2.5),
+      promptTokens: { mean: between(draw, 30_000, 50_000), spread: 0.5, most: 110_000 },
+      events: { mean: 23, spread: 0.6, most: 58 },
+      aimMs: between(draw, 1000, 2000),
+      gapAimMs: between(draw, 400, 700),
+      limitMs: 10_000,
+      worth: 3.5,
+      lateWorth: 0.9,
+    },
+    {
+      name: 'long',
+      requestsPerSecond: between(draw, 0.4, 0.8),
+      promptTokens: { mean: between(draw, 170_000, 260_000), spread: 0.5, most: 900_000 },
+      events: { mean: 19, spread: 0.5, most: 48 },
+      aimMs: between(draw, 3000, 4500),
+      gapAimMs: between(draw, 800, 1200),
+      limitMs: 15_000,
+      worth: 25,
+      lateWorth: 6.2,
+    },
+  ];
+}
+
+/** Engine time that one request takes, places shared by as many as may write at once. */
+function engineMs(kind: RequestKind, figures: EngineFigures): Milliseconds {
+  const { mean, spread } = kind.promptTokens;
+  const pairs = (mean * mean * Math.exp(spread * spread)) / 2;
+  const readMs = mean / figures.readTokensPerMs + (pairs / 1e6) * figures.readMsPerMillionPairs;
+  const passMs = figures.stepsPerPass * figures.stepMs;
+  return readMs + (kind.events.mean * passMs) / (figures.slots - 1);
+}
+
+/** A deployment with figures of its own, whose callers ask for 0.4 to 0.6 of its engine time. */
+export function drawDeployment(name: string, isLarge: boolean, draw: Draw): Deployment {
+  const engines = isLarge ? LARGE_ENGINES : SMALL_ENGINES;
+  const figures = drawFigures(draw);
+  const kinds = drawKinds(draw);
+  const asked = kinds.reduce(
+    (sum, kind) => sum + kind.requestsPerSecond * engineMs(kind, figures),
+    0,
+  );
+  const wanted = between(draw, LEAST_LOAD, MOST_LOAD) * engines * 1000;
+  return {
+    name,
+    engines,
+    figures,
+    kinds: kinds.map((kind) => ({
+      ...kind,
+      requestsPerSecond: kind.requestsPerSecond * (wanted / asked),
+    })),
+  };
+}
+
+function drawBurst(deployment: Deployment, draw: Draw): Burst {
+  const fromMs = between(draw, 0, DAY_MS);
+  const chosen = deployment.kinds.filter(() => draw() < 0.5).map(({ name }) => name);
+  const kinds = chosen.length > 0 ? chosen : deployment.kinds.map(({ name }) => name);
+  return {
+    kinds,
+    fromMs,
+    toMs: fromMs + between(draw, 3000, 10_000),
+    factor: between(draw, 1.4, 2.5),
+  };
+}
+
+/** A day with bursts of some kinds or all, and one moment at which all hosts are killed. */
+export function drawDay(deployment: Deployment, draw: Draw): DayPlan {
+  const bursts = Array.from({ length: BURSTS_A_DAY }, () => drawBurst(deployment, draw));
+  return { lengthMs: DAY_MS, bursts, restartsAtMs: [between(draw, 0.5, 0.8) * DAY_MS] };
+}
--- /dev/null
+++ b/packages/emulator/src/play-day.ts
@@ -0,0 +1,273 @@
+import type { CancelTimer, Milliseconds } from '@poppypond/core';
+import { FleetView, ReadQueue } from '@poppypond/fleet';
+import type { BackendServer } from '@poppypond/fleet';
+import { seededRandom } from '@poppypond/load';
+import { Planner, ServerList } from '@poppypond/relay/planning';
+import type { PlannedStream, PlanRequest } from '@poppypond/relay/planning';
+import { ConfigurationInForce } from '@poppypond/routing';
+import { silentLog } from '@poppypond/telemetry';
+import type { DayPlan, Deployment } from './deployment.js';
+import { EmulatedEngine } from './emulated-engine.js';
+import type { Outcome, OutcomeKind } from './outcome.js';
+import { drawArrivals } from './traffic.js';
+import type { Arrival } from './traffic.js';
+import { VirtualClock } from './virtual-clock.js';
+
+const SERVICE = 'engines';
+const ZONE = 'zone';
+/** One way between a host and the planner, and between a host and an engine. */
+const HOP_MS: Milliseconds = 1;
+/** A host asks its planner again this often while a request waits. */
+const ASK_AGAIN_MS: Milliseconds = 300;
+/** From a kill of all hosts until they serve again. */
+const RESTART_MS: Milliseconds = 600;
+/** Callers leave a stream after the longest of these silences: a time, so many aims, so many pauses. */
+const SHORTEST_SILENCE_MS: Milliseconds = 2000;
+const SILENCE_AIMS = 4;
+const SILENCE_GAPS = 8;
+/** Time after the last arrival in which what is open may still end. */
+const CLOSING_MS: Milliseconds = 16_000;
+
+/** One request while it is served. */
+interface Open {
+  readonly arrival: Arrival;
+  /** Rises when a restart of the hosts ends an attempt, whose events then count no more. */
+  life: number;
+  firstEventMs: Milliseconds | undefined;
+  lastEventAtMs: Milliseconds;
+  hasLatePause: boolean;
+  engineIds: readonly string[];
+  cancelSilence: CancelTimer;
+}
+
+/** Plays one day of a deployment against the product's planner. */
+export class PlayedDay {
+  readonly #clock = new VirtualClock();
+  readonly #engines = new Map<string, EmulatedEngine>();
+  readonly #open = new Map<string, Open>();
+  readonly #outcomes: Outcome[] = [];
+  readonly #draw: () => number;
+  readonly #inForce = new ConfigurationInForce();
+  readonly #servers: ServerList;
+  #fleet = new FleetView();
+  #planner: Planner;
+  #life = 0;
+  #isDown = false;
+
+  constructor(
+    readonly deployment: Deployment,
+    readonly day: DayPlan,
+    seed: number,
+  ) {
+    this.#draw = seededRandom(seed);
+    this.#servers = new ServerList(this.#clock, silentLog);
+    this.#configure();
+    this.#planner = this.#makePlanner();
+  }
+
+  /** Runs the whole day; how each request ended. */
+  run(): readonly Outcome[] {
+    for (const arrival of drawArrivals(this.deployment, this.day, this.#draw)) {
+      this.#clock.after(arrival.atMs, () => {
+        this.#arrive(arrival);
+      });
+    }
+    for (const atMs of this.day.restartsAtMs) {
+      this.#clock.after(atMs, () => {
+        this.#killHosts();
+      });
+    }
+    this.#clock.runUntil(this.day.lengthMs + CLOSING_MS);
+    for (const open of [...this.#open.values()]) this.#end(open, 'open');
+    return this.#outcomes;
+  }
+
+  #configure(): void {
+    const { engines, figures } = this.deployment;
+    this.#inForce.apply({
+      version: 1,
+      routes: [],
+      services: [{ name: SERVICE, engine: figures }],
+      workspaces: [],
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    });
+    const listed: BackendServer[] = [];
+    for (let index = 0; index < engines; index += 1) {
+      const id = `engine-${String(index).padStart(3, '0')}`;
+      const place = { service: SERVICE, address: id, port: 1, availabilityZone: ZONE };
+      listed.push({ id, ...place, slots: figures.slots, isDraining: false });
+      this.#engines.set(id, new EmulatedEngine(this.#clock, figures));
+    }
+    this.#servers.replace(listed, 0, 1);
+  }
+
+  #makePlanner(): Planner {
+    return new Planner({
+      clock: this.#clock,
+      inForce: this.#inForce,
+      servers: this.#servers,
+      fleet: this.#fleet,
+      queue: new ReadQueue(),
+      draw: this.#draw,
+    });
+  }
+
+  #arrive(arrival: Arrival): void {
+    const open: Open = {
+      arrival,
+      life: this.#life,
+      firstEventMs: undefined,
+      lastEventAtMs: this.#clock.monotonicMs(),
+      hasLatePause: false,
+      engineIds: [],
+      cancelSilence: () => undefined,
+    };
+    this.#open.set(arrival.requestId, open);
+    this.#watchSilence(open);
+    this.#clock.after(arrival.kind.limitMs, () => {
+      this.#end(open, 'left');
+    });
+    if (!this.#isDown) this.#ask(open);
+  }
+
+  #ask(open: Open): void {
+    const life = this.#life;
+    open.life = life;
+    this.#clock.after(HOP_MS, () => {
+      if (this.#isStale(open, life)) return;
+      this.#submit(open, life);
+    });
+  }
+
+  /** Hosts ask again and again while a request waits. */
+  #submit(open: Open, life: number): void {
+    this.#planner.submit(this.#requestFor(open.arrival), (answer) => {
+      if (this.#isStale(open, life)) return;
+      if (answer.kind === 'place') this.#place(open, answer.stream);
+      if (answer.kind === 'refuse') this.#end(open, 'refused');
+    });
+    this.#clock.after(ASK_AGAIN_MS, () => {
+      if (!this.#isStale(open, life) && open.engineIds.length === 0) this.#submit(open, life);
+    });
+  }
+
+  #requestFor({ requestId, kind, atMs, promptTokens, events }: Arrival): PlanRequest {
+    return {
+      attemptId: requestId,
+      requestId,
+      host: 'host',
+      service: SERVICE,
+      promptTokens,
+      answerTokens: events * this.deployment.figures.stepsPerPass,
+      aimMs: kind.aimMs,
+      gapAimMs: kind.gapAimMs,
+      arrivedAtMs: atMs,
+      limitAtMs: atMs + kind.limitMs,
+      avoidedIds: [],
+    };
+  }
+
+  #isStale(open: Open, life: number): boolean {
+    return open.life !== life || this.#open.get(open.arrival.requestId) !== open;
+  }
+
+  /** Sends the stream to the engines of its plan; the answer begins when all parts are read. */
+  #place(open: Open, { writerId, readerIds, partMs }: PlannedStream): void {
+    const { requestId, promptTokens } = open.arrival;
+    const life = open.life;
+    const ids = [writerId, ...readerIds];
+    open.engineIds = ids;
+    let unread = ids.length;
+    const onRead = () => {
+      unread -= 1;
+      if (unread === 0) this.#write(open, writerId, life);
+    };
+    this.#clock.after(2 * HOP_MS, () => {
+      if (this.#isStale(open, life)) return;
+      for (const id of ids) {
+        this.#engines.get(id)?.read({
+          streamId: requestId,
+          tokens: promptTokens / ids.length,
+          readMs: partMs,
+          isHelper: id !== writerId,
+          onRead,
+        });
+      }
+    });
+  }
+
+  #write(open: Open, writerId: string, life: number): void {
+    const { requestId, promptTokens, events } = open.arrival;
+    this.#engines.get(writerId)?.write({
+      streamId: requestId,
+      contextTokens: promptTokens + (events * this.deployment.figures.stepsPerPass) / 2,
+      events,
+      onEvent: (isLast) => {
+        this.#clock.after(HOP_MS, () => {
+          if (!this.#isStale(open, life)) this.#onEvent(open, isLast);
+        });
+      },
+    });
+  }
+
+  #onEvent(open: Open, isLast: boolean): void {
+    const nowMs = this.#clock.monotonicMs();
+    const { kind, atMs, requestId } = open.arrival;
+    if (open.firstEventMs === undefined) {
+      open.firstEventMs = nowMs - atMs;
+      this.#fleet.onReadDone(requestId);
+    } else if (nowMs - open.lastEventAtMs > kind.gapAimMs) {
+      open.hasLatePause = true;
+    }
+    open.lastEventAtMs = nowMs;
+    if (isLast) this.#end(open, this.#servedAs(open));
+    else this.#watchSilence(open);
+  }
+
+  #servedAs({ arrival, firstEventMs, hasLatePause }: Open): OutcomeKind {
+    if (firstEventMs === undefined || firstEventMs > arrival.kind.aimMs) return 'late_start';
+    return hasLatePause ? 'late_pause' : 'in_time';
+  }
+
+  #watchSilence(open: Open): void {
+    const { aimMs, gapAimMs } = open.arrival.kind;
+    open.cancelSilence();
+    const silenceMs = Math.max(SHORTEST_SILENCE_MS, aimMs * SILENCE_AIMS, gapAimMs * SILENCE_GAPS);
+    open.cancelSilence = this.#clock.after(silenceMs, () => {
+      this.#end(open, 'left');
+    });
+  }
+
+  #end(open: Open, kind: OutcomeKind): void {
+    const { requestId } = open.arrival;
+    if (this.#open.get(requestId) !== open) return;
+    this.#open.delete(requestId);
+    open.cancelSilence();
+    for (const id of open.engineIds) this.#engines.get(id)?.cancel(requestId);
+    this.#planner.withdraw(requestId);
+    this.#outcomes.push({ arrival: open.arrival, kind, firstEventMs: open.firstEventMs });
+  }
+
+  /** All hosts end at once; callers ask again when hosts are back, which know nothing then. */
+  #killHosts(): void {
+    this.#life += 1;
+    this.#isDown = true;
+    for (const engine of this.#engines.values()) engine.clear();
+    for (const open of this.#open.values()) open.life = -1;
+    this.#clock.after(RESTART_MS, () => {
+      this.#isDown = false;
+      this.#fleet = new FleetView();
+      this.#planner = this.#makePlanner();
+      for (const open of this.#open.values()) this.#askAgain(open);
+    });
+  }
+
+  /** What a caller had of an answer is lost with the host. */
+  #askAgain(open: Open): void {
+    open.firstEventMs = undefined;
+    open.hasLatePause = false;
+    open.engineIds = [];
+    open.lastEventAtMs = this.#clock.monotonicMs();
+    this.#ask(open);
+  }
+}
