Weigh long prompts by the harm to writers, rising as they wait, in place of turns and a price of held engines

The price charged seconds of a part, though engine time is the same in one part or many.

Tests: ReadQueue and its test go with the mechanism; the planner's order among those that wait, the absence of steps and the exclusiveness of engines are tested anew.

--- a/packages/emulator/src/outcome.ts
+++ b/packages/emulator/src/outcome.ts
@@ -14,6 +14,8 @@
   readonly kind: OutcomeKind;
   /** From the first try to the first event; undefined where there was none. */
   readonly firstEventMs: Milliseconds | undefined;
+  /** Time for which it was held and never sent to an engine; 0 where it was. */
+  readonly heldMs: Milliseconds;
 }
 
 /** What a day earned of what it owed. */
@@ -33,10 +35,13 @@
   readonly owed: number;
 }
 
-function earnedBy({ arrival, kind }: Outcome): number {
+/** A wait that ends unserved costs more the longer it lasted, up to the whole worth. */
+function earnedBy({ arrival, kind, heldMs }: Outcome): number {
   if (kind === 'in_time') return worthOf(arrival.kind, arrival.promptTokens, true);
   const isLate = kind === 'late_start' || kind === 'late_pause';
-  return isLate ? worthOf(arrival.kind, arrival.promptTokens, false) : 0;
+  if (isLate) return worthOf(arrival.kind, arrival.promptTokens, false);
+  const heldShare = Math.min(1, heldMs / arrival.kind.limitMs);
+  return -heldShare * worthOf(arrival.kind, arrival.promptTokens, true);
 }
 
 function sumOf(outcomes: readonly Outcome[]): Sum {
--- a/packages/emulator/src/play-day.ts
+++ b/packages/emulator/src/play-day.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, Milliseconds } from '@poppypond/core';
-import { FleetView, ReadQueue } from '@poppypond/fleet';
+import { callerSilenceMs, FleetView } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { seededRandom } from '@poppypond/load';
 import { Planner, ServerList } from '@poppypond/relay/planning';
@@ -21,10 +21,6 @@
 const ASK_AGAIN_MS: Milliseconds = 300;
 /** From a kill of all hosts until they serve again. */
 const RESTART_MS: Milliseconds = 600;
-/** Callers leave a stream after the longest of these silences: a time, so many aims, so many pauses. */
-const SHORTEST_SILENCE_MS: Milliseconds = 2000;
-const SILENCE_AIMS = 4;
-const SILENCE_GAPS = 8;
 /** Time after the last arrival in which what is open may still end. */
 const CLOSING_MS: Milliseconds = 16_000;
 
@@ -107,7 +103,6 @@
       inForce: this.#inForce,
       servers: this.#servers,
       fleet: this.#fleet,
-      queue: new ReadQueue(),
       draw: this.#draw,
     });
   }
@@ -232,8 +227,7 @@
   #watchSilence(open: Open): void {
     const { aimMs, gapAimMs } = open.arrival.kind;
     open.cancelSilence();
-    const silenceMs = Math.max(SHORTEST_SILENCE_MS, aimMs * SILENCE_AIMS, gapAimMs * SILENCE_GAPS);
-    open.cancelSilence = this.#clock.after(silenceMs, () => {
+    open.cancelSilence = this.#clock.after(callerSilenceMs(aimMs, gapAimMs), () => {
       this.#end(open, 'left');
     });
   }
@@ -245,7 +239,9 @@
     open.cancelSilence();
     for (const id of open.engineIds) this.#engines.get(id)?.cancel(requestId);
     this.#planner.withdraw(requestId);
-    this.#outcomes.push({ arrival: open.arrival, kind, firstEventMs: open.firstEventMs });
+    const { arrival, firstEventMs, engineIds } = open;
+    const heldMs = engineIds.length === 0 ? this.#clock.monotonicMs() - arrival.atMs : 0;
+    this.#outcomes.push({ arrival, kind, firstEventMs, heldMs });
   }
 
   /** All hosts end at once; callers ask again when hosts are back, which know nothing then. */
--- a/packages/fleet/src/engine-load.ts
+++ b/packages/fleet/src/engine-load.ts
@@ -3,7 +3,6 @@
 import type { AttemptUse } from './attempt-use.js';
 import type { BackendServer } from './backend-server.js';
 import { passTimeMs } from './engine-times.js';
-import { LONG_READ_MS } from './long-read.js';
 import { streamWorth } from './stream-worth.js';
 
 /** What is believed about one engine at one moment. */
@@ -40,8 +39,6 @@
 const LONGEST_OVERRUN_MS: Milliseconds = 300;
 /** What a read is taken to need still that should be over. */
 const LATE_READ_MS: Milliseconds = 60;
-/** A read on fewer engines than this leaves enough of them for the next. */
-const ENGINES_OF_A_TURN = 5;
 /** Stands for "no writer to disturb": longer than any read that is worth placing. */
 const UNDISTURBED_SLACK_MS: Milliseconds = 60_000;
 
@@ -58,17 +55,11 @@
  * Whether an attempt's prompt is taken to be read still. Its first event tells the end, but for
  * short reads, which are over before word of it would be of use.
  */
-export function isReadingStill(use: AttemptUse, nowMs: Milliseconds): boolean {
+function isReadingStill(use: AttemptUse, nowMs: Milliseconds): boolean {
   if (!use.isReading) return false;
   return nowMs < use.placedAtMs + use.partMs * READ_OVERRUN + LONGEST_OVERRUN_MS;
 }
 
-/** Whether an attempt's prompt is long, and read by so many engines that it takes a turn. */
-export function isLongRead({ readerIds, partMs }: AttemptUse): boolean {
-  const engines = readerIds.length + 1;
-  return engines >= ENGINES_OF_A_TURN && partMs * engines >= LONG_READ_MS;
-}
-
 /**
  * Reading that lies before an engine: reads follow each other, each with a pass of the writers.
  * One that is over time by the plan takes a little longer yet.
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -2,7 +2,7 @@
 import type { EngineFigures } from '@poppypond/routing';
 import type { AttemptUse } from './attempt-use.js';
 import type { BackendServer } from './backend-server.js';
-import { engineLoad, isLongRead, isReadingStill } from './engine-load.js';
+import { engineLoad } from './engine-load.js';
 import type { EngineLoad } from './engine-load.js';
 import { Suspicions } from './suspicions.js';
 
@@ -81,15 +81,6 @@
     this.suspicions.expire(nowMs);
   }
 
-  /** Prompts that take many engines to themselves and are being read, as far as can be foreseen. */
-  longReadsRunning(nowMs: Milliseconds): number {
-    let running = 0;
-    for (const use of this.#attempts.values()) {
-      if (isLongRead(use) && isReadingStill(use, nowMs)) running += 1;
-    }
-    return running;
-  }
-
   /** Attempts that run on a server, those that it only helps to read left out. */
   writersOn(serverId: string): number {
     let writers = 0;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,14 +1,12 @@
 export * from './attempt-use.js';
 export * from './backend-server.js';
+export * from './caller-silence.js';
 export { TOLD_READ_MS } from './engine-load.js';
 export type { EngineLoad } from './engine-load.js';
 export * from './engine-times.js';
 export * from './fleet-view.js';
-export * from './long-read.js';
 export * from './place-call.js';
 export * from './place-stream.js';
-export * from './read-queue.js';
-export * from './read-turns.js';
 export * from './retry-budget.js';
 export * from './retry-decision.js';
 export * from './share-memory.js';
--- a/packages/fleet/src/pack-short.ts
+++ b/packages/fleet/src/pack-short.ts
@@ -1,13 +1,16 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { EngineFigures } from '@poppypond/routing';
 import type { EngineLoad } from './engine-load.js';
+import { EARLY_SHARE } from './weigh-parts.js';
 import { placement } from './stream-plan.js';
-import type { StreamPlan } from './stream-plan.js';
+import type { StreamDemand, StreamPlan } from './stream-plan.js';
 
 /** One place of an engine is left for what other hosts placed a moment ago. */
 const PLACES_KEPT_FREE = 1;
 /** Reading that a new short prompt may find before it, so that it still starts in time. */
 const LONGEST_READ_BEFORE_MS: Milliseconds = 60;
+/** The pass that goes on when a prompt comes, and the one that writes its first event. */
+const PASSES_TO_FIRST_EVENT = 2;
 /** Weight of one request that waits for a place on an engine, against reading before it. */
 const UNSTARTED_COST_MS: Milliseconds = 300;
 /** Short answers that may start before the view is next looked at; engines are kept for them. */
@@ -36,6 +39,26 @@
   return queued * UNSTARTED_COST_MS + load.pendingReadMs + load.passMs;
 }
 
+/**
+ * The first of the engines that are kept for short prompts on which a longer one can be read whole
+ * without making anybody late; undefined where there is none.
+ */
+export function packWhole(
+  engines: readonly EngineLoad[],
+  figures: EngineFigures,
+  readMs: Milliseconds,
+  { aimMs, waitedMs }: StreamDemand,
+): StreamPlan | undefined {
+  const places = packedPlaces(figures);
+  const firstMs = (load: EngineLoad) =>
+    waitedMs + load.pendingReadMs + readMs + PASSES_TO_FIRST_EVENT * load.passMs;
+  const packed = packedEngines(engines, figures).find(
+    (load) =>
+      load.writers < places && load.slackMs >= readMs && firstMs(load) <= aimMs * EARLY_SHARE,
+  );
+  return packed && placement('packed', packed, [], readMs);
+}
+
 /** Fills engines one after the other, so that few engines hold most of the impatient writers. */
 export function packShort(
   engines: readonly EngineLoad[],
--- a/packages/fleet/src/place-stream.ts
+++ b/packages/fleet/src/place-stream.ts
@@ -2,13 +2,13 @@
 import type { EngineFigures } from '@poppypond/routing';
 import { readTimeMs } from './engine-times.js';
 import type { EngineLoad } from './engine-load.js';
-import { packShort } from './pack-short.js';
+import { packShort, packWhole } from './pack-short.js';
 import { readInParts } from './read-in-parts.js';
 import { freeTokens } from './share-memory.js';
 import type { StreamDemand, StreamPlan } from './stream-plan.js';
 import { withoutAvoided } from './suspicions.js';
 
-/** Prompts that take no longer to read than this go whole to one engine. */
+/** Prompts that take no longer to read than this go whole to the least busy engine if need be. */
 const WHOLE_READ_MS: Milliseconds = 60;
 
 /** A prompt for which no engine has memory waits for up to this many aims. */
@@ -41,6 +41,8 @@
   const roomy = usable.filter((load) => freeTokens(load, figures) >= wanted);
   const isLarge = wanted > figures.memoryTokens * LARGE_SHARE;
   if (roomy.length === 0 && !isLarge) return waitForMemory(demand);
+  const whole = packWhole(roomy, figures, readMs, demand);
+  if (whole) return whole;
   if (readMs <= WHOLE_READ_MS) return packShort(roomy, figures, readMs);
   const writers = roomy.length > 0 ? roomy : usable;
   return readInParts({ engines: usable, writers, figures, demand, readMs });
--- a/packages/fleet/src/stream-plan.ts
+++ b/packages/fleet/src/stream-plan.ts
@@ -9,8 +9,8 @@
   readonly aimMs: Milliseconds;
   /** Time since the request came. */
   readonly waitedMs: Milliseconds;
-  /** Whether it may start a long read now: none runs and no other waits before it. */
-  readonly mayReadLong: boolean;
+  /** Time from its coming after which its caller is taken to have left. */
+  readonly patienceMs: Milliseconds;
 }
 
 /** The rules by which streams are placed, made to wait or refused. */
@@ -19,7 +19,7 @@
   'least_busy',
   'parts_without_harm',
   'parts_with_least_harm',
-  'waits_for_turn',
+  'waits_for_engine',
   'waits_for_slack',
   'waits_for_memory',
   'no_engine',
--- a/packages/fleet/src/weigh-parts.ts
+++ b/packages/fleet/src/weigh-parts.ts
@@ -1,7 +1,8 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { EngineFigures } from '@poppypond/routing';
 import type { EngineLoad } from './engine-load.js';
-import { harmOf, harmOfHolding, LATE_LOSS } from './harm.js';
+import { harmOf, LATE_LOSS } from './harm.js';
+import { shareMemory } from './share-memory.js';
 import { placement } from './stream-plan.js';
 import type { StreamDemand, StreamPlacement } from './stream-plan.js';
 import { streamWorth } from './stream-worth.js';
@@ -21,46 +22,71 @@
 export const MOST_PARTS = 17;
 /** Parts are not made shorter than this; each engine more is one more that can fail. */
 const SHORTEST_PART_MS: Milliseconds = 20;
+/**
+ * A first event that is foreseen within this share of the aim is early enough: fewer engines then
+ * do as well, and those left alone can take in what comes meanwhile. The rest of the aim covers
+ * what was not foreseen. Half and nine tenths measured worse over drawn deployments.
+ */
+export const EARLY_SHARE = 0.7;
 
 /** A placement and what it would cost. */
 export interface Weighed {
   readonly place: StreamPlacement;
-  /** What the writers on the engines and the prompts behind this one lose, in worth. */
+  /** What the writers on the engines lose, in worth. */
   readonly harm: number;
   /** Whether its first event is expected within the aim. */
   readonly isInTime: boolean;
+  /** Whether it is expected so early that fewer engines would be preferred. */
+  readonly isEarly: boolean;
+  /** What the writers and the prompt itself lose, in worth. */
+  readonly loss: number;
 }
 
-/** A placement on the writer and the first of `others`, and what it would cost. */
+/**
+ * A placement on the writer and the first of `others`, and what it would cost; undefined where
+ * they can't hold the prompt together.
+ */
 function weigh(
   writer: EngineLoad,
   others: readonly EngineLoad[],
   parts: number,
-  { readMs, demand }: PartsInputs,
-): Weighed {
+  { readMs, demand, figures }: PartsInputs,
+): Weighed | undefined {
   const partMs = readMs / parts;
   const readers = others.slice(0, parts - 1);
-  const writersHarm = [writer, ...readers].reduce((sum, load) => sum + harmOf(load, partMs), 0);
-  const harm = writersHarm + harmOfHolding(partMs);
-  const rule = writersHarm > 0 ? 'parts_with_least_harm' : 'parts_without_harm';
-  const place = placement(rule, writer, readers, partMs);
-  return { place, harm, isInTime: demand.waitedMs + place.expectedFirstMs <= demand.aimMs };
+  const wanted = demand.promptTokens + demand.answerTokens;
+  const shares = shareMemory(writer, readers, figures, wanted);
+  if (!shares) return undefined;
+  const harm = [writer, ...readers].reduce((sum, load) => sum + harmOf(load, partMs), 0);
+  const rule = harm > 0 ? 'parts_with_least_harm' : 'parts_without_harm';
+  const place = { ...placement(rule, writer, readers, partMs), shares };
+  const firstMs = demand.waitedMs + place.expectedFirstMs;
+  const isInTime = firstMs <= demand.aimMs;
+  const ownLoss = isInTime ? 0 : streamWorth(demand.promptTokens) * LATE_LOSS;
+  const isEarly = firstMs <= demand.aimMs * EARLY_SHARE;
+  return { place, harm, isInTime, isEarly, loss: harm + ownLoss };
 }
 
-/** The placement after which all together have most, of all numbers of parts. */
+/** Whether `one` is to be preferred to `other`, which has more parts. */
+function isBetter(one: Weighed, other: Weighed): boolean {
+  return one.loss < other.loss || (one.isEarly && one.loss === other.loss);
+}
+
+/**
+ * The number of parts by which writers and prompt lose least; of equals the fewest that are early,
+ * else the most. Undefined where the engines can't hold the prompt.
+ */
 export function leastLoss(
   inputs: PartsInputs,
   writer: EngineLoad,
   others: readonly EngineLoad[],
-): Weighed {
-  const { readMs, demand } = inputs;
-  const ownLoss = streamWorth(demand.promptTokens) * LATE_LOSS;
-  const lossOf = ({ harm, isInTime }: Weighed) => harm + (isInTime ? 0 : ownLoss);
+): Weighed | undefined {
+  const { readMs } = inputs;
   const most = Math.min(MOST_PARTS, others.length + 1, Math.ceil(readMs / SHORTEST_PART_MS));
-  let best = weigh(writer, others, most, inputs);
-  for (let parts = most - 1; parts >= 1; parts -= 1) {
+  let best: Weighed | undefined;
+  for (let parts = most; parts >= 1; parts -= 1) {
     const weighed = weigh(writer, others, parts, inputs);
-    if (lossOf(weighed) < lossOf(best)) best = weighed;
+    if (weighed && (!best || isBetter(weighed, best))) best = weighed;
   }
   return best;
 }
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -1,6 +1,6 @@
 import { newOwner, SystemClock } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
-import { FleetView, ReadQueue, RetryBudget } from '@poppypond/fleet';
+import { FleetView, RetryBudget } from '@poppypond/fleet';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import {
   BoundedOutput,
@@ -97,7 +97,7 @@
 ): { readonly peers: PeerMesh; readonly placing: Placing } {
   const { clock, log, fleet, inForce, knowledge, incarnation, servers, settings } = base;
   const { host } = settings;
-  const planner = new Planner({ clock, inForce, servers, fleet, queue: new ReadQueue(), draw });
+  const planner = new Planner({ clock, inForce, servers, fleet, draw });
   const peers = new PeerMesh({
     clock,
     log,
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
-import type { BackendServer, FleetView, ReadQueue } from '@poppypond/fleet';
+import type { BackendServer, FleetView } from '@poppypond/fleet';
 import type { ConfigurationInForce } from '@poppypond/routing';
 import type { ServerList } from '../store/server-list.js';
 import { inAgreedOrder, planEngines } from './plan-engines.js';
@@ -15,7 +15,6 @@
   readonly inForce: ConfigurationInForce;
   readonly servers: ServerList;
   readonly fleet: FleetView;
-  readonly queue: ReadQueue;
   /** Uniform random numbers in [0, 1). */
   readonly draw: () => number;
 }
@@ -33,6 +32,15 @@
 /** A waiting request whose host does not ask again for this long is dropped; hosts ask every 300 ms. */
 const ASKED_LATELY_MS: Milliseconds = 1000;
 
+/** Those that can still be in time come first, the most pressing before others; then as they came. */
+function inLookOrder(waiting: readonly Waiting[], nowMs: Milliseconds): readonly Waiting[] {
+  const aimAtMs = ({ request }: Waiting) => request.arrivedAtMs + request.aimMs;
+  const pressing = waiting
+    .filter((each) => aimAtMs(each) > nowMs)
+    .sort((left, right) => aimAtMs(left) - aimAtMs(right));
+  return [...pressing, ...waiting.filter((each) => aimAtMs(each) <= nowMs)];
+}
+
 /** Decides for hosts where their streams run, and keeps those that must wait. */
 export class Planner {
   readonly #waiting = new Map<string, Waiting>();
@@ -83,12 +91,11 @@
 
   #drop(request: PlanRequest): void {
     this.#waiting.delete(request.attemptId);
-    this.parts.queue.remove(request.requestId);
   }
 
   #lookAgain(): void {
     const nowMs = this.parts.clock.monotonicMs();
-    for (const waiting of [...this.#waiting.values()]) {
+    for (const waiting of inLookOrder([...this.#waiting.values()], nowMs)) {
       const { request, askedAtMs } = waiting;
       const isLeft = nowMs - askedAtMs > ASKED_LATELY_MS || nowMs >= request.limitAtMs;
       if (isLeft) this.#drop(request);
@@ -107,14 +114,13 @@
   }
 
   #decide(request: PlanRequest, isAlone: boolean): PlanAnswer {
-    const { clock, fleet, inForce, queue } = this.parts;
+    const { clock, fleet, inForce } = this.parts;
     const figures = inForce.table?.service(request.service)?.engine;
     if (!figures) return { kind: 'refuse', rule: 'no_engine' };
     fleet.end(request.attemptId);
     const order = isAlone ? this.#shuffled : inAgreedOrder;
     const answer = planEngines(this.parts, figures, request, order);
     if (answer.kind === 'wait') return answer;
-    queue.remove(request.requestId);
     if (answer.kind === 'place') {
       fleet.begin(toAttemptUse(request, answer.stream, clock.monotonicMs()));
     }
--- a/packages/relay/src/request/patience.ts
+++ b/packages/relay/src/request/patience.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@poppypond/core';
+import { callerSilenceMs } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
 import type { PlannedStream } from '../planning/plan-request.js';
 
@@ -10,14 +11,7 @@
 const SHORTEST_STALL_MS: Milliseconds = 600;
 /** The same, as a multiple of the pause that the route aims at. */
 const STALL_GAPS = 2;
-/**
- * Callers leave a stream that was silent for this long, or for so many aims or pauses, whichever
- * is longest.
- */
-const SHORTEST_CALLER_SILENCE_MS: Milliseconds = 2000;
-const CALLER_SILENCE_AIMS = 4;
-const CALLER_SILENCE_GAPS = 8;
-/** Part of that after which another engine is tried though this one lives. */
+/** Part of the silence after which its caller leaves, after which another engine is tried though this one lives. */
 const BUSY_PATIENCE_SHARE = 0.65;
 /** Added to that for each millisecond in which the first event was expected. */
 const BUSY_FACTOR = 2;
@@ -43,10 +37,5 @@
   { aimMs, gapAimMs }: Route,
   { expectedFirstMs }: PlannedStream,
 ): Milliseconds {
-  const callerSilenceMs = Math.max(
-    SHORTEST_CALLER_SILENCE_MS,
-    aimMs * CALLER_SILENCE_AIMS,
-    gapAimMs * CALLER_SILENCE_GAPS,
-  );
-  return callerSilenceMs * BUSY_PATIENCE_SHARE + expectedFirstMs * BUSY_FACTOR;
+  return callerSilenceMs(aimMs, gapAimMs) * BUSY_PATIENCE_SHARE + expectedFirstMs * BUSY_FACTOR;
 }
