--- a/packages/relay/src/planning/placing.test.ts
+++ b/packages/relay/src/planning/placing.test.ts
@@ -90,11 +90,11 @@
     const { clock, asked, withdrawn, placing } = askingHost(['p1']);
     let isOver = false;
     const placed = placing.place(REQUEST, () => isOver);
-    placing.hear('a', { kind: 'wait', rule: 'waits_for_turn' });
+    placing.hear('a', { kind: 'wait', rule: 'waits_for_engine' });
     const waitedMs: Milliseconds = 320;
     for (let passedMs = 0; passedMs < waitedMs; passedMs += 10) await clock.advance(10);
     expect(asked).toEqual(['p1', 'p1']);
-    placing.hear('a', { kind: 'wait', rule: 'waits_for_turn' });
+    placing.hear('a', { kind: 'wait', rule: 'waits_for_engine' });
     isOver = true;
     await clock.advance(60);
     expect(await placed).toEqual({ kind: 'over' });
