--- /dev/null
+++ b/packages/emulator/src/emulated-engine.test.ts
@@ -0,0 +1,84 @@
+import { passTimeMs, readTimeMs } from '@poppypond/fleet';
+import { describe, expect, it } from 'vitest';
+import { EmulatedEngine } from './emulated-engine.js';
+import { VirtualClock } from './virtual-clock.js';
+
+const FIGURES = {
+  slots: 2,
+  memoryTokens: 405_000,
+  stepsPerPass: 34,
+  stepMs: 1.31,
+  stepMsPerWriter: 0.001,
+  stepMsPerThousandTokens: 0.002,
+  readTokensPerMs: 154,
+  readMsPerMillionPairs: 0.162,
+  usualAnswerTokens: 1300,
+};
+
+function emulated() {
+  const clock = new VirtualClock();
+  const engine = new EmulatedEngine(clock, FIGURES);
+  const seen: string[] = [];
+  const note = (what: string) => {
+    seen.push(`${what} ${clock.monotonicMs().toFixed(1)}`);
+  };
+  const read = (streamId: string, tokens: number, isHelper = false) => {
+    const readMs = readTimeMs(FIGURES, tokens);
+    const onRead = () => {
+      note(`${streamId} read`);
+    };
+    engine.read({ streamId, tokens, readMs, isHelper, onRead });
+  };
+  const write = (streamId: string, contextTokens: number, events: number) => {
+    const onEvent = (isLast: boolean) => {
+      note(`${streamId} ${isLast ? 'last' : 'event'}`);
+    };
+    engine.write({ streamId, contextTokens, events, onEvent });
+  };
+  return { clock, engine, seen, read, write };
+}
+
+describe('EmulatedEngine', () => {
+  it('reads a prompt in the time of its tokens and pairs', () => {
+    const { clock, seen, read } = emulated();
+    read('a', 5000);
+    clock.runUntil(1000);
+    // 5,000 / 154 for the tokens, 12.5 million pairs at 0.162.
+    expect(seen).toEqual(['a read 34.5']);
+  });
+
+  it('writes one event a pass, and reads between the steps of a pass', () => {
+    const { clock, seen, read, write } = emulated();
+    write('a', 10_000, 2);
+    clock.runUntil(1);
+    read('b', 5000, true);
+    clock.runUntil(1000);
+    const passMs = passTimeMs(FIGURES, 1, 10_000);
+    const secondMs = 2 * passMs + readTimeMs(FIGURES, 5000);
+    expect(seen).toEqual([
+      `a event ${passMs.toFixed(1)}`,
+      `a last ${secondMs.toFixed(1)}`,
+      `b read ${secondMs.toFixed(1)}`,
+    ]);
+  });
+
+  it('reads parts for others before prompts of its own, and the newest part first', () => {
+    const { clock, seen, read } = emulated();
+    read('own', 20_000);
+    clock.runUntil(1);
+    read('older', 2000, true);
+    read('newer', 2000, true);
+    clock.runUntil(1000);
+    expect(seen.map((line) => line.split(' ')[0])).toEqual(['newer', 'older', 'own']);
+  });
+
+  it('lets no more answers in than it has places, and the next when one is over', () => {
+    const { clock, engine, seen, read } = emulated();
+    for (const id of ['a', 'b', 'c']) read(id, 1000);
+    clock.runUntil(500);
+    expect(seen).toHaveLength(2);
+    engine.cancel('a');
+    clock.runUntil(1000);
+    expect(seen.at(-1)).toMatch(/^c read/);
+  });
+});
--- a/packages/emulator/src/emulated-engine.ts
+++ b/packages/emulator/src/emulated-engine.ts
@@ -43,6 +43,10 @@
  */
 export class EmulatedEngine {
   #parts: RunningPart[] = [];
+  /** Prompts of its own that wait for a place. */
+  #queued: RunningPart[] = [];
+  /** Answers that have a place, from the reading of their prompts to their ends. */
+  readonly #placed = new Set<string>();
   #streams: RunningStream[] = [];
   #isInPass = false;
   /** Time in which it worked, for the account of a day. */
@@ -53,9 +57,12 @@
     readonly figures: EngineFigures,
   ) {}
 
-  /** Takes in a part of a prompt. */
+  /** Takes in a part of a prompt; one of its own waits for a place. */
   read(part: ReadPart): void {
-    this.#parts.push({ part, left: 1 });
+    const running = { part, left: 1 };
+    if (part.isHelper) this.#parts.push(running);
+    else this.#queued.push(running);
+    this.#fillPlaces();
     this.#wake();
   }
 
@@ -68,13 +75,32 @@
   /** Drops all that belongs to an answer; a pass that has begun goes on to its end. */
   cancel(streamId: string): void {
     this.#parts = this.#parts.filter(({ part }) => part.streamId !== streamId);
+    this.#queued = this.#queued.filter(({ part }) => part.streamId !== streamId);
     this.#streams = this.#streams.filter(({ stream }) => stream.streamId !== streamId);
+    this.#leavePlace(streamId);
   }
 
   /** Drops everything. */
   clear(): void {
     this.#parts = [];
+    this.#queued = [];
     this.#streams = [];
+    this.#placed.clear();
+  }
+
+  #fillPlaces(): void {
+    while (this.#placed.size < this.figures.slots) {
+      const next = this.#queued.shift();
+      if (!next) return;
+      this.#placed.add(next.part.streamId);
+      this.#parts.push(next);
+    }
+  }
+
+  #leavePlace(streamId: string): void {
+    if (!this.#placed.delete(streamId)) return;
+    this.#fillPlaces();
+    this.#wake();
   }
 
   #wake(): void {
@@ -141,6 +167,9 @@
       running.eventsLeft -= 1;
       running.stream.onEvent(running.eventsLeft === 0);
     }
+    for (const { stream, eventsLeft } of this.#streams) {
+      if (eventsLeft === 0) this.#leavePlace(stream.streamId);
+    }
     this.#streams = this.#streams.filter(({ eventsLeft }) => eventsLeft > 0);
     const unread = new Set(this.#parts);
     this.#parts = this.#parts.filter((running) => !finished.includes(running));
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -13,6 +13,9 @@
 export class FleetView {
   readonly #attempts = new Map<string, AttemptUse>();
   readonly #byEngine = new Map<string, Set<AttemptUse>>();
+  /** Loads as of one instant, until anything changes: all that wait are looked at together. */
+  readonly #loads = new Map<string, EngineLoad>();
+  #loadsAtMs: Milliseconds = Number.NaN;
   /** Servers that failed lately. */
   readonly suspicions = new Suspicions();
 
@@ -25,6 +28,7 @@
   begin(use: AttemptUse): void {
     this.end(use.attemptId);
     this.#attempts.set(use.attemptId, use);
+    this.#loads.clear();
     this.#usesOf(use.writerId).add(use);
     for (const id of use.readerIds) this.#usesOf(id).add(use);
   }
@@ -40,6 +44,7 @@
     const use = this.#attempts.get(attemptId);
     if (!use) return;
     this.#attempts.delete(attemptId);
+    this.#loads.clear();
     for (const id of [use.writerId, ...use.readerIds]) {
       const uses = this.#byEngine.get(id);
       uses?.delete(use);
@@ -91,11 +96,15 @@
 
   /** What is believed about `server` now. */
   load(server: BackendServer, figures: EngineFigures, nowMs: Milliseconds): EngineLoad {
+    const avoidedMs = this.suspicions.leftMs(server.id, nowMs);
+    if (this.#loadsAtMs !== nowMs) this.#loads.clear();
+    this.#loadsAtMs = nowMs;
+    const known = this.#loads.get(server.id);
+    if (known?.server === server && known.avoidedMs === avoidedMs) return known;
     const uses = this.#byEngine.get(server.id) ?? new Set();
-    return engineLoad(server, figures, uses, {
-      nowMs,
-      avoidedMs: this.suspicions.leftMs(server.id, nowMs),
-    });
+    const load = engineLoad(server, figures, uses, { nowMs, avoidedMs });
+    this.#loads.set(server.id, load);
+    return load;
   }
 
   #usesOf(engineId: string): Set<AttemptUse> {
--- a/packages/relay/src/planning/placing.test.ts
+++ b/packages/relay/src/planning/placing.test.ts
@@ -2,7 +2,7 @@
 import { FleetView } from '@poppypond/fleet';
 import { ManualClock } from '@poppypond/mocks';
 import { ConfigurationInForce } from '@poppypond/routing';
-import { silentLog } from '@poppypond/telemetry';
+import { createLog, silentLog } from '@poppypond/telemetry';
 import { describe, expect, it } from 'vitest';
 import { ServerList } from '../store/server-list.js';
 import { Placing } from './placing.js';
@@ -42,12 +42,13 @@
   const clock = new ManualClock();
   const asked: string[] = [];
   const withdrawn: string[] = [];
+  const lines: string[] = [];
   const inForce = new ConfigurationInForce();
   const servers = new ServerList(clock, silentLog);
   const fleet = new FleetView();
   const placing = new Placing({
     clock,
-    log: silentLog,
+    log: createLog({}, 'info', (line) => lines.push(line)),
     host: 'self',
     peers: {
       plannersOf: () => planners,
@@ -60,7 +61,7 @@
     },
     planner: new Planner({ clock, inForce, servers, fleet, draw }),
   });
-  return { clock, asked, withdrawn, placing };
+  return { clock, asked, withdrawn, lines, placing };
 }
 
 describe('Placing', () => {
@@ -100,4 +101,29 @@
     expect(await placed).toEqual({ kind: 'over' });
     expect(withdrawn).toEqual(['p1']);
   });
+
+  it('withdraws from planners that it asked before another one placed the stream', async () => {
+    const { clock, withdrawn, placing } = askingHost(['p1', 'p2']);
+    const placed = placing.place(REQUEST, () => false);
+    await clock.advance(60);
+    placing.hear('a', PLACE);
+    expect(await placed).toMatchObject({ kind: 'place', planner: 'p2' });
+    expect(withdrawn).toEqual(['p1']);
+  });
+
+  it('writes one line when a request begins to wait, and one at each change of reason', async () => {
+    const { clock, lines, placing } = askingHost(['p1']);
+    const placed = placing.place(REQUEST, () => false);
+    for (const rule of ['waits_for_engine', 'waits_for_engine', 'waits_for_slack'] as const) {
+      placing.hear('a', { kind: 'wait', rule });
+      for (let passedMs = 0; passedMs < 310; passedMs += 10) await clock.advance(10);
+    }
+    placing.hear('a', PLACE);
+    await placed;
+    const waiting = lines.filter((line) => line.includes('event=waiting'));
+    expect(waiting).toHaveLength(2);
+    expect(waiting[0]).toContain('rule=waits_for_engine');
+    expect(waiting[0]).toContain('left_ms=');
+    expect(waiting[1]).toContain('rule=waits_for_slack');
+  });
 });
--- a/packages/relay/src/planning/placing.ts
+++ b/packages/relay/src/planning/placing.ts
@@ -4,6 +4,7 @@
 import type { PlanAnswer, PlannedStream, PlanRequest } from './plan-request.js';
 import type { Planner } from './planner.js';
 import { Replies } from './replies.js';
+import { WaitRecord } from './wait-record.js';
 
 /** What a host knows of a plan when it stops asking. */
 export type Placed =
@@ -59,15 +60,27 @@
   async place(request: PlanRequest, isOver: () => boolean): Promise<Placed> {
     const replies = new Replies(this.parts.clock);
     this.#replies.set(request.attemptId, replies);
+    const asked = new Set<string>();
+    const wait = new WaitRecord(this.parts.clock, this.parts.log, request);
     try {
       for (;;) {
+        if (isOver()) {
+          this.#withdraw(asked, request.attemptId);
+          return { kind: 'over' };
+        }
         const planner = this.#plannerOf(request.service);
-        if (isOver()) return this.#withdraw(planner, request.attemptId);
+        asked.add(planner);
         this.#ask(planner, request);
         const answer = await replies.next(ANSWER_PATIENCE_MS);
         if (!answer) this.#onSilent(planner, request);
+        if (answer?.kind === 'wait') wait.onWait(answer.rule, planner);
         const decided = answer?.kind === 'wait' ? await this.#decided(replies, isOver) : answer;
-        if (decided && decided.kind !== 'wait') return { ...decided, planner };
+        if (decided && decided.kind !== 'wait') {
+          // Another planner that was asked may count a place for it, or have it wait still.
+          asked.delete(planner);
+          this.#withdraw(asked, request.attemptId);
+          return { ...decided, planner };
+        }
       }
     } finally {
       this.#replies.delete(request.attemptId);
@@ -118,10 +131,11 @@
     });
   }
 
-  #withdraw(planner: string, attemptId: string): Placed {
+  #withdraw(planners: ReadonlySet<string>, attemptId: string): void {
     const { host, peers } = this.parts;
-    if (planner === host) this.parts.planner.withdraw(attemptId);
-    else peers.withdrawPlan(planner, attemptId);
-    return { kind: 'over' };
+    for (const planner of planners) {
+      if (planner === host) this.parts.planner.withdraw(attemptId);
+      else peers.withdrawPlan(planner, attemptId);
+    }
   }
 }
--- a/packages/relay/src/planning/plan-engines.ts
+++ b/packages/relay/src/planning/plan-engines.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
 import { callerSilenceMs, planStream } from '@poppypond/fleet';
 import type { BackendServer, FleetView, StreamPlacement } from '@poppypond/fleet';
 import type { EngineFigures } from '@poppypond/routing';
@@ -7,7 +7,8 @@
 
 /** What a plan is made from. */
 export interface PlanInputs {
-  readonly clock: Clock;
+  /** On this process's clock; all that are planned in one round share it. */
+  readonly nowMs: Milliseconds;
   readonly servers: ServerList;
   readonly fleet: FleetView;
 }
@@ -54,8 +55,7 @@
   request: PlanRequest,
   order: ServerOrder,
 ): PlanAnswer {
-  const { clock, fleet, servers } = inputs;
-  const nowMs = clock.monotonicMs();
+  const { fleet, nowMs, servers } = inputs;
   const usable = order(without(servers.available(request.service), request.avoidedIds));
   const loads = usable.map((server) => fleet.load(server, figures, nowMs));
   const plan = planStream(loads, figures, {
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -69,9 +69,9 @@
    * plans because it found no planner, and may not know what others run.
    */
   submit(request: PlanRequest, onAnswer: AnswerListener, isAlone = false): void {
-    const answer = this.#decide(request, isAlone);
+    const askedAtMs = this.parts.clock.monotonicMs();
+    const answer = this.#decide(request, isAlone, askedAtMs);
     if (answer.kind === 'wait') {
-      const askedAtMs = this.parts.clock.monotonicMs();
       this.#waiting.set(request.attemptId, { request, onAnswer, askedAtMs, isAlone });
       this.#cancelLook ??= this.parts.clock.every(LOOK_AGAIN_MS, () => {
         this.#lookAgain();
@@ -99,30 +99,30 @@
       const { request, askedAtMs } = waiting;
       const isLeft = nowMs - askedAtMs > ASKED_LATELY_MS || nowMs >= request.limitAtMs;
       if (isLeft) this.#drop(request);
-      else this.#lookAgainAt(waiting);
+      else this.#lookAgainAt(waiting, nowMs);
     }
     if (this.#waiting.size > 0) return;
     this.#cancelLook?.();
     this.#cancelLook = undefined;
   }
 
-  #lookAgainAt({ request, onAnswer, isAlone }: Waiting): void {
-    const answer = this.#decide(request, isAlone);
+  #lookAgainAt({ request, onAnswer, isAlone }: Waiting, nowMs: Milliseconds): void {
+    const answer = this.#decide(request, isAlone, nowMs);
     if (answer.kind === 'wait') return;
     this.#waiting.delete(request.attemptId);
     onAnswer(answer);
   }
 
-  #decide(request: PlanRequest, isAlone: boolean): PlanAnswer {
-    const { clock, fleet, inForce } = this.parts;
+  #decide(request: PlanRequest, isAlone: boolean, nowMs: Milliseconds): PlanAnswer {
+    const { fleet, inForce } = this.parts;
     const figures = inForce.table?.service(request.service)?.engine;
     if (!figures) return { kind: 'refuse', rule: 'no_engine' };
     fleet.end(request.attemptId);
     const order = isAlone ? this.#shuffled : inAgreedOrder;
-    const answer = planEngines(this.parts, figures, request, order);
+    const answer = planEngines({ ...this.parts, nowMs }, figures, request, order);
     if (answer.kind === 'wait') return answer;
     if (answer.kind === 'place') {
-      fleet.begin(toAttemptUse(request, answer.stream, clock.monotonicMs()));
+      fleet.begin(toAttemptUse(request, answer.stream, nowMs));
     }
     return answer;
   }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -12,6 +12,7 @@
 import { readinessPage, serveSmallPages, textPage } from './server/small-server.js';
 import { splitAddress } from './settings.js';
 import type { RelaySettings } from './settings.js';
+import { GrowingPause } from './store/growing-pause.js';
 import { startWatches } from './store/start-watches.js';
 
 /** What takes and serves requests, from the start on. */
@@ -24,7 +25,9 @@
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 /** Idle connections are kept for twice what callers are told, so none is closed under a request. */
 const IDLE_FACTOR = 2;
-const JOIN_RETRY_MS: Milliseconds = 1000;
+/** Pauses between tries to join, short at first: until then a host plans for itself. */
+const FIRST_JOIN_PAUSE_MS: Milliseconds = 100;
+const LONGEST_JOIN_PAUSE_MS: Milliseconds = 1200;
 /** After SIGTERM the balancer asks twice, a second apart, before it sends nothing more. */
 const LEAVE_MS: Milliseconds = 2500;
 /** Part of the grace that is kept for leaving in order. */
@@ -168,13 +171,14 @@
 
   async #join(peers: PeerMesh): Promise<void> {
     const self = selfAddress(this.settings);
+    const pause = new GrowingPause(FIRST_JOIN_PAUSE_MS, LONGEST_JOIN_PAUSE_MS);
     while (!this.#isStopping) {
       const members = await this.#directory.join(self);
       if (members) {
         peers.learn(members);
         return;
       }
-      await delay(this.#base.clock, JOIN_RETRY_MS);
+      await delay(this.#base.clock, pause.next());
     }
   }
 
--- /dev/null
+++ b/packages/relay/src/store/configuration-watch.test.ts
@@ -0,0 +1,62 @@
+import { ManualClock } from '@poppypond/mocks';
+import { ConfigurationInForce, Freshness } from '@poppypond/routing';
+import { silentLog } from '@poppypond/telemetry';
+import { Result } from 'true-myth';
+import { describe, expect, it } from 'vitest';
+import { SharedKnowledge } from '../peers/shared-knowledge.js';
+import type { PlatformRows, RowStore } from '../ports.js';
+import { ConfigurationWatch } from './configuration-watch.js';
+import { ServerList } from './server-list.js';
+
+const CONFIGURATION = {
+  version: 1,
+  routes: [],
+  services: [],
+  workspaces: [],
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+const ROWS: PlatformRows = {
+  configurationTable: 'configuration',
+  configurationKey: 'all',
+  serverTable: 'servers',
+  readConfiguration: () => CONFIGURATION,
+  readServer: () => undefined,
+};
+
+describe('ConfigurationWatch', () => {
+  it('holds questions open for whole milliseconds, whatever the bound is', async () => {
+    const clock = new ManualClock();
+    const waits: number[] = [];
+    const row = { key: 'all', value: Buffer.from('{}') };
+    const set = { rows: [row], version: 1, storeNowMs: 0 };
+    const unused = () => Promise.reject(new Error('not used'));
+    const store: RowStore = {
+      read: () => Promise.resolve(Result.ok(set)),
+      changes: (_table, _after, waitMs) => {
+        waits.push(waitMs);
+        return Promise.resolve(Result.ok({ ...set, rows: [] }));
+      },
+      put: unused,
+      remove: unused,
+    };
+    const inForce = new ConfigurationInForce();
+    const freshness = new Freshness(clock);
+    const list = new ServerList(clock, silentLog);
+    const watch = new ConfigurationWatch({
+      clock,
+      log: silentLog,
+      store,
+      rows: ROWS,
+      inForce,
+      freshness,
+      knowledge: new SharedKnowledge({ clock, inForce, freshness, list }),
+      isReader: () => true,
+      withinMs: 1999,
+      onChange: () => undefined,
+    });
+    await watch.step();
+    await watch.step();
+    expect(waits).toEqual([700]);
+    expect(inForce.version).toBe(1);
+  });
+});
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -83,7 +83,7 @@
         : await store.changes(
             rows.configurationTable,
             this.#version,
-            isReader() ? withinMs * WAIT_SHARE : 0,
+            isReader() ? Math.round(withinMs * WAIT_SHARE) : 0,
           );
     if (answer.isOk) return this.#take(answer.value, askedAtMs);
     if (answer.error.kind === 'history_gone') {
