--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import { ApiCommand } from './api-command.js';
 import { formatApply, formatAudit, formatExplain, formatObjects, formatStatus } from './format.js';
+import { LossesCommand } from './losses.js';
 import { WhyCommand } from './why.js';
 import { applyReply, auditReply, explainReply, objectsReply, statusReply } from './replies.js';
 
@@ -187,6 +188,7 @@
 
 /** The commands of `poppypond`. */
 export const operatorCommands = [
+  LossesCommand,
   WhyCommand,
   GetCommand,
   ApplyCommand,
--- /dev/null
+++ b/packages/cli/src/loss-cause.ts
@@ -0,0 +1,67 @@
+import type { LogLine } from './log-lines.js';
+
+/** Why a request was not served in time, or that it was. */
+export type LossCause =
+  | 'in_time'
+  | 'refused_for_an_unproved_configuration'
+  | 'refused'
+  | 'lost_with_its_host'
+  | 'left_by_its_caller'
+  | 'failed'
+  | 'late_after_a_failed_attempt'
+  | 'late_in_the_queue'
+  | 'late_as_foreseen'
+  | 'late_behind_other_reads'
+  | 'late_by_a_pause'
+  | 'late_call';
+
+/** What the logs say of one request. */
+export interface RequestLines {
+  readonly placed: LogLine | undefined;
+  /** The line `answered` or `refused`; undefined where the logs end or the host was lost. */
+  readonly end: LogLine | undefined;
+}
+
+const LEFT_CODES: ReadonlySet<string> = new Set(['cancelled_running', 'cancelled_waiting']);
+const UNPROVED = 'the configuration may be out of date';
+
+function numberOf(line: LogLine | undefined, key: string): number | undefined {
+  const text = line?.[key];
+  return text === undefined ? undefined : Number(text);
+}
+
+function causeOfLateStart(
+  placed: LogLine | undefined,
+  firstEventMs: number,
+  aimMs: number,
+): LossCause {
+  const waitedMs = numberOf(placed, 'waited_ms') ?? 0;
+  const expectedMs = numberOf(placed, 'expected_ms') ?? 0;
+  if (firstEventMs - waitedMs <= aimMs) return 'late_in_the_queue';
+  return waitedMs + expectedMs > aimMs ? 'late_as_foreseen' : 'late_behind_other_reads';
+}
+
+function causeOfStream(placed: LogLine | undefined, end: LogLine, aimMs: number): LossCause {
+  const firstEventMs = numberOf(end, 'first_event_ms') ?? 0;
+  const isRetried = (numberOf(end, 'attempts') ?? 1) > 1;
+  const pauseMs = numberOf(end, 'longest_pause_ms') ?? 0;
+  const pauseAimMs = numberOf(end, 'pause_aim_ms') ?? Number.POSITIVE_INFINITY;
+  const isLate = firstEventMs > aimMs;
+  if (!isLate && pauseMs <= pauseAimMs) return 'in_time';
+  if (isRetried) return 'late_after_a_failed_attempt';
+  return isLate ? causeOfLateStart(placed, firstEventMs, aimMs) : 'late_by_a_pause';
+}
+
+/** Why one request was not served in time. */
+export function lossCause({ placed, end }: RequestLines): LossCause {
+  if (!end) return 'lost_with_its_host';
+  if (end['event'] === 'refused') {
+    return end['why'] === UNPROVED ? 'refused_for_an_unproved_configuration' : 'refused';
+  }
+  const code = end['code'] ?? '';
+  if (LEFT_CODES.has(code)) return 'left_by_its_caller';
+  if (code !== 'ok') return 'failed';
+  const aimMs = numberOf(end, 'aim_ms') ?? Number.POSITIVE_INFINITY;
+  if (end['tokens'] !== undefined) return causeOfStream(placed, end, aimMs);
+  return (numberOf(end, 'took_ms') ?? 0) <= aimMs ? 'in_time' : 'late_call';
+}
--- /dev/null
+++ b/packages/cli/src/losses.test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from 'vitest';
+import { lossCause } from './loss-cause.js';
+import { readLine } from './log-lines.js';
+import { divideLosses } from './losses.js';
+
+const PLACED = readLine('event=placed request=r tokens=5000 waited_ms=10 expected_ms=100');
+
+function answered(more: string) {
+  return readLine(
+    `event=answered request=r code=ok aim_ms=300 pause_aim_ms=200 tokens=5000 attempts=1 ${more}`,
+  );
+}
+
+describe('lossCause', () => {
+  it.each([
+    ['first_event_ms=120 longest_pause_ms=90', 'in_time'],
+    ['first_event_ms=120 longest_pause_ms=700', 'late_by_a_pause'],
+    ['first_event_ms=900 longest_pause_ms=90', 'late_behind_other_reads'],
+    ['first_event_ms=305 longest_pause_ms=90', 'late_in_the_queue'],
+  ])('judges an answer with %s as %s', (more, cause) => {
+    expect(lossCause({ placed: PLACED, end: answered(more) })).toBe(cause);
+  });
+
+  it('tells what was foreseen to be late, retried, refused, left or lost', () => {
+    const late = answered('first_event_ms=900 longest_pause_ms=0');
+    const slow = { ...PLACED, expected_ms: '800' };
+    expect(lossCause({ placed: slow, end: late })).toBe('late_as_foreseen');
+    expect(lossCause({ placed: PLACED, end: { ...late, attempts: '2' } })).toBe(
+      'late_after_a_failed_attempt',
+    );
+    const unproved = 'event=refused code=not_ready why="the configuration may be out of date"';
+    expect(lossCause({ placed: undefined, end: readLine(unproved) })).toBe(
+      'refused_for_an_unproved_configuration',
+    );
+    expect(lossCause({ placed: PLACED, end: { ...late, code: 'cancelled_running' } })).toBe(
+      'left_by_its_caller',
+    );
+    expect(lossCause({ placed: PLACED, end: undefined })).toBe('lost_with_its_host');
+  });
+});
+
+describe('divideLosses', () => {
+  it('counts by span of time, size and cause, and leaves out what was not owed', () => {
+    const lines = [
+      'time=2026-01-01T00:00:01.000Z event=placed request=a tokens=200000',
+      'time=2026-01-01T00:00:02.000Z event=placed request=b tokens=5000',
+      'time=2026-01-01T00:00:12.000Z event=placed request=c tokens=0',
+      'time=2026-01-01T00:00:12.000Z event=answered request=c code=ok took_ms=20 aim_ms=100',
+      'time=2026-01-01T00:00:13.000Z event=refused request=d code=unauthenticated',
+    ].map(readLine);
+    expect(divideLosses(lines, 10)).toEqual([
+      { from: '2026-01-01T00:00:00.000Z', size: 'long', cause: 'lost_with_its_host', requests: 1 },
+      { from: '2026-01-01T00:00:00.000Z', size: 'short', cause: 'lost_with_its_host', requests: 1 },
+      { from: '2026-01-01T00:00:10.000Z', size: 'call', cause: 'in_time', requests: 1 },
+    ]);
+  });
+});
--- /dev/null
+++ b/packages/cli/src/losses.ts
@@ -0,0 +1,92 @@
+import { Command, Option } from 'clipanion';
+import { lossCause } from './loss-cause.js';
+import type { LossCause } from './loss-cause.js';
+import { byTime, readLogs } from './log-lines.js';
+import type { LogLine } from './log-lines.js';
+
+/** Requests of one size that ended alike within one span of time. */
+export interface LossRow {
+  /** Start of the span, as in the logs. */
+  readonly from: string;
+  readonly size: 'call' | 'short' | 'middle' | 'long';
+  readonly cause: LossCause;
+  readonly requests: number;
+}
+
+/** Sizes of prompts, as in the metrics. */
+const MIDDLE_TOKENS = 20_000;
+const LONG_TOKENS = 100_000;
+const MS_PER_SECOND = 1000;
+/** Answers to callers that asked for what they may not have are no losses. */
+const NOT_OWED_CODES: ReadonlySet<string> = new Set([
+  'unauthenticated',
+  'unknown_route',
+  'bad_field',
+]);
+
+function sizeOf(placed: LogLine | undefined, end: LogLine | undefined): LossRow['size'] {
+  const tokens = Number(end?.['tokens'] ?? placed?.['tokens'] ?? 0);
+  if (tokens === 0) return 'call';
+  if (tokens >= LONG_TOKENS) return 'long';
+  return tokens >= MIDDLE_TOKENS ? 'middle' : 'short';
+}
+
+function spanOf(line: LogLine, everySeconds: number): string {
+  const spanMs = everySeconds * MS_PER_SECOND;
+  const startMs = Math.floor(Date.parse(line['time'] ?? '') / spanMs) * spanMs;
+  return new Date(startMs).toISOString();
+}
+
+/** Divides all requests of the logs by span of time, size and cause, in that order. */
+export function divideLosses(lines: readonly LogLine[], everySeconds: number): readonly LossRow[] {
+  const byRequest = new Map<string, { placed?: LogLine; end?: LogLine; first: LogLine }>();
+  for (const line of [...lines].sort(byTime)) {
+    const { request, event } = line;
+    if (request === undefined) continue;
+    const known = byRequest.get(request) ?? { first: line };
+    if (event === 'placed') known.placed = line;
+    if (event === 'answered' || event === 'refused') known.end = line;
+    byRequest.set(request, known);
+  }
+  const counts = new Map<string, LossRow>();
+  for (const { placed, end, first } of byRequest.values()) {
+    if (NOT_OWED_CODES.has(end?.['code'] ?? '')) continue;
+    const from = spanOf(first, everySeconds);
+    const size = sizeOf(placed, end);
+    const cause = lossCause({ placed, end });
+    const key = `${from} ${size} ${cause}`;
+    const requests = (counts.get(key)?.requests ?? 0) + 1;
+    counts.set(key, { from, size, cause, requests });
+  }
+  return [...counts].sort(([left], [right]) => (left < right ? -1 : 1)).map(([, row]) => row);
+}
+
+/** `poppypond losses`: tells where an installation lost time, by moment, size of prompt and cause. */
+export class LossesCommand extends Command {
+  static override paths = [['losses']];
+  static override usage = Command.Usage({
+    description: "Divide the requests of the hosts' logs by moment, size and why they were late.",
+    examples: [['An hour by minutes', 'poppypond losses --every 60 --logs a.log --logs b.log']],
+  });
+
+  readonly logs = Option.Array('--logs', {
+    required: true,
+    description: 'a log file; may be repeated',
+  });
+  readonly every = Option.String('--every', '10', { description: 'span of time in seconds' });
+
+  override execute(): Promise<number> {
+    const everySeconds = Number(this.every);
+    if (!(everySeconds > 0)) {
+      this.context.stderr.write('--every: not a number of seconds above 0\n');
+      return Promise.resolve(1);
+    }
+    for (const row of divideLosses(readLogs(this.logs), everySeconds)) {
+      const { from, size, cause, requests } = row;
+      this.context.stdout.write(
+        `${from}  ${size.padEnd(6)}  ${String(requests).padStart(6)}  ${cause}\n`,
+      );
+    }
+    return Promise.resolve(0);
+  }
+}
--- a/packages/cli/src/why.test.ts
+++ b/packages/cli/src/why.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { readLine, storyOf } from './why.js';
+import { readLine } from './log-lines.js';
+import { storyOf } from './why.js';
 
 const LOG = `
   8.7036 h-2 time=2026-01-01T00:00:04.000Z level=warn event=refused host=h-2 request=r1 code=unauthenticated why="the key is not known" configuration=17 configuration_age_ms=454
--- a/packages/cli/src/why.ts
+++ b/packages/cli/src/why.ts
@@ -1,19 +1,6 @@
-import { readFileSync } from 'node:fs';
 import { Command, Option } from 'clipanion';
-
-/** One log line, by its keys. */
-export type LogLine = Readonly<Record<string, string>>;
-
-const PAIR = /([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)/g;
-
-/** Reads a line of key=value pairs; whatever stands before the first pair is passed over. */
-export function readLine(text: string): LogLine {
-  const pairs = [...text.matchAll(PAIR)].map(([, key = '', value = '']) => {
-    const plain = value.startsWith('"') ? value.slice(1, -1).replaceAll('\\"', '"') : value;
-    return [key, plain] as const;
-  });
-  return Object.fromEntries(pairs);
-}
+import { byTime, readLogs } from './log-lines.js';
+import type { LogLine } from './log-lines.js';
 
 const HEAD_KEYS = new Set(['time', 'level', 'event', 'host', 'request']);
 
@@ -24,10 +11,6 @@
   return `${time}  ${host}  ${event}  ${details.join(' ')}`;
 }
 
-function byTime(left: LogLine, right: LogLine): number {
-  return (left['time'] ?? '').localeCompare(right['time'] ?? '');
-}
-
 /**
  * What logs say of one request, oldest first: its own lines, and what its hosts had in force or
  * lost last before them.
@@ -68,13 +51,7 @@
   });
 
   override execute(): Promise<number> {
-    const lines = this.logs.flatMap((file) =>
-      readFileSync(file, 'utf8')
-        .split('\n')
-        .filter((text) => text.includes('event='))
-        .map(readLine),
-    );
-    const told = storyOf(lines, this.request);
+    const told = storyOf(readLogs(this.logs), this.request);
     if (told.length === 0) {
       this.context.stdout.write(`no line of request ${this.request}\n`);
       return Promise.resolve(1);
