--- a/packages/fleet/src/engine-load.ts
+++ b/packages/fleet/src/engine-load.ts
@@ -20,6 +20,8 @@
   readonly memoryTokens: number;
   /** Time of a pass without reading; 0 while nothing writes. */
   readonly passMs: Milliseconds;
+  /** How long one more request would wait for a place; 0 where one is free. */
+  readonly placeWaitMs: Milliseconds;
   /** Reading that it has before it, with the passes between. */
   readonly pendingReadMs: Milliseconds;
   /** The reading that the next pass may take in without a late event for any writer. */
@@ -82,6 +84,14 @@
   return Math.max(0, freeAtMs - nowMs);
 }
 
+/** Time until a place is free for one more, by the usual length of answers. */
+function placeWait(figures: EngineFigures, writers: number, passMs: Milliseconds): Milliseconds {
+  const before = writers - figures.slots + 1;
+  if (before <= 0) return 0;
+  const answerMs = (figures.usualAnswerTokens / figures.stepsPerPass) * passMs;
+  return (before * answerMs) / figures.slots;
+}
+
 /** What the writers of an engine take up together. */
 function sumWriters(engineId: string, uses: ReadonlySet<AttemptUse>) {
   let writers = 0;
@@ -117,6 +127,7 @@
     ...sums,
     memoryTokens: contextTokens + heldOn(server.id, uses),
     passMs,
+    placeWaitMs: placeWait(figures, writers, passMs),
     pendingReadMs,
     slackMs: allowedMs - passMs - pendingReadMs,
     avoidedMs,
