--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -32,15 +32,6 @@
 /** A waiting request whose host does not ask again for this long is dropped; hosts ask every 300 ms. */
 const ASKED_LATELY_MS: Milliseconds = 1000;
 
-/** Those that can still be in time come first, the most pressing before others; then as they came. */
-function inLookOrder(waiting: readonly Waiting[], nowMs: Milliseconds): readonly Waiting[] {
-  const aimAtMs = ({ request }: Waiting) => request.arrivedAtMs + request.aimMs;
-  const pressing = waiting
-    .filter((each) => aimAtMs(each) > nowMs)
-    .sort((left, right) => aimAtMs(left) - aimAtMs(right));
-  return [...pressing, ...waiting.filter((each) => aimAtMs(each) <= nowMs)];
-}
-
 /** Decides for hosts where their streams run, and keeps those that must wait. */
 export class Planner {
   readonly #waiting = new Map<string, Waiting>();
@@ -95,7 +86,7 @@
 
   #lookAgain(): void {
     const nowMs = this.parts.clock.monotonicMs();
-    for (const waiting of inLookOrder([...this.#waiting.values()], nowMs)) {
+    for (const waiting of [...this.#waiting.values()]) {
       const { request, askedAtMs } = waiting;
       const isLeft = nowMs - askedAtMs > ASKED_LATELY_MS || nowMs >= request.limitAtMs;
       if (isLeft) this.#drop(request);
