--- a/packages/fleet/src/pack-short.ts
+++ b/packages/fleet/src/pack-short.ts
@@ -1,14 +1,12 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { EngineFigures } from '@poppypond/routing';
 import type { EngineLoad } from './engine-load.js';
-import { EARLY_SHARE } from './weigh-parts.js';
 import { placement } from './stream-plan.js';
 import type { StreamDemand, StreamPlan } from './stream-plan.js';
+import { EARLY_SHARE } from './weigh-parts.js';
 
 /** Reading that a new short prompt may find before it, so that it still starts in time. */
 const LONGEST_READ_BEFORE_MS: Milliseconds = 60;
-/** The pass that goes on when a prompt comes, and the one that writes its first event. */
-const PASSES_TO_FIRST_EVENT = 2;
 /** Short answers that may start before the view is next looked at; engines are kept for them. */
 const SOON_STARTED = 6;
 
@@ -40,15 +38,10 @@
   readMs: Milliseconds,
   { aimMs, waitedMs }: StreamDemand,
 ): StreamPlan | undefined {
-  const firstMs = (load: EngineLoad) =>
-    waitedMs + load.pendingReadMs + readMs + PASSES_TO_FIRST_EVENT * load.passMs;
-  const packed = packedEngines(engines, figures).find(
-    (load) =>
-      load.writers < figures.slots &&
-      load.slackMs >= readMs &&
-      firstMs(load) <= aimMs * EARLY_SHARE,
-  );
-  return packed && placement('packed', packed, [], readMs);
+  const places = packedEngines(engines, figures)
+    .filter((load) => load.writers < figures.slots && load.slackMs >= readMs)
+    .map((load) => placement('packed', load, [], readMs));
+  return places.find(({ expectedFirstMs }) => waitedMs + expectedFirstMs <= aimMs * EARLY_SHARE);
 }
 
 /** Fills engines one after the other, so that few engines hold most of the impatient writers. */
--- a/packages/relay/src/peers/peer-list.ts
+++ b/packages/relay/src/peers/peer-list.ts
@@ -155,18 +155,20 @@
 
   /** Whether `host`, which has a sound way to the store, is one of the few that read it for all. */
   isAmongReaders(host: string): boolean {
-    const before = [...this.#peers.values()].filter(
-      (peer) => this.isAlive(peer) && !peer.isStoreLost && peer.host < host,
-    );
-    return before.length < READERS;
+    return this.#countBefore(host, ({ isStoreLost }) => !isStoreLost) < READERS;
   }
 
   /** Whether this host is one of the first by name that are there, whatever they know of the store. */
   isAmongFirst(): boolean {
+    return this.#countBefore(this.self.host, () => true) < READERS;
+  }
+
+  /** Peers that are there, come before `host` by name, and count. */
+  #countBefore(host: string, counts: (peer: Peer) => boolean): number {
     const before = [...this.#peers.values()].filter(
-      (peer) => this.isAlive(peer) && peer.host < this.self.host,
+      (peer) => peer.host < host && this.isAlive(peer) && counts(peer),
     );
-    return before.length < READERS;
+    return before.length;
   }
 
   /** Known hosts that are silent; one that has started anew may know nobody. */
