--- a/packages/proof/src/scenarios/planned.ts
+++ b/packages/proof/src/scenarios/planned.ts
@@ -1,5 +1,6 @@
 import { setFaults, waitUntil, getJson } from '@poppypond/launch';
 import type { Fleet, FleetOptions, RunningProgram } from '@poppypond/launch';
+import { SAMPLE_OPERATOR_KEY } from '@poppypond/load';
 import { callHttp } from '@poppypond/web';
 import { z } from 'zod';
 import { checkLeaving, checkNoErrors } from '../checkers/checkers.js';
@@ -25,6 +26,7 @@
 const LEAVING_ALLOWED_MS = 3000;
 const LEAVING_WATCH_MS = 3800;
 const CALL_GAP_MS = 15;
+const STORY_TIMEOUT_MS = 2000;
 /** Within what the pool's groups can carry. */
 const REVIEW_SHARE = 0.02;
 const QUESTION = { maxTokens: 16, limitMs: 20_000 };
@@ -99,6 +101,21 @@
   if (code !== 0) throw new Error(`the gateway ended with ${String(code)}: ${gateway.log}`);
 }
 
+/** What a gateway can say of how a request was decided, for tracing a violation. */
+async function storyOf(fleet: Fleet, requestId: string): Promise<string> {
+  const stories = await Promise.all(
+    fleet.gateways.map((gateway) =>
+      callHttp({
+        method: 'GET',
+        url: `${gateway.url}/explain/${encodeURIComponent(requestId)}?local=1`,
+        headers: { authorization: `Bearer ${SAMPLE_OPERATOR_KEY}` },
+        timeoutMs: STORY_TIMEOUT_MS,
+      }),
+    ),
+  );
+  return stories.map((story) => (story.isOk ? story.value.body : story.error.detail)).join('\n');
+}
+
 /** A planned stop of an engine or host cuts off no request in progress. */
 export const plannedStop: Proof = {
   name: 'planned-stop',
@@ -120,6 +137,9 @@
     const calls = await asking;
     balancer.stop();
     await fleet.waitReady();
+    const refused = calls.filter(({ code }) => code !== 'ok');
+    const stories = await Promise.all(refused.map(({ requestId }) => storyOf(fleet, requestId)));
+    for (const story of stories) process.stderr.write(`${story}\n`);
     const faults = [isEngine ? 'engine-planned-stop' : 'gateway-planned-stop'];
     return { faults, codes: calls.map(({ code }) => code), violations: checkNoErrors(calls) };
   },
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,8 @@
 import { delay } from '@poppypond/core';
 import type { Milliseconds } from '@poppypond/core';
 import type { Server } from 'node:http';
+import { Result } from 'true-myth';
+import type { Unit } from 'true-myth';
 import { composeBase, composeParts, composePeers, selfAddress } from './compose.js';
 import type { RelayBase } from './compose.js';
 import { DatagramSender } from './peers/datagram-sender.js';
@@ -62,8 +64,25 @@
     this.#directory = new MemberDirectory(this.#base.ports.store, this.#base.log);
   }
 
-  /** Starts everything; resolves when callers may connect, rejects when a port is taken. */
-  async start(): Promise<void> {
+  /**
+   * Starts everything; resolves when callers may connect, or with the reason why they can't. Then
+   * nothing stays open, so that the process ends and its host can start it again.
+   */
+  async start(): Promise<Result<Unit, string>> {
+    try {
+      await this.#open();
+      return Result.ok();
+    } catch (error) {
+      const why = error instanceof Error ? error.message : String(error);
+      this.#base.log.error('start_failed', { why });
+      this.#closeAll();
+      await this.#base.output.drain(LAST_WORDS_MS);
+      return Result.err(why);
+    }
+  }
+
+  /** Opens all ports; rejects when one is taken. */
+  async #open(): Promise<void> {
     const { settings } = this;
     const { log, incarnation } = this.#base;
     const sender = await DatagramSender.bind(
@@ -73,13 +92,13 @@
         this.#running?.peers.receive(message, from);
       },
     );
+    this.#onStop.push(() => {
+      sender.close();
+    });
     const running = this.#compose(sender);
     this.#running = running;
     running.peers.start();
     await this.#openSmallPages();
-    this.#onStop.push(() => {
-      sender.close();
-    });
     const { address, port } = splitAddress(settings.listen);
     await running.front.listen(address, port);
     this.#follow(running);
@@ -109,11 +128,16 @@
     }
     this.#running?.peers.stop();
     await Promise.race([this.#directory.leave(this.settings.host), delay(clock, LAST_WORDS_MS)]);
-    for (const close of this.#onStop) close();
+    this.#closeAll();
     log.warn('stopped', { open: this.#openCount });
     await output.drain(LAST_WORDS_MS);
   }
 
+  #closeAll(): void {
+    this.#running?.peers.stop();
+    for (const close of this.#onStop) close();
+  }
+
   /** The settings were read again, or could not be for `problem`; logs which, and changes none. */
   onReload(problem: string | undefined): void {
     const { log } = this.#base;
--- a/packages/settings/src/program.ts
+++ b/packages/settings/src/program.ts
@@ -21,7 +21,8 @@
   readonly path?: readonly string[];
   readonly description: string;
   readonly shape: Shape;
-  readonly main: (settings: z.infer<z.ZodObject<Shape>>) => Promise<number>;
+  /** The number is the exit code, the string says why it could not start with these settings. */
+  readonly main: (settings: z.infer<z.ZodObject<Shape>>) => Promise<number | string>;
 }): ProgramCommand {
   return {
     path: options.path ?? [],
