--- a/packages/gateway/src/completions/completion-run.ts
+++ b/packages/gateway/src/completions/completion-run.ts
@@ -29,6 +29,8 @@
   #attempt = 0;
   #actualPromptTokens: number | undefined;
   readonly #avoid = new Set<string>();
+  /** What it waits for now; told where its time ends before it came. */
+  #awaited = '';
   readonly #abort = new AbortController();
 
   constructor(
@@ -59,6 +61,11 @@
     return this.#attempt;
   }
 
+  /** Notes what the request waits for; empty where it waits no more. */
+  setAwaited(what: string): void {
+    this.#awaited = what;
+  }
+
   onStartedOnEngine(): void {
     this.#hasRun = true;
   }
@@ -89,7 +96,8 @@
   async run(charge: Charge, runGroup?: () => Promise<'finished' | Fault>): Promise<void> {
     const { clock } = this.context;
     const cancelTimer = clock.after(Math.max(0, this.remainingMs), () => {
-      this.#end(fault(this.#mayHaveRun ? 'time_limit' : 'wait_expired', '', this.#ruleField()));
+      const code = this.#mayHaveRun ? 'time_limit' : 'wait_expired';
+      this.#end(fault(code, this.#awaited, this.#ruleField()));
       this.#abort.abort();
     });
     this.context.retries.onFirstAttempt();
--- a/packages/gateway/src/groups/group-run.ts
+++ b/packages/gateway/src/groups/group-run.ts
@@ -3,7 +3,7 @@
 import type { Fault } from '@poppypond/core';
 import { BLOCK_TOKENS, cutAtBlocks, estimateTokens } from '@poppypond/hashing';
 import { groupEngineCount, planGroup } from '@poppypond/policy';
-import type { GroupPart } from '@poppypond/policy';
+import type { EngineState, GroupPart } from '@poppypond/policy';
 import type { CompletionRun } from '../completions/completion-run.js';
 import type { GatewayContext } from '../context.js';
 import type { OpenEngine } from '../engines/engine-directory.js';
@@ -37,6 +37,13 @@
   });
 }
 
+/** Says for the explanation which memory was there and which was needed. */
+function describeLack({ request }: GroupRun, states: readonly EngineState[]): string {
+  const needed = request.promptTokens + request.body.maxTokens;
+  const free = states.map(({ id, kvTokens, heldTokens }) => `${id} ${String(kvTokens - heldTokens)}`);
+  return `${String(needed)} tokens needed, free on engines for groups: ${free.join(', ') || 'none'}`;
+}
+
 /** Waits until a plan fits the free memory; undefined when the time is up. */
 async function waitForPlan(run: GroupRun): Promise<readonly GroupPart[] | undefined> {
   const { context, request } = run;
@@ -46,6 +53,7 @@
     const states = engines.map(({ state }) => state);
     const { promptTokens, body } = request;
     const plan = planGroup(promptTokens, body.maxTokens, states, BLOCK_TOKENS, MEMORY_MARGIN);
+    run.setAwaited(plan ? '' : describeLack(run, states));
     if (plan) return plan;
     if (context.clock.monotonicMs() - since > KEEP_FREE_AFTER_MS) {
       context.dispatcher.keepFor(new Set(states.map((state) => state.id)));
@@ -205,6 +213,7 @@
 /** Plans and reserves until it succeeds; undefined when the time is up. */
 async function assemble(run: GroupRun): Promise<readonly ReservedPart[] | undefined> {
   const { context } = run;
+  run.setAwaited('its turn to reserve memory');
   const endTurn = await context.groupTurns.take();
   try {
     let backOffMs = FIRST_BACK_OFF_MS;
--- a/packages/policy/src/placement/group-plan.test.ts
+++ b/packages/policy/src/placement/group-plan.test.ts
@@ -29,6 +29,30 @@
     expect(plan?.map((part) => part.engineId)).toEqual(['engine-0', 'engine-2', 'engine-3']);
   });
 
+  it('finds a plan where only the answer no longer fits beside the prompt', () => {
+    const smaller = engines([0, 0, 0, 0]).map((state) => ({ ...state, kvTokens: 40_000 }));
+    const plan = planGroup(77_146, 16, smaller, BLOCK, MARGIN);
+    expect(plan).toHaveLength(3);
+    expect(plan?.every(({ tokens }) => tokens > 16)).toBe(true);
+  });
+
+  it('finds a plan for all sizes that the free memory holds', () => {
+    const held = fc.array(fc.integer({ min: 0, max: 380_000 }), { minLength: 1, maxLength: 8 });
+    const answers = fc.integer({ min: 1, max: 15 * BLOCK });
+    fc.assert(
+      fc.property(held, answers, fc.nat(2_000_000), (holdings, answer, prompt) => {
+        const free = holdings
+          .map((tokens) => Math.floor((400_000 * (1 - MARGIN) - tokens) / BLOCK))
+          .filter((blocks) => blocks >= 16);
+        const freeBlocks = free.reduce((sum, blocks) => sum + blocks, 0);
+        const neededBlocks = Math.ceil(prompt / BLOCK) + Math.ceil(answer / BLOCK);
+        fc.pre(prompt > 0 && neededBlocks <= freeBlocks);
+        expect(planGroup(prompt, answer, engines(holdings), BLOCK, MARGIN)).toBeDefined();
+      }),
+      { seed: 14, numRuns: 1000 },
+    );
+  });
+
   it('never takes more than is free, and covers the whole prompt', () => {
     const held = fc.array(fc.integer({ min: 0, max: 400_000 }), { minLength: 1, maxLength: 12 });
     const tokens = fc.integer({ min: 1, max: 3_000_000 });
--- a/packages/policy/src/placement/group-plan.ts
+++ b/packages/policy/src/placement/group-plan.ts
@@ -62,12 +62,15 @@
   const parts: GroupPart[] = [];
   let left = promptTokens;
   chosen.forEach(({ engine, blocks }, index) => {
-    const isLast = index === chosen.length - 1;
-    const room = (isLast ? blocks - outputBlocks : blocks) * blockTokens;
-    const tokens = Math.min(left, Math.max(0, room));
+    const following = chosen.length - 1 - index;
+    // Every part reads something: a block is left for each that follows.
+    const most = Math.ceil(left / blockTokens) - following;
+    const room = following === 0 ? blocks - outputBlocks : Math.min(blocks, most);
+    const tokens = Math.min(left, Math.max(0, room) * blockTokens);
     left -= tokens;
-    const output = isLast ? outputTokens : 0;
-    if (tokens > 0) parts.push({ engineId: engine.id, tokens: tokens + output });
+    if (tokens > 0) {
+      parts.push({ engineId: engine.id, tokens: tokens + (following === 0 ? outputTokens : 0) });
+    }
   });
   return left > 0 || parts.length !== chosen.length ? undefined : parts;
 }
