--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -1,6 +1,6 @@
 import { seededRandom } from '@poppypond/load';
 import { countSetting, defineCommand, yesNoSetting } from '@poppypond/settings';
-import { drawDay, drawDeployment } from './draw-deployment.js';
+import { drawDay, drawDayOfTurns, drawDeployment } from './draw-deployment.js';
 import type { DayResult } from './outcome.js';
 import { summarizeDay } from './outcome.js';
 import { PlayedDay } from './play-day.js';
@@ -20,13 +20,14 @@
     seed: countSetting.default(1).describe('seed of the first day'),
     days: countSetting.default(20).describe('days to play, each with the next seed'),
     large: yesNoSetting.default(false).describe('60 engines in place of 18'),
+    turns: yesNoSetting.default(false).describe('short and long prompts come by turns'),
     calm: yesNoSetting.default(false).describe('days without bursts and kills'),
   },
-  main: ({ seed, days, large, calm }) => {
+  main: ({ seed, days, large, turns, calm }) => {
     for (let next = seed; next < seed + days; next += 1) {
       const draw = seededRandom(next);
       const deployment = drawDeployment(`drawn-${String(next)}`, large, draw);
-      const drawn = drawDay(deployment, draw);
+      const drawn = turns ? drawDayOfTurns(draw) : drawDay(deployment, draw);
       const day = calm ? { ...drawn, bursts: [], restartsAtMs: [] } : drawn;
       const outcomes = new PlayedDay(deployment, day, next).run();
       process.stdout.write(`${lineOf(next, summarizeDay(outcomes))}\n`);
--- a/packages/emulator/src/draw-deployment.ts
+++ b/packages/emulator/src/draw-deployment.ts
@@ -28,6 +28,7 @@
     stepMsPerWriter: 0.001,
     stepMsPerThousandTokens: 0.002,
     readTokensPerMs: between(draw, 140, 260),
+    readTokensPerStep: 2048,
     readMsPerMillionPairs: between(draw, 0.1, 0.18),
     usualAnswerTokens: 1300,
   };
@@ -115,6 +116,37 @@
   };
 }
 
+/** Kinds that come by turns: how often each comes beside its usual rate, least and most. */
+const TURNS: readonly Readonly<Record<string, readonly [number, number]>>[] = [
+  { short: [2, 2.6], middle: [0.4, 0.7], long: [0.03, 0.2] },
+  { short: [0.3, 0.5], middle: [1.1, 1.5], long: [2, 2.8] },
+];
+const TURNS_A_DAY = 3;
+const TURN_MS: Milliseconds = 9500;
+const BETWEEN_TURNS_MS: Milliseconds = 1500;
+
+/** Bursts of mostly short and mostly long prompts by turns, with a usual second or two between. */
+function drawTurns(draw: Draw): readonly Burst[] {
+  const first = draw() < 0.5 ? 0 : 1;
+  return Array.from({ length: TURNS_A_DAY }, (_unused, turn) => {
+    const fromMs = BETWEEN_TURNS_MS + turn * (TURN_MS + BETWEEN_TURNS_MS);
+    const factors = TURNS[(first + turn) % TURNS.length] ?? {};
+    return Object.entries(factors).map(([kind, [least, most]]) => ({
+      kinds: [kind],
+      fromMs,
+      toMs: fromMs + TURN_MS,
+      factor: between(draw, least, most),
+    }));
+  }).flat();
+}
+
+/** A day on which short and long prompts come by turns, and all hosts are killed after the last. */
+export function drawDayOfTurns(draw: Draw): DayPlan {
+  const bursts = drawTurns(draw);
+  const killAtMs = TURNS_A_DAY * (TURN_MS + BETWEEN_TURNS_MS) + BETWEEN_TURNS_MS;
+  return { lengthMs: DAY_MS, bursts, restartsAtMs: [killAtMs] };
+}
+
 /** A day with bursts of some kinds or all, and one moment at which all hosts are killed. */
 export function drawDay(deployment: Deployment, draw: Draw): DayPlan {
   const bursts = Array.from({ length: BURSTS_A_DAY }, () => drawBurst(deployment, draw));
--- a/packages/emulator/src/emulated-engine.ts
+++ b/packages/emulator/src/emulated-engine.ts
@@ -6,6 +6,7 @@
 export interface ReadPart {
   readonly streamId: string;
   readonly tokens: number;
+  /** Time that its tokens and pairs take by themselves; each step costs its own time besides. */
   readonly readMs: Milliseconds;
   /** Whether another engine writes the answer. */
   readonly isHelper: boolean;
@@ -31,8 +32,6 @@
   eventsLeft: number;
 }
 
-/** Prompt tokens that one step may take in. */
-const CHUNK_TOKENS = 2048;
 /** Less than this share of a part left counts as nothing left. */
 const NOTHING_LEFT = 1e-9;
 
@@ -119,15 +118,16 @@
     }
     const writing = [...this.#streams];
     const { readMs, finished } = this.#readInPass(writing.length > 0);
-    const passMs = readMs + this.#writeMs(writing);
+    const passMs = readMs + this.#stepsMs(writing);
     this.busyMs += passMs;
     this.clock.after(passMs, () => {
       this.#endPass(writing, finished);
     });
   }
 
-  #writeMs(writing: readonly RunningStream[]): Milliseconds {
-    if (writing.length === 0) return 0;
+  /** Time of a pass beside its reading: one step where nothing writes. */
+  #stepsMs(writing: readonly RunningStream[]): Milliseconds {
+    if (writing.length === 0) return this.figures.stepMs;
     const context = writing.reduce((sum, { stream }) => sum + stream.contextTokens, 0);
     return passTimeMs(this.figures, writing.length, context);
   }
@@ -137,7 +137,8 @@
     readonly readMs: Milliseconds;
     readonly finished: readonly RunningPart[];
   } {
-    let tokensLeft = CHUNK_TOKENS * (hasWriters ? this.figures.stepsPerPass : 1);
+    const { readTokensPerStep, stepsPerPass } = this.figures;
+    let tokensLeft = readTokensPerStep * (hasWriters ? stepsPerPass : 1);
     let readMs = 0;
     const finished: RunningPart[] = [];
     for (const running of this.#readOrder()) {
--- a/packages/emulator/src/play-day.ts
+++ b/packages/emulator/src/play-day.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, Milliseconds } from '@poppypond/core';
-import { callerSilenceMs, FleetView } from '@poppypond/fleet';
+import { callerSilenceMs, FleetView, tokensTimeMs } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { seededRandom } from '@poppypond/load';
 import { Planner, ServerList } from '@poppypond/relay/planning';
@@ -157,6 +157,7 @@
       aimMs: kind.aimMs,
       gapAimMs: kind.gapAimMs,
       arrivedAtMs: atMs,
+      silentSinceMs: atMs,
       limitAtMs: atMs + kind.limitMs,
       avoidedIds: [],
     };
@@ -167,8 +168,9 @@
   }
 
   /** Sends the stream to the engines of its plan; the answer begins when all parts are read. */
-  #place(open: Open, { writerId, readerIds, partMs }: PlannedStream): void {
+  #place(open: Open, { writerId, readerIds }: PlannedStream): void {
     const { requestId, promptTokens } = open.arrival;
+    const tokensMs = tokensTimeMs(this.deployment.figures, promptTokens);
     const life = open.life;
     const ids = [writerId, ...readerIds];
     open.engineIds = ids;
@@ -183,7 +185,7 @@
         this.#engines.get(id)?.read({
           streamId: requestId,
           tokens: promptTokens / ids.length,
-          readMs: partMs,
+          readMs: tokensMs / ids.length,
           isHelper: id !== writerId,
           onRead,
         });
--- a/packages/fleet/src/engine-times.ts
+++ b/packages/fleet/src/engine-times.ts
@@ -4,13 +4,19 @@
 const TOKENS_PER_THOUSAND = 1000;
 const PAIRS_PER_MILLION = 1_000_000;
 
-/** Time to read a prompt of `tokens` on one engine, pairs of tokens included. */
-export function readTimeMs(figures: EngineFigures, tokens: number): Milliseconds {
+/** Time that the tokens of a prompt and their pairs take by themselves, on one engine. */
+export function tokensTimeMs(figures: EngineFigures, tokens: number): Milliseconds {
   const pairs = (tokens * tokens) / 2;
   const pairsMs = (pairs / PAIRS_PER_MILLION) * figures.readMsPerMillionPairs;
   return tokens / figures.readTokensPerMs + pairsMs;
 }
 
+/** Time to read a prompt of `tokens` on one engine, the steps in which it is taken in included. */
+export function readTimeMs(figures: EngineFigures, tokens: number): Milliseconds {
+  const steps = tokens / figures.readTokensPerStep;
+  return tokensTimeMs(figures, tokens) + steps * figures.stepMs;
+}
+
 /** Time of one pass in which `writers` with `contextTokens` in all write and nothing is read. */
 export function passTimeMs(
   figures: EngineFigures,
--- a/packages/gateway/src/groups/group-run.ts
+++ b/packages/gateway/src/groups/group-run.ts
@@ -40,7 +40,9 @@
 /** Says for the explanation which memory was there and which was needed. */
 function describeLack({ request }: GroupRun, states: readonly EngineState[]): string {
   const needed = request.promptTokens + request.body.maxTokens;
-  const free = states.map(({ id, kvTokens, heldTokens }) => `${id} ${String(kvTokens - heldTokens)}`);
+  const free = states.map(
+    ({ id, kvTokens, heldTokens }) => `${id} ${String(kvTokens - heldTokens)}`,
+  );
   return `${String(needed)} tokens needed, free on engines for groups: ${free.join(', ') || 'none'}`;
 }
 
--- a/packages/mocks/src/engines.ts
+++ b/packages/mocks/src/engines.ts
@@ -7,6 +7,7 @@
   stepMsPerWriter: 0.007,
   stepMsPerThousandTokens: 0.00254,
   readTokensPerMs: 256,
+  readTokensPerStep: 2048,
   readMsPerMillionPairs: 0.0917,
   usualAnswerTokens: 1540,
 } as const;
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -49,6 +49,8 @@
   /** Added to each step for every thousand tokens that its writers have in memory. */
   readonly stepMsPerThousandTokens: Milliseconds;
   readonly readTokensPerMs: number;
+  /** Prompt tokens that one step takes in at most. */
+  readonly readTokensPerStep: number;
   /** Added to reading for every million pairs of a token and an earlier one. */
   readonly readMsPerMillionPairs: Milliseconds;
   readonly usualAnswerTokens: number;
