Have long prompts wait for reads that end soon; refuse what its caller would leave

Change: where a prompt would be late now, the reads that run tell when more engines are free; it waits if that makes it timely, or if its caller would leave before it began now. A twentieth of a part counts as overrun. What could not begin on all engines before its caller leaves is refused at once (caller_leaves_first).

--- a/packages/fleet/src/accepted-harm.test.ts
+++ b/packages/fleet/src/accepted-harm.test.ts
@@ -26,6 +26,12 @@
     expect(acceptedHarm({ ...demand, waitedMs: 60_000 }, outlook)).toBeCloseTo(worth * 0.55);
   });
 
+  it('rises from the start where the last start comes before the aim', () => {
+    const outlook = { expectedFirstMs: 10_000, isInTime: false };
+    expect(acceptedHarm(demand, outlook)).toBe(0);
+    expect(acceptedHarm({ ...demand, waitedMs: 2000 }, outlook)).toBeCloseTo(worth * 0.55);
+  });
+
   it('rises without steps as the wait grows', () => {
     const inputs = fc.record({
       waitedMs: fc.integer({ min: 0, max: 15_000 }),
--- a/packages/fleet/src/accepted-harm.ts
+++ b/packages/fleet/src/accepted-harm.ts
@@ -32,6 +32,8 @@
   const worth = streamWorth(promptTokens);
   if (isInTime) return worth * LATE_LOSS * passedShare(waitedMs, aimMs - expectedFirstMs);
   const lastStartMs = patienceMs - expectedFirstMs;
-  const passed = passedShare(waitedMs - aimMs, lastStartMs - aimMs);
+  // Where the last start comes before the aim, no wait for the aim comes before the rise.
+  const fromMs = lastStartMs > aimMs ? aimMs : 0;
+  const passed = passedShare(waitedMs - fromMs, lastStartMs - fromMs);
   return worth * (1 - LATE_LOSS + UNSERVED_LOSS * passed) * passed;
 }
--- a/packages/fleet/src/read-in-parts.ts
+++ b/packages/fleet/src/read-in-parts.ts
@@ -2,11 +2,12 @@
 import { acceptedHarm } from './accepted-harm.js';
 import { chooseWriter } from './choose-writer.js';
 import type { EngineLoad } from './engine-load.js';
+import { foreseeFirstMs } from './foresee-first.js';
 import { harmOf } from './harm.js';
 import { packedEngines } from './pack-short.js';
 import type { StreamPlan } from './stream-plan.js';
 import { leastLoss, MOST_PARTS } from './weigh-parts.js';
-import type { PartsInputs } from './weigh-parts.js';
+import type { PartsInputs, Weighed } from './weigh-parts.js';
 
 /** Engines whose writers a part harms less first, then those with less reading before them. */
 function byCost(partMs: Milliseconds): (left: EngineLoad, right: EngineLoad) => number {
@@ -26,12 +27,31 @@
   return engines.filter((load) => load.pendingReadMs === 0);
 }
 
+/**
+ * Whether a prompt that would be late now is to wait for reads that end soon: where that makes it
+ * timely, or where its caller would have left before it began now and not if it waits.
+ */
+function isWorthWaiting({ engines, demand, readMs }: PartsInputs, now: Weighed): boolean {
+  if (now.isInTime) return false;
+  const { waitedMs, aimMs, patienceMs } = demand;
+  const foreseenMs = waitedMs + foreseeFirstMs(engines, readMs);
+  if (foreseenMs <= aimMs) return true;
+  return waitedMs + now.place.expectedFirstMs > patienceMs && foreseenMs <= patienceMs;
+}
+
+/** Whether its caller leaves before the first event even if all engines were free at once. */
+function isTooLate({ engines, demand, readMs }: PartsInputs): boolean {
+  const soonestMs = readMs / Math.min(MOST_PARTS, engines.length);
+  return demand.waitedMs + soonestMs > demand.patienceMs;
+}
+
 /**
  * Splits a long prompt over engines so that the writers there and the prompt itself lose least
  * together, or has it wait for a better moment.
  */
 export function readInParts(inputs: PartsInputs): StreamPlan {
   const { engines, writers, figures, demand, readMs } = inputs;
+  if (isTooLate(inputs)) return { kind: 'refuse', rule: 'caller_leaves_first' };
   const packed = new Set(packedEngines(engines, figures));
   const writer = chooseWriter(freeOfReads(writers), packed, figures);
   if (!writer) return { kind: 'wait', rule: 'waits_for_engine' };
@@ -41,6 +61,7 @@
   const shared = others.filter((load) => packed.has(load)).sort(cheapFirst);
   const best = leastLoss(inputs, writer, [...apart, ...shared]);
   if (!best) return { kind: 'wait', rule: 'waits_for_memory' };
+  if (isWorthWaiting(inputs, best)) return { kind: 'wait', rule: 'waits_for_reads' };
   const outlook = { expectedFirstMs: best.place.expectedFirstMs, isInTime: best.isInTime };
   const isAccepted = best.harm <= acceptedHarm(demand, outlook);
   return isAccepted ? best.place : { kind: 'wait', rule: 'waits_for_slack' };
--- a/packages/fleet/src/stream-plan.ts
+++ b/packages/fleet/src/stream-plan.ts
@@ -20,8 +20,10 @@
   'parts_without_harm',
   'parts_with_least_harm',
   'waits_for_engine',
+  'waits_for_reads',
   'waits_for_slack',
   'waits_for_memory',
+  'caller_leaves_first',
   'no_engine',
 ] as const;
 
--- a/packages/fleet/src/weigh-parts.ts
+++ b/packages/fleet/src/weigh-parts.ts
@@ -29,6 +29,17 @@
  */
 export const EARLY_SHARE = 0.7;
 
+/**
+ * Share of a part's time by which its end may come later than foreseen, by what is sent to the same
+ * engines meanwhile. On bench days nine in ten long prompts stayed within 0.016 of their part.
+ */
+const OVERRUN_SHARE = 0.05;
+
+/** The time of a part with what may come between. */
+export function withOverrun(partMs: Milliseconds): Milliseconds {
+  return partMs * (1 + OVERRUN_SHARE);
+}
+
 /** A placement and what it would cost. */
 export interface Weighed {
   readonly place: StreamPlacement;
@@ -61,7 +72,7 @@
   const rule = harm > 0 ? 'parts_with_least_harm' : 'parts_without_harm';
   const place = { ...placement(rule, writer, readers, partMs), shares };
   const firstMs = demand.waitedMs + place.expectedFirstMs;
-  const isInTime = firstMs <= demand.aimMs;
+  const isInTime = firstMs - partMs + withOverrun(partMs) <= demand.aimMs;
   const ownLoss = isInTime ? 0 : streamWorth(demand.promptTokens) * LATE_LOSS;
   const isEarly = firstMs <= demand.aimMs * EARLY_SHARE;
   return { place, harm, isInTime, isEarly, loss: harm + ownLoss };
