Have a new planner ask engines once for earlier work; give up silent engines in time for another

Cause: after a loss of power of all hosts engines write on for hosts that are gone. Change: a host that has started within 5 s and is asked to plan asks each engine once for its report; what nobody told of counts as writers for as long as an answer usually takes. A silent engine that lives is given up while another could still begin the answer before the caller leaves (118,000 tokens had waited 12 s for an answer that was lost). The watch over silence is a class of its own.

--- a/packages/relay/src/backend/held-memory.ts
+++ b/packages/relay/src/backend/held-memory.ts
@@ -83,11 +83,11 @@
   }
 
   async #holdOn(): Promise<void> {
-    const [isWriterAlive] = await Promise.all([
-      this.parts.memory.isAlive(this.use.writer),
+    const [writerWork] = await Promise.all([
+      this.parts.memory.readWork(this.use.writer),
       this.#reserveAll(),
     ]);
-    if (!isWriterAlive && !this.#isReleased) this.use.onWriterLost();
+    if (!writerWork && !this.#isReleased) this.use.onWriterLost();
   }
 
   #reserveAll(): Promise<readonly boolean[]> {
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -1,6 +1,7 @@
 import { newOwner, SystemClock } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
 import { FleetView, RetryBudget } from '@poppypond/fleet';
+import type { BackendServer } from '@poppypond/fleet';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import {
   BoundedOutput,
@@ -14,6 +15,7 @@
 import { PeerMesh } from './peers/peer-mesh.js';
 import type { PeerSender } from './peers/peer-mesh.js';
 import { SharedKnowledge } from './peers/shared-knowledge.js';
+import { EarlierWork } from './planning/earlier-work.js';
 import { Placing } from './planning/placing.js';
 import { Planner } from './planning/planner.js';
 import type { PlatformPorts } from './ports.js';
@@ -97,7 +99,13 @@
 ): { readonly peers: PeerMesh; readonly placing: Placing } {
   const { clock, log, fleet, inForce, knowledge, incarnation, servers, settings } = base;
   const { host } = settings;
-  const planner = new Planner({ clock, inForce, servers, fleet, draw });
+  const { memory } = base.ports;
+  const readWork = (server: BackendServer) => memory.readWork(server);
+  const earlierWork = new EarlierWork({ clock, log, inForce, servers, fleet, readWork });
+  const onPlanner = (service: string) => {
+    earlierWork.learn(service);
+  };
+  const planner = new Planner({ clock, inForce, servers, fleet, draw, onPlanner });
   const peers = new PeerMesh({
     clock,
     log,
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -336,6 +336,7 @@
       aimMs: 300,
       gapAimMs: 200,
       arrivedAtMs: 0,
+      silentSinceMs: 0,
       limitAtMs: 60_000,
       avoidedIds: [],
     });
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -34,6 +34,7 @@
   gapAimMs: z.number(),
   /** Time since the request came. */
   waitedMs: z.number(),
+  silentMs: z.number(),
   /** Time until its caller's limit. */
   leftMs: z.number(),
   avoidedIds: z.array(z.string()),
--- a/packages/relay/src/peers/work-on-the-wire.ts
+++ b/packages/relay/src/peers/work-on-the-wire.ts
@@ -50,6 +50,7 @@
     aimMs,
     gapAimMs,
     waitedMs: Math.round(nowMs - request.arrivedAtMs),
+    silentMs: Math.round(nowMs - request.silentSinceMs),
     leftMs: Math.round(request.limitAtMs - nowMs),
     avoidedIds: [...request.avoidedIds],
   };
@@ -57,13 +58,14 @@
 
 /** A question of `host` from the wire, on this process's clock. */
 export function fromWireAsk(wire: WireAsk, host: string, nowMs: Milliseconds): PlanRequest {
-  const { attempt, request, waitedMs, leftMs, ...same } = wire;
+  const { attempt, request, waitedMs, silentMs, leftMs, ...same } = wire;
   return {
     ...same,
     attemptId: attempt,
     requestId: request,
     host,
     arrivedAtMs: nowMs - waitedMs,
+    silentSinceMs: nowMs - silentMs,
     limitAtMs: nowMs + leftMs,
   };
 }
--- /dev/null
+++ b/packages/relay/src/planning/earlier-work.test.ts
@@ -0,0 +1,84 @@
+import { FleetView } from '@poppypond/fleet';
+import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
+import { ConfigurationInForce } from '@poppypond/routing';
+import { silentLog } from '@poppypond/telemetry';
+import { describe, expect, it } from 'vitest';
+import type { EngineWork } from '../ports.js';
+import { ServerList } from '../store/server-list.js';
+import { EarlierWork } from './earlier-work.js';
+
+/** One engine, and a host that may ask it. */
+function host(work: EngineWork | undefined) {
+  const clock = new ManualClock();
+  const inForce = new ConfigurationInForce();
+  inForce.apply({
+    version: 1,
+    routes: [],
+    services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
+    workspaces: [],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  });
+  const servers = new ServerList(clock, silentLog);
+  const server = engineServer('i-1');
+  servers.replace([server], 0, 1);
+  const fleet = new FleetView();
+  const asked: string[] = [];
+  const readWork = ({ id }: { readonly id: string }) => {
+    asked.push(id);
+    return Promise.resolve(work);
+  };
+  const made = new EarlierWork({ clock, log: silentLog, inForce, servers, fleet, readWork });
+  const learn = async () => {
+    made.learn(ENGINE_SERVICE);
+    await new Promise((resolve) => setImmediate(resolve));
+  };
+  return { clock, fleet, server, asked, learn };
+}
+
+describe('EarlierWork', () => {
+  it('counts what runs for hosts that ended, for as long as an answer usually takes', async () => {
+    const { clock, fleet, server, learn } = host({ running: 4, memoryTokens: 20_000 });
+    await learn();
+    expect(fleet.load(server, ENGINE_FIGURES, 0)).toMatchObject({
+      writers: 4,
+      memoryTokens: 20_000,
+      impatientWriters: 0,
+    });
+    await clock.advance(ENGINE_FIGURES.usualAnswerTokens * ENGINE_FIGURES.stepMs);
+    fleet.expire(clock.monotonicMs());
+    expect(fleet.writersOn('i-1')).toBe(0);
+  });
+
+  it('counts nothing twice that is known already, and nothing where no answer comes', async () => {
+    const known = host({ running: 1, memoryTokens: 1000 });
+    known.fleet.begin({
+      attemptId: 'a',
+      host: 'h',
+      writerId: 'i-1',
+      readerIds: [],
+      partMs: 1,
+      isReading: false,
+      placedAtMs: 0,
+      contextTokens: 1000,
+      held: [],
+      gapAimMs: 250,
+      expiresAtMs: 10_000,
+    });
+    await known.learn();
+    expect(known.fleet.writersOn('i-1')).toBe(1);
+    const silent = host(undefined);
+    await silent.learn();
+    expect(silent.fleet.size).toBe(0);
+  });
+
+  it('asks once, and only soon after the start of its host', async () => {
+    const young = host({ running: 1, memoryTokens: 0 });
+    await young.learn();
+    await young.learn();
+    expect(young.asked).toEqual(['i-1']);
+    const older = host({ running: 1, memoryTokens: 0 });
+    await older.clock.advance(6000);
+    await older.learn();
+    expect(older.asked).toEqual([]);
+  });
+});
--- a/packages/relay/src/planning/placing.test.ts
+++ b/packages/relay/src/planning/placing.test.ts
@@ -20,6 +20,7 @@
   aimMs: 300,
   gapAimMs: 200,
   arrivedAtMs: 0,
+  silentSinceMs: 0,
   limitAtMs: 10_000,
   avoidedIds: [],
 };
--- a/packages/relay/src/planning/plan-engines.ts
+++ b/packages/relay/src/planning/plan-engines.ts
@@ -30,8 +30,10 @@
 }
 
 /** Time from its coming after which a request's caller is taken to have left. */
-function patienceOf({ aimMs, gapAimMs, arrivedAtMs, limitAtMs }: PlanRequest): Milliseconds {
-  return Math.min(limitAtMs - arrivedAtMs, callerSilenceMs(aimMs, gapAimMs));
+function patienceOf(request: PlanRequest): Milliseconds {
+  const { aimMs, gapAimMs, arrivedAtMs, silentSinceMs, limitAtMs } = request;
+  const leavesAtMs = silentSinceMs + callerSilenceMs(aimMs, gapAimMs);
+  return Math.min(limitAtMs, leavesAtMs) - arrivedAtMs;
 }
 
 function toPlannedStream(placement: StreamPlacement): PlannedStream {
--- a/packages/relay/src/planning/plan-request.ts
+++ b/packages/relay/src/planning/plan-request.ts
@@ -16,6 +16,8 @@
   readonly gapAimMs: Milliseconds;
   /** When the request came, on this process's clock. */
   readonly arrivedAtMs: Milliseconds;
+  /** Since when its caller has heard nothing: its coming, or the last event of its answer. */
+  readonly silentSinceMs: Milliseconds;
   /** When its time is up, on this process's clock. */
   readonly limitAtMs: Milliseconds;
   /** Servers that failed the request, or that the host knows to leave. */
--- a/packages/relay/src/planning/planner.test.ts
+++ b/packages/relay/src/planning/planner.test.ts
@@ -27,6 +27,7 @@
     aimMs: 4000,
     gapAimMs: 800,
     arrivedAtMs: 0,
+    silentSinceMs: 0,
     limitAtMs: 15_000,
     avoidedIds: [],
     ...more,
@@ -90,6 +91,13 @@
     ]);
   });
 
+  it('takes up an answer whose caller has heard of it lately, however long ago it was asked for', () => {
+    const { answers, ask } = planner(18);
+    ask(long('a', { arrivedAtMs: -60_000, silentSinceMs: -1000 }));
+    ask(long('b', { arrivedAtMs: -60_000, silentSinceMs: -60_000 }));
+    expect(answers.map(({ kind }) => kind)).toEqual(['place', 'refuse']);
+  });
+
   it('keeps to a read that takes longer than foreseen', async () => {
     const { clock, answers, ask } = planner(18);
     ask(long('a'));
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -17,6 +17,8 @@
   readonly fleet: FleetView;
   /** Uniform random numbers in [0, 1). */
   readonly draw: () => number;
+  /** Told of each service for which this host is asked to plan as its planner. */
+  readonly onPlanner?: (service: string) => void;
 }
 
 interface Waiting {
@@ -61,6 +63,7 @@
    */
   submit(request: PlanRequest, onAnswer: AnswerListener, isAlone = false): void {
     const askedAtMs = this.parts.clock.monotonicMs();
+    if (!isAlone) this.parts.onPlanner?.(request.service);
     const answer = this.#decide(request, isAlone, askedAtMs);
     if (answer.kind === 'wait') {
       this.#waiting.set(request.attemptId, { request, onAnswer, askedAtMs, isAlone });
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -122,6 +122,14 @@
   readServer(id: string, value: Buffer): BackendServer | undefined;
 }
 
+/** What an engine says of itself, as it was some hundred milliseconds ago. */
+export interface EngineWork {
+  /** Requests that have a place. */
+  readonly running: number;
+  /** Tokens of theirs in its memory. */
+  readonly memoryTokens: number;
+}
+
 /** Engines' memory that is held for requests. Orders without an answer may be carried out later. */
 export interface EngineMemory {
   /** Holds memory for `holdMs` from now, or holds it that much longer; false where there is none. */
@@ -133,8 +141,8 @@
   ): Promise<boolean>;
   /** Frees it; false where no answer came. */
   release(server: BackendServer, id: string): Promise<boolean>;
-  /** Whether the engine answers at all. */
-  isAlive(server: BackendServer): Promise<boolean>;
+  /** What the engine runs; undefined where it does not answer. Each question is priced. */
+  readWork(server: BackendServer): Promise<EngineWork | undefined>;
 }
 
 /** What a platform provides: its store and the forms in which it speaks. */
--- a/packages/relay/src/request/choice.ts
+++ b/packages/relay/src/request/choice.ts
@@ -34,6 +34,8 @@
   readonly admitted: Admitted;
   readonly arrivedAtMs: Milliseconds;
   readonly limitAtMs: Milliseconds;
+  /** Since when the caller has heard nothing. */
+  readonly silentSinceMs: () => Milliseconds;
   /** Servers that failed this request already. */
   readonly failedIds: ReadonlySet<string>;
   /** Called when the engine no longer answers for which memory is held elsewhere. */
--- a/packages/relay/src/request/choose-engines.ts
+++ b/packages/relay/src/request/choose-engines.ts
@@ -9,7 +9,7 @@
 const PLAN_AGAIN_MS: Milliseconds = 10;
 
 function toPlanRequest(inputs: ChoiceInputs, avoidedIds: Iterable<string>): PlanRequest {
-  const { parts, caller, admitted, arrivedAtMs, limitAtMs } = inputs;
+  const { parts, caller, admitted, arrivedAtMs, silentSinceMs, limitAtMs } = inputs;
   return {
     attemptId: randomId(),
     requestId: caller.requestId,
@@ -20,6 +20,7 @@
     aimMs: admitted.route.aimMs,
     gapAimMs: admitted.route.gapAimMs,
     arrivedAtMs,
+    silentSinceMs: silentSinceMs(),
     limitAtMs,
     avoidedIds: [...avoidedIds],
   };
--- a/packages/relay/src/request/patience.ts
+++ b/packages/relay/src/request/patience.ts
@@ -32,10 +32,15 @@
   return Math.max(SHORTEST_STALL_MS, gapAimMs * STALL_GAPS);
 }
 
-/** Silence after which an engine is given up even if it lives. */
-export function busyPatienceMs(
-  { aimMs, gapAimMs }: Route,
-  { expectedFirstMs }: PlannedStream,
-): Milliseconds {
-  return callerSilenceMs(aimMs, gapAimMs) * BUSY_PATIENCE_SHARE + expectedFirstMs * BUSY_FACTOR;
+/**
+ * Silence after which an engine is given up even if it lives. Where another engine could still send
+ * a first event before the caller leaves, it is no longer than leaves time for that.
+ */
+export function busyPatienceMs({ aimMs, gapAimMs }: Route, stream: PlannedStream): Milliseconds {
+  const { expectedFirstMs } = stream;
+  const silenceMs = callerSilenceMs(aimMs, gapAimMs);
+  const patienceMs = silenceMs * BUSY_PATIENCE_SHARE + expectedFirstMs * BUSY_FACTOR;
+  const lastUsefulMs = silenceMs - expectedFirstMs;
+  const isInTimeForAnother = lastUsefulMs >= firstPatienceMs(stream, silenceMs);
+  return isInTimeForAnother ? Math.min(patienceMs, lastUsefulMs) : patienceMs;
 }
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -1,5 +1,5 @@
 import { fault } from '@poppypond/core';
-import type { CancelTimer, Fault, Milliseconds, ResultName } from '@poppypond/core';
+import type { Fault, Milliseconds, ResultName } from '@poppypond/core';
 import { TOLD_READ_MS } from '@poppypond/fleet';
 import type { AttemptFailure, BackendServer } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
@@ -16,9 +16,9 @@
 import { findReader, readersOf } from './choice.js';
 import type { Choice } from './choice.js';
 import { choose } from './choose-server.js';
-import { busyPatienceMs, firstPatienceMs, stallPatienceMs } from './patience.js';
 import type { RelayParts } from './relay-parts.js';
 import { RequestRecord } from './request-record.js';
+import { SilenceWatch } from './silence-watch.js';
 
 /** What is known while one attempt runs. */
 interface RunningAttempt {
@@ -29,8 +29,6 @@
   hasEvents: boolean;
 }
 
-/** Pause before a silent engine that lives is looked after again. */
-const BUSY_LOOK_AGAIN_MS: Milliseconds = 500;
 /** When to come back after a refusal for want of a server. */
 const REFUSED_RETRY_MS: Milliseconds = 250;
 const SERVER_ERROR_FROM = 500;
@@ -47,9 +45,10 @@
   readonly #record: RequestRecord;
   readonly #tally: AttemptTally;
   readonly #events: AnswerEvents;
+  readonly #silence: SilenceWatch;
+  /** The last event that the caller was sent, or else the request's coming. */
   #lastEventAtMs: Milliseconds;
   #current: RunningAttempt | undefined;
-  #cancelSilence: CancelTimer = () => undefined;
   /** Whether the current attempt was given up for its silence and another follows. */
   #isSilenced = false;
   #isTimeUp = false;
@@ -74,6 +73,14 @@
     this.#limitAtMs = arrivedAtMs + waitsMs;
     this.#events = new AnswerEvents(answer, caller.lastEventId);
     this.#lastEventAtMs = arrivedAtMs;
+    this.#silence = new SilenceWatch({
+      clock: parts.clock,
+      route: this.#route,
+      isAlive: async (server) => (await parts.memory.readWork(server)) !== undefined,
+      onSilent: () => {
+        this.#passOver('silent');
+      },
+    });
   }
 
   /** Serves the request; resolves when its answer is over. */
@@ -94,7 +101,7 @@
       await this.#tryServers();
     } finally {
       cancelLimit();
-      this.#cancelSilence();
+      this.#silence.end();
     }
   }
 
@@ -106,6 +113,7 @@
       admitted,
       arrivedAtMs,
       limitAtMs: this.#limitAtMs,
+      silentSinceMs: () => this.#lastEventAtMs,
       failedIds: this.#tally.failedIds,
       isOver: () => this.#isOver(),
       onWriterLost: () => {
@@ -136,12 +144,12 @@
     this.#announce(choice);
     const attempt = this.#open(choice, timeLeftMs);
     const startedAtMs = this.parts.clock.monotonicMs();
-    this.#lastEventAtMs = startedAtMs;
     this.#current = { id, choice, attempt, startedAtMs, hasEvents: false };
-    this.#watchSilence(firstPatienceMs(choice.plan?.stream, this.#leftMs()));
+    // Another server is tried for a silent one only where the request may be repeated.
+    if (this.#tally.mayRepeat) this.#silence.begin(choice, this.#leftMs());
     const end = await attempt.done;
     this.#current = undefined;
-    this.#cancelSilence();
+    this.#silence.end();
     this.parts.peers.end(id, this.#engineService);
     void choice.held?.release();
     this.#record.attemptEnded(end.kind);
@@ -183,28 +191,6 @@
     return this.admitted.figures && this.admitted.service;
   }
 
-  /** Looks after a server that stays silent, where the request may be repeated. */
-  #watchSilence(patienceMs: Milliseconds): void {
-    this.#cancelSilence();
-    if (!this.#tally.mayRepeat) return;
-    this.#cancelSilence = this.parts.clock.after(patienceMs, () => {
-      void this.#onSilence();
-    });
-  }
-
-  /** An engine that answers a question for its state is only busy; reading anew would not help. */
-  async #onSilence(): Promise<void> {
-    const silent = this.#current;
-    if (!silent) return;
-    const { server, plan } = silent.choice;
-    const silentMs = this.parts.clock.monotonicMs() - this.#lastEventAtMs;
-    const mayBeBusy = plan !== undefined && silentMs < busyPatienceMs(this.#route, plan.stream);
-    const isBusy = mayBeBusy && (await this.parts.memory.isAlive(server));
-    if (this.#current !== silent) return;
-    if (isBusy) this.#watchSilence(BUSY_LOOK_AGAIN_MS);
-    else this.#passOver('silent');
-  }
-
   /** Gives the current attempt up and tries another server, if one more may be tried. */
   #passOver(why: string): void {
     const running = this.#current;
@@ -220,7 +206,7 @@
     if (!running.hasEvents) this.#onFirstEvent(running);
     this.#record.events();
     this.#lastEventAtMs = this.parts.clock.monotonicMs();
-    this.#watchSilence(stallPatienceMs(this.#route.gapAimMs));
+    if (this.#tally.mayRepeat) this.#silence.onEvents();
     return this.#events.write(frames, head);
   }
 
