--- a/packages/cli/src/losses.ts
+++ b/packages/cli/src/losses.ts
@@ -1,3 +1,5 @@
+import { promptSizeOf } from '@poppypond/core';
+import type { PromptSize } from '@poppypond/core';
 import { Command, Option } from 'clipanion';
 import { lossCause } from './loss-cause.js';
 import type { LossCause } from './loss-cause.js';
@@ -8,14 +10,11 @@
 export interface LossRow {
   /** Start of the span, as in the logs. */
   readonly from: string;
-  readonly size: 'call' | 'short' | 'middle' | 'long';
+  readonly size: 'call' | PromptSize;
   readonly cause: LossCause;
   readonly requests: number;
 }
 
-/** Sizes of prompts, as in the metrics. */
-const MIDDLE_TOKENS = 20_000;
-const LONG_TOKENS = 100_000;
 const MS_PER_SECOND = 1000;
 /** Answers to callers that asked for what they may not have are no losses. */
 const NOT_OWED_CODES: ReadonlySet<string> = new Set([
@@ -26,9 +25,7 @@
 
 function sizeOf(placed: LogLine | undefined, end: LogLine | undefined): LossRow['size'] {
   const tokens = Number(end?.['tokens'] ?? placed?.['tokens'] ?? 0);
-  if (tokens === 0) return 'call';
-  if (tokens >= LONG_TOKENS) return 'long';
-  return tokens >= MIDDLE_TOKENS ? 'middle' : 'short';
+  return tokens === 0 ? 'call' : promptSizeOf(tokens);
 }
 
 function spanOf(line: LogLine, everySeconds: number): string {
--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -45,6 +45,25 @@
   }
 }
 
+/** `every` by a clock's own `after`, for clocks that have nothing better. */
+export function everyByAfter(
+  clock: Pick<Clock, 'after'>,
+  periodMs: Milliseconds,
+  callback: () => void,
+): CancelTimer {
+  let cancel: CancelTimer = () => undefined;
+  const again = () => {
+    cancel = clock.after(periodMs, () => {
+      again();
+      callback();
+    });
+  };
+  again();
+  return () => {
+    cancel();
+  };
+}
+
 /** Resolves after `delayMs` of `clock`. */
 export function delay(clock: Clock, delayMs: Milliseconds): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,4 +2,5 @@
 export * from './identifiers.js';
 export * from './json.js';
 export * from './labels.js';
+export * from './prompt-size.js';
 export * from './result-codes.js';
--- a/packages/emulator/src/virtual-clock.ts
+++ b/packages/emulator/src/virtual-clock.ts
@@ -1,3 +1,4 @@
+import { everyByAfter } from '@poppypond/core';
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
 
 interface Timer {
@@ -38,17 +39,7 @@
   }
 
   every(periodMs: Milliseconds, callback: () => void): CancelTimer {
-    let cancel: CancelTimer = () => undefined;
-    const again = () => {
-      cancel = this.after(periodMs, () => {
-        again();
-        callback();
-      });
-    };
-    again();
-    return () => {
-      cancel();
-    };
+    return everyByAfter(this, periodMs, callback);
   }
 
   /** Fires all timers that are due until `untilMs`, in order, and stops there. */
--- a/packages/mocks/src/engines.ts
+++ b/packages/mocks/src/engines.ts
@@ -15,6 +15,17 @@
 /** The service that `engineServer` makes servers of. */
 export const ENGINE_SERVICE = 'engines';
 
+/** A configuration whose only service has engines of `ENGINE_FIGURES`, and no routes. */
+export function engineConfiguration() {
+  return {
+    version: 1,
+    routes: [],
+    services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
+    workspaces: [],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  } as const;
+}
+
 /** A backend server with an engine of `ENGINE_FIGURES`, as the store lists it. */
 export function engineServer(id: string) {
   return {
--- a/packages/mocks/src/manual-clock.ts
+++ b/packages/mocks/src/manual-clock.ts
@@ -1,3 +1,4 @@
+import { everyByAfter } from '@poppypond/core';
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
 
 interface Timer {
@@ -37,17 +38,7 @@
   }
 
   every(periodMs: Milliseconds, callback: () => void): CancelTimer {
-    let cancel: CancelTimer = () => undefined;
-    const again = () => {
-      cancel = this.after(periodMs, () => {
-        again();
-        callback();
-      });
-    };
-    again();
-    return () => {
-      cancel();
-    };
+    return everyByAfter(this, periodMs, callback);
   }
 
   #nextDue(untilMs: Milliseconds): Timer | undefined {
--- a/packages/relay/src/planning/earlier-work.test.ts
+++ b/packages/relay/src/planning/earlier-work.test.ts
@@ -1,5 +1,11 @@
 import { FleetView } from '@poppypond/fleet';
-import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
+import {
+  ENGINE_FIGURES,
+  ENGINE_SERVICE,
+  engineConfiguration,
+  engineServer,
+  ManualClock,
+} from '@poppypond/mocks';
 import { ConfigurationInForce } from '@poppypond/routing';
 import { silentLog } from '@poppypond/telemetry';
 import { describe, expect, it } from 'vitest';
@@ -11,13 +17,7 @@
 function host(work: EngineWork | undefined) {
   const clock = new ManualClock();
   const inForce = new ConfigurationInForce();
-  inForce.apply({
-    version: 1,
-    routes: [],
-    services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
-    workspaces: [],
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-  });
+  inForce.apply(engineConfiguration());
   const servers = new ServerList(clock, silentLog);
   const server = engineServer('i-1');
   servers.replace([server], 0, 1);
--- a/packages/relay/src/planning/planner.test.ts
+++ b/packages/relay/src/planning/planner.test.ts
@@ -1,5 +1,5 @@
 import { FleetView } from '@poppypond/fleet';
-import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
+import { ENGINE_SERVICE, engineConfiguration, engineServer, ManualClock } from '@poppypond/mocks';
 import { ConfigurationInForce } from '@poppypond/routing';
 import { silentLog } from '@poppypond/telemetry';
 import { describe, expect, it } from 'vitest';
@@ -37,13 +37,7 @@
 function planner(engines: number, draw = () => 0.5) {
   const clock = new ManualClock();
   const inForce = new ConfigurationInForce();
-  inForce.apply({
-    version: 1,
-    routes: [],
-    services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
-    workspaces: [],
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-  });
+  inForce.apply(engineConfiguration());
   const servers = new ServerList(clock, silentLog);
   const listed = Array.from({ length: engines }, (_unused, index) =>
     engineServer(`i-${String(index).padStart(3, '0')}`),
--- a/packages/relay/src/request/request-record.ts
+++ b/packages/relay/src/request/request-record.ts
@@ -1,3 +1,4 @@
+import { promptSizeOf } from '@poppypond/core';
 import type { Milliseconds, ResultName } from '@poppypond/core';
 import type { AttemptFailure, BackendServer, RetryDecision } from '@poppypond/fleet';
 import type { CallerHead } from '../ports.js';
@@ -5,15 +6,6 @@
 import type { StreamPlan } from './choice.js';
 import type { RelayParts } from './relay-parts.js';
 
-const LONG_PROMPT_TOKENS = 100_000;
-const MIDDLE_PROMPT_TOKENS = 20_000;
-
-/** Coarse size of a prompt, as a label of bounded values. */
-function sizeLabel(promptTokens: number): 'short' | 'middle' | 'long' {
-  if (promptTokens >= LONG_PROMPT_TOKENS) return 'long';
-  return promptTokens >= MIDDLE_PROMPT_TOKENS ? 'middle' : 'short';
-}
-
 /** How an answer ended, for its log line. */
 export interface AnswerEnd {
   readonly code: ResultName;
@@ -47,7 +39,7 @@
     readonly admitted: Admitted,
     readonly arrivedAtMs: Milliseconds,
   ) {
-    this.#size = sizeLabel(caller.promptTokens);
+    this.#size = promptSizeOf(caller.promptTokens);
   }
 
   placed(
