--- /dev/null
+++ b/packages/relay/src/settings.test.ts
@@ -0,0 +1,87 @@
+import { loadSettings } from '@poppypond/settings';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { RELAY_SETTINGS } from './settings.js';
+
+/** What every installation gives. */
+const GIVEN = {
+  host: 'host-1',
+  availabilityZone: 'zone-a',
+  address: '10.0.0.1',
+  listen: '10.0.0.1:8000',
+  readinessListen: '10.0.0.1:8001',
+  peerPort: 7000,
+  store: '10.0.0.2:8002',
+};
+
+/** What an installation fills with figures of its own. */
+const FIGURES = [
+  'coreShare',
+  'coreSpeed',
+  'keysTrustedMs',
+  'configurationWithinMs',
+  'leavingWithinMs',
+  'retryRatio',
+  'retryWindowSeconds',
+  'retrySlack',
+  'stopGraceSeconds',
+] as const;
+
+const DAY_MS = 24 * 60 * 60 * 1000;
+
+/** Whole, fractional, zero or very large. */
+const figure = fc.oneof(
+  fc.nat(),
+  fc.double({ min: 0, max: 1, noNaN: true }),
+  fc.double({ min: 0, max: 1e15, noNaN: true }),
+  fc.constant(0),
+);
+
+describe('RELAY_SETTINGS', () => {
+  it('takes any figure that an installation may have, and each may be missing', () => {
+    const figures = Object.fromEntries(FIGURES.map((key) => [key, fc.option(figure)]));
+    fc.assert(
+      fc.property(fc.record(figures), (drawn) => {
+        const present = Object.entries(drawn).filter(([, value]) => value !== null);
+        const loaded = loadSettings(
+          RELAY_SETTINGS,
+          { ...GIVEN, ...Object.fromEntries(present), fieldOfLaterVersions: {} },
+          {},
+        );
+        expect(loaded.isErr && loaded.error).toBe(false);
+      }),
+      { seed: 26 },
+    );
+  });
+
+  it('keeps a share of retries that is no whole number, and durations within what timers count', () => {
+    const loaded = loadSettings(
+      RELAY_SETTINGS,
+      { ...GIVEN, retrySlack: 38.4, leavingWithinMs: 1e12 },
+      {},
+    );
+    expect(loaded.isOk && loaded.value).toMatchObject({
+      retrySlack: 38.4,
+      leavingWithinMs: DAY_MS,
+    });
+  });
+
+  it('takes the names that an installation gives its hosts', () => {
+    for (const host of ['Front_7', 'front-7.zone-a.example', 'f'.repeat(100)]) {
+      expect(loadSettings(RELAY_SETTINGS, { ...GIVEN, host }, {}).isOk).toBe(true);
+    }
+  });
+
+  it('names the field of what it cannot take, in one line', () => {
+    for (const [key, value] of [
+      ['retrySlack', 'many'],
+      ['leavingWithinMs', -1],
+      ['peerPort', 70_000.5],
+      ['store', 'nowhere'],
+      ['host', 'two words'],
+    ] as const) {
+      const loaded = loadSettings(RELAY_SETTINGS, { ...GIVEN, [key]: value }, {});
+      expect(loaded.isErr && loaded.error).toMatch(/^--[a-z-]+ \(POPPYPOND_[A-Z_]+\): [^\n]+$/);
+    }
+  });
+});
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,9 +1,8 @@
 import {
-  countSetting,
-  millisecondsSetting,
+  boundSetting,
+  givenNameSetting,
   numberSetting,
   portSetting,
-  nameSetting,
   yesNoSetting,
 } from '@poppypond/settings';
 import { z } from 'zod';
@@ -13,8 +12,8 @@
 /** The settings of `poppypond-relay`. See docs/OPERATIONS.md. */
 export const RELAY_SETTINGS = {
   settings: z.string().optional().describe('JSON file with any of these settings in camel case'),
-  host: nameSetting.describe('name of this host'),
-  availabilityZone: nameSetting.describe('availability zone of this host'),
+  host: givenNameSetting.describe('name of this host'),
+  availabilityZone: givenNameSetting.describe('availability zone of this host'),
   address: z.string().describe('IP address of this host'),
   listen: hostAndPort.describe('address and port for callers'),
   readinessListen: hostAndPort.describe('address and port for the balancer'),
@@ -23,21 +22,21 @@
   peerPort: portSetting.describe('UDP port for other relays'),
   metricsPort: portSetting.default(9464).describe('port of /metrics on the address of this host'),
   store: hostAndPort.describe('address and port of the platform store'),
-  keysTrustedMs: millisecondsSetting
+  keysTrustedMs: boundSetting
     .default(5000)
     .describe('the configuration counts as proved newest for this long'),
   keysNeedProof: yesNoSetting
     .default(true)
     .describe('refuse keys without that proof; else serve by the last known configuration'),
-  configurationWithinMs: millisecondsSetting
+  configurationWithinMs: boundSetting
     .default(2000)
     .describe('a new configuration is in force on every host this long after it was taken'),
-  leavingWithinMs: millisecondsSetting
+  leavingWithinMs: boundSetting
     .default(2000)
     .describe('servers get no new work this long after it was taken that they leave'),
   retryRatio: numberSetting.default(0.2).describe('retries for each request of all hosts'),
   retryWindowSeconds: numberSetting.default(10).describe('window in which retries are counted'),
-  retrySlack: countSetting
+  retrySlack: numberSetting
     .default(100)
     .describe('retries of all hosts in a window beyond the ratio'),
   stopGraceSeconds: numberSetting.default(8).describe('time from SIGTERM to SIGKILL'),
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -14,6 +14,8 @@
  * share of the time in which a new version must be in force.
  */
 const WAIT_SHARE = 0.35;
+/** Where a new version must be in force at once, the store is still asked no more often than this. */
+const SHORTEST_WAIT_MS: Milliseconds = 100;
 /** A host that goes by the word of those that read asks itself when that is older than this. */
 const OWN_READ_AFTER_SHARE = 0.8;
 /** Pauses after failed calls: each costs, and a host is to be in touch 3 s after an outage. */
@@ -83,7 +85,7 @@
         : await store.changes(
             rows.configurationTable,
             this.#version,
-            isReader() ? Math.round(withinMs * WAIT_SHARE) : 0,
+            isReader() ? Math.max(SHORTEST_WAIT_MS, Math.round(withinMs * WAIT_SHARE)) : 0,
           );
     if (answer.isOk) return this.#take(answer.value, askedAtMs);
     if (answer.error.kind === 'history_gone') {
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -14,6 +14,8 @@
  * have come. The list changes with every heartbeat, so waiting for a change saves no calls.
  */
 const READ_PERIOD_SHARE = 0.4;
+/** Where word must come at once, the list is still read no more often than this. */
+const SHORTEST_READ_PERIOD_MS: Milliseconds = 100;
 /** The same for a host that goes by the word of those that read: older than this, it asks itself. */
 const OWN_READ_AFTER_SHARE = 0.75;
 /**
@@ -90,7 +92,7 @@
     );
     knowledge.onListRead();
     if (list.digest !== before) this.parts.onChange();
-    if (this.parts.isReader()) return this.parts.withinMs * READ_PERIOD_SHARE;
+    if (this.parts.isReader()) return this.#readPeriodMs;
     return list.keepsUnlisted ? RETURN_PAUSE_MS : this.#untilOwnReadMs();
   }
 
@@ -100,6 +102,10 @@
     return knowledge.listAgeMs >= this.#ownReadAfterMs;
   }
 
+  get #readPeriodMs(): Milliseconds {
+    return Math.max(SHORTEST_READ_PERIOD_MS, this.parts.withinMs * READ_PERIOD_SHARE);
+  }
+
   get #ownReadAfterMs(): Milliseconds {
     return this.parts.withinMs * OWN_READ_AFTER_SHARE;
   }
