Keep loads by engine; look at those that wait in turns; hosts greet only the first ones

A test plays drawn streams of events through the computation of before (over all attempts) and the kept loads and compares every answer. Ruled out: greeting back on every first heartbeat; a heartbeat says all and is answered.

--- a/packages/fleet/src/engine-load.ts
+++ b/packages/fleet/src/engine-load.ts
@@ -84,6 +84,23 @@
   return Math.max(0, freeAtMs - nowMs);
 }
 
+/**
+ * Whether a load stays as it is while no attempt begins or ends on its engine: nothing is read there
+ * and nothing that was to be over by now may still be.
+ */
+export function isSettled(
+  { pendingReadMs, avoidedMs }: EngineLoad,
+  uses: ReadonlySet<AttemptUse>,
+  nowMs: Milliseconds,
+): boolean {
+  if (pendingReadMs > 0 || avoidedMs > 0) return false;
+  for (const use of uses) {
+    if (use.placedAtMs > nowMs) return false;
+    if (use.partMs >= TOLD_READ_MS && isReadingStill(use, nowMs)) return false;
+  }
+  return true;
+}
+
 /** Time until a place is free for one more, by the usual length of answers. */
 function placeWait(figures: EngineFigures, writers: number, passMs: Milliseconds): Milliseconds {
   const before = writers - figures.slots + 1;
--- /dev/null
+++ b/packages/fleet/src/fleet-view.test.ts
@@ -0,0 +1,149 @@
+import type { Milliseconds } from '@poppypond/core';
+import type { EngineFigures } from '@poppypond/routing';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { AttemptUse } from './attempt-use.js';
+import type { BackendServer } from './backend-server.js';
+import { engineLoad } from './engine-load.js';
+import { FleetView } from './fleet-view.js';
+
+const FIGURES: EngineFigures = {
+  slots: 10,
+  memoryTokens: 450_000,
+  stepsPerPass: 73,
+  stepMs: 0.925,
+  stepMsPerWriter: 0.00483,
+  stepMsPerThousandTokens: 0.00254,
+  readTokensPerMs: 256,
+  readTokensPerStep: 2048,
+  readMsPerMillionPairs: 0.0917,
+  usualAnswerTokens: 1500,
+};
+
+function server(index: number): BackendServer {
+  return {
+    id: `i-${String(index)}`,
+    service: 's',
+    address: 'a',
+    port: index,
+    availabilityZone: 'z',
+    slots: 10,
+    isDraining: false,
+  };
+}
+
+function use(
+  attempt: number,
+  engine: number,
+  partMs: Milliseconds,
+  nowMs: Milliseconds,
+): AttemptUse {
+  return {
+    attemptId: String(attempt),
+    host: `host-${String(attempt % 7)}`,
+    writerId: `i-${String(engine)}`,
+    readerIds: partMs >= 60 ? [`i-${String(engine + 1)}`] : [],
+    partMs,
+    contextTokens: 5000,
+    held: partMs >= 60 ? [{ engineId: `i-${String(engine + 1)}`, tokens: 1000 }] : [],
+    gapAimMs: 250,
+    isReading: true,
+    placedAtMs: nowMs,
+    expiresAtMs: nowMs + 10_000,
+  };
+}
+
+/** What was worked out anew for every engine at each decision: the attempts that concern it. */
+class AllAnew {
+  readonly #uses = new Map<string, AttemptUse>();
+
+  begin(added: AttemptUse): void {
+    this.#uses.delete(added.attemptId);
+    this.#uses.set(added.attemptId, added);
+  }
+
+  onReadDone(attemptId: string): void {
+    const known = this.#uses.get(attemptId);
+    if (known?.isReading) this.begin({ ...known, isReading: false });
+  }
+
+  end(attemptId: string): void {
+    this.#uses.delete(attemptId);
+  }
+
+  usesOf(id: string): ReadonlySet<AttemptUse> {
+    return new Set(
+      [...this.#uses.values()].filter(
+        ({ writerId, readerIds }) => writerId === id || readerIds.includes(id),
+      ),
+    );
+  }
+}
+
+describe('FleetView', () => {
+  it('believes what all attempts together say, whatever has changed since it was last asked', () => {
+    const servers = Array.from({ length: 6 }, (_unused, index) => server(index));
+    const step = fc.record({
+      kind: fc.constantFrom('begin', 'begin', 'read', 'end', 'wait', 'suspect'),
+      attempt: fc.nat(12),
+      engine: fc.nat(4),
+      ms: fc.constantFrom(0, 5, 40, 80, 300, 900),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        const fleet = new FleetView();
+        const anew = new AllAnew();
+        let nowMs = 0;
+        for (const { kind, attempt, engine, ms } of steps) {
+          const begun = use(attempt, engine, ms, nowMs);
+          if (kind === 'begin') {
+            fleet.begin(begun);
+            anew.begin(begun);
+          }
+          if (kind === 'read') {
+            fleet.onReadDone(String(attempt));
+            anew.onReadDone(String(attempt));
+          }
+          if (kind === 'end') {
+            fleet.end(String(attempt));
+            anew.end(String(attempt));
+          }
+          if (kind === 'suspect') fleet.suspicions.add(`i-${String(engine)}`, nowMs);
+          if (kind === 'wait') nowMs += ms;
+          for (const one of servers) {
+            const avoidedMs = fleet.suspicions.leftMs(one.id, nowMs);
+            const expected = engineLoad(one, FIGURES, anew.usesOf(one.id), { nowMs, avoidedMs });
+            expect(fleet.load(one, FIGURES, nowMs)).toEqual(expected);
+          }
+        }
+      }),
+      { seed: 27, numRuns: 300 },
+    );
+  });
+
+  // 2.6 ms before and 0.22 ms after for each decision, beside other work.
+  it('answers for 720 engines in a third of the time that it takes to work all out anew', () => {
+    const servers = Array.from({ length: 720 }, (_unused, index) => server(index));
+    const fleet = new FleetView();
+    const uses = new Map(servers.map(({ id }) => [id, new Set<AttemptUse>()]));
+    for (let attempt = 0; attempt < 3000; attempt += 1) {
+      const begun = use(attempt, attempt % 720, 20, 0);
+      fleet.begin(begun);
+      uses.get(begun.writerId)?.add(begun);
+    }
+    const timed = { known: 0, anew: 0 };
+    for (let decision = 0; decision < 400; decision += 1) {
+      const nowMs = 2000 + decision;
+      fleet.begin(use(3000 + decision, decision, 20, nowMs));
+      const startedAt = performance.now();
+      for (const one of servers) fleet.load(one, FIGURES, nowMs);
+      const betweenAt = performance.now();
+      for (const one of servers) {
+        engineLoad(one, FIGURES, uses.get(one.id) ?? new Set(), { nowMs, avoidedMs: 0 });
+      }
+      timed.known += betweenAt - startedAt;
+      timed.anew += performance.now() - betweenAt;
+    }
+    expect(timed.known).toBeLessThan(timed.anew / 3);
+  });
+});
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -2,20 +2,33 @@
 import type { EngineFigures } from '@poppypond/routing';
 import type { AttemptUse } from './attempt-use.js';
 import type { BackendServer } from './backend-server.js';
-import { engineLoad } from './engine-load.js';
+import { engineLoad, isSettled } from './engine-load.js';
 import type { EngineLoad } from './engine-load.js';
 import { Suspicions } from './suspicions.js';
 
 /** A host hears of a placement that was made for it within a few milliseconds of its last heartbeat. */
 const JUST_PLACED_MS: Milliseconds = 200;
 
+/** What is believed about an engine, and for how long. */
+interface KnownLoad {
+  readonly load: EngineLoad;
+  readonly figures: EngineFigures;
+  readonly atMs: Milliseconds;
+  /** Whether it stays the same until an attempt begins or ends there. */
+  readonly isSettled: boolean;
+}
+
 /** Every attempt that is known to run, on whichever host, and what follows for each engine. */
 export class FleetView {
   readonly #attempts = new Map<string, AttemptUse>();
   readonly #byEngine = new Map<string, Set<AttemptUse>>();
-  /** Loads as of one instant, until anything changes: all that wait are looked at together. */
-  readonly #loads = new Map<string, EngineLoad>();
-  #loadsAtMs: Milliseconds = Number.NaN;
+  readonly #byHost = new Map<string, Map<string, AttemptUse>>();
+  /**
+   * By engine, worked out anew only where an attempt has begun or ended or a read goes on: 0.22 ms in
+   * place of 2.6 ms for the loads of 720 engines with some four writers each, one of which has
+   * changed (mean of 400, beside other work; the test plays both).
+   */
+  readonly #loads = new Map<string, KnownLoad>();
   /** Servers that failed lately. */
   readonly suspicions = new Suspicions();
 
@@ -28,9 +41,11 @@
   begin(use: AttemptUse): void {
     this.end(use.attemptId);
     this.#attempts.set(use.attemptId, use);
-    this.#loads.clear();
-    this.#usesOf(use.writerId).add(use);
-    for (const id of use.readerIds) this.#usesOf(id).add(use);
+    this.#ofHost(use.host).set(use.attemptId, use);
+    for (const id of [use.writerId, ...use.readerIds]) {
+      this.#usesOf(id).add(use);
+      this.#loads.delete(id);
+    }
   }
 
   /** The first event came, so reading is over on all engines concerned. */
@@ -44,8 +59,9 @@
     const use = this.#attempts.get(attemptId);
     if (!use) return;
     this.#attempts.delete(attemptId);
-    this.#loads.clear();
+    this.#dropOfHost(use);
     for (const id of [use.writerId, ...use.readerIds]) {
+      this.#loads.delete(id);
       const uses = this.#byEngine.get(id);
       uses?.delete(use);
       if (uses?.size === 0) this.#byEngine.delete(id);
@@ -58,8 +74,8 @@
    */
   replaceHost(host: string, uses: readonly AttemptUse[], nowMs: Milliseconds): void {
     const kept = new Set(uses.map((use) => use.attemptId));
-    for (const use of [...this.#attempts.values()]) {
-      if (use.host !== host || kept.has(use.attemptId)) continue;
+    for (const use of this.attemptsOf(host)) {
+      if (kept.has(use.attemptId)) continue;
       if (nowMs - use.placedAtMs > JUST_PLACED_MS) this.end(use.attemptId);
     }
     for (const use of uses) {
@@ -75,7 +91,7 @@
 
   /** Attempts that `host` placed. */
   attemptsOf(host: string): readonly AttemptUse[] {
-    return [...this.#attempts.values()].filter((use) => use.host === host);
+    return [...(this.#byHost.get(host)?.values() ?? [])];
   }
 
   /** Drops attempts whose end was never heard of. */
@@ -97,16 +113,31 @@
   /** What is believed about `server` now. */
   load(server: BackendServer, figures: EngineFigures, nowMs: Milliseconds): EngineLoad {
     const avoidedMs = this.suspicions.leftMs(server.id, nowMs);
-    if (this.#loadsAtMs !== nowMs) this.#loads.clear();
-    this.#loadsAtMs = nowMs;
     const known = this.#loads.get(server.id);
-    if (known?.server === server && known.avoidedMs === avoidedMs) return known;
+    const isCurrent = known !== undefined && (known.isSettled || known.atMs === nowMs);
+    const isOfSame = known?.figures === figures && known.load.server === server;
+    if (isCurrent && isOfSame && known.load.avoidedMs === avoidedMs) return known.load;
     const uses = this.#byEngine.get(server.id) ?? new Set();
     const load = engineLoad(server, figures, uses, { nowMs, avoidedMs });
-    this.#loads.set(server.id, load);
+    const isLasting = isSettled(load, uses, nowMs);
+    this.#loads.set(server.id, { load, figures, atMs: nowMs, isSettled: isLasting });
     return load;
   }
 
+  #ofHost(host: string): Map<string, AttemptUse> {
+    const known = this.#byHost.get(host);
+    if (known) return known;
+    const made = new Map<string, AttemptUse>();
+    this.#byHost.set(host, made);
+    return made;
+  }
+
+  #dropOfHost({ host, attemptId }: AttemptUse): void {
+    const attempts = this.#byHost.get(host);
+    attempts?.delete(attemptId);
+    if (attempts?.size === 0) this.#byHost.delete(host);
+  }
+
   #usesOf(engineId: string): Set<AttemptUse> {
     const known = this.#byEngine.get(engineId);
     if (known) return known;
--- /dev/null
+++ b/packages/relay/src/peers/mocks/mesh-network.ts
@@ -0,0 +1,139 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import { FleetView } from '@poppypond/fleet';
+import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
+import { ConfigurationInForce, Freshness } from '@poppypond/routing';
+import type { RoutingConfiguration } from '@poppypond/routing';
+import { silentLog } from '@poppypond/telemetry';
+import type { PlanAnswer } from '../../planning/plan-request.js';
+import { Planner } from '../../planning/planner.js';
+import { ServerList } from '../../store/server-list.js';
+import { decodeMessage, encodeMessage } from '../peer-messages.js';
+import type { PeerAddress } from '../peer-list.js';
+import type { PeerMessage } from '../peer-messages.js';
+import { PeerMesh } from '../peer-mesh.js';
+import { SharedKnowledge } from '../shared-knowledge.js';
+
+/** A clock of one process: the common one, counted from the start of the process. */
+function clockFrom(common: ManualClock, startedAtMs: Milliseconds): Clock {
+  return {
+    monotonicMs: () => common.monotonicMs() - startedAtMs,
+    wallMs: () => common.wallMs(),
+    after: (delayMs, callback) => common.after(delayMs, callback),
+    every: (periodMs, callback) => common.every(periodMs, callback),
+  };
+}
+
+interface HeardAnswer {
+  readonly attemptId: string;
+  readonly answer: PlanAnswer;
+}
+
+const draw = () => 0.5;
+/** The only engine. */
+export const ENGINE = engineServer('i-1');
+
+/** What is in force on a host from its start. */
+export const CONFIGURATION: RoutingConfiguration = {
+  version: 1,
+  routes: [],
+  services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
+  workspaces: [],
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+function addressOf(port: number): PeerAddress {
+  const host = `host-${String(port)}`;
+  return { host, address: 'a', port, availabilityZone: 'zone-a', capacity: 1 };
+}
+
+/** A message on its way. */
+export interface Sent {
+  readonly from: string;
+  readonly to: number;
+  readonly message: PeerMessage;
+}
+
+/** One host of a network. */
+export interface Host {
+  readonly mesh: PeerMesh;
+  readonly fleet: FleetView;
+  readonly inForce: ConfigurationInForce;
+  readonly freshness: Freshness;
+  readonly list: ServerList;
+  readonly knowledge: SharedKnowledge;
+  readonly startedAtMs: Milliseconds;
+  /** Answers of planners. */
+  readonly answers: HeardAnswer[];
+}
+
+/** Hosts whose messages are delivered when the test says so. */
+export class MeshNetwork {
+  readonly clock = new ManualClock();
+  readonly sent: Sent[] = [];
+  readonly hosts = new Map<number, Host>();
+  /** Hosts are spread over this many availability zones by turns. */
+  zones = 1;
+  /** Whether a message never arrives. */
+  lost: (message: PeerMessage) => boolean = () => false;
+  /** Hosts that others have found to be gone for good. */
+  readonly gone: string[] = [];
+  #lives = 0;
+
+  /** Starts a host that the store has told who is `known`. */
+  start(port: number, known: readonly number[], knowsServers = true, isListed = true): Host {
+    const startedAtMs = this.clock.monotonicMs();
+    const clock = clockFrom(this.clock, startedAtMs);
+    const inForce = new ConfigurationInForce();
+    inForce.apply(CONFIGURATION);
+    const freshness = new Freshness(clock);
+    const list = new ServerList(clock, silentLog);
+    const fleet = new FleetView();
+    this.#lives += 1;
+    const knowledge = new SharedKnowledge({ clock, inForce, freshness, list });
+    const answers: HeardAnswer[] = [];
+    const mesh = new PeerMesh({
+      clock,
+      log: silentLog,
+      sender: {
+        send: (_address, to, message) => {
+          this.sent.push({ from: addressOf(port).host, to, message });
+        },
+      },
+      self: { ...this.addressOf(port), incarnation: `life-${String(this.#lives)}` },
+      fleet,
+      planner: new Planner({ clock, inForce, servers: list, fleet, draw }),
+      engineServices: () => [ENGINE_SERVICE],
+      onPlan: (attemptId, answer) => {
+        answers.push({ attemptId, answer });
+      },
+      knowledge,
+      beatPeriodMs: 500,
+      onGone: (gone) => this.gone.push(gone),
+    });
+    if (knowsServers) list.replace([ENGINE], 0, 1);
+    const host = { mesh, fleet, inForce, freshness, list, knowledge, startedAtMs, answers };
+    this.hosts.set(port, host);
+    mesh.start();
+    if (isListed) mesh.learn(known.map((other) => this.addressOf(other)));
+    return host;
+  }
+
+  addressOf(port: number): PeerAddress {
+    return { ...addressOf(port), availabilityZone: `zone-${String(port % this.zones)}` };
+  }
+
+  /** Delivers the message at `index`, unless it is lost. */
+  deliver(index: number): void {
+    const [sent] = this.sent.splice(index, 1);
+    const message = sent && decodeMessage(encodeMessage(sent.message));
+    if (sent && message && !this.lost(message)) this.hosts.get(sent.to)?.mesh.receive(message, 'a');
+  }
+
+  /** Lets time pass with every message delivered at once. */
+  async run(forMs: Milliseconds): Promise<void> {
+    for (let passedMs = 0; passedMs < forMs; passedMs += 50) {
+      await this.clock.advance(50);
+      while (this.sent.length > 0) this.deliver(0);
+    }
+  }
+}
--- a/packages/relay/src/peers/peer-list.ts
+++ b/packages/relay/src/peers/peer-list.ts
@@ -277,6 +277,7 @@
    */
   toAsk(services: number): ReadonlySet<string> {
     const asked = new Set<string>();
+    if (this.size === 0) return asked;
     this.#reach = this.aliveCount > 0 ? FIRST_REACH : this.#reach + FIRST_REACH;
     const isReader = (peer: PeerAddress) => this.#isHere(peer) && !this.#isStoreLost(peer);
     this.#askUntil(this.#byRank(), READERS, isReader, asked);
--- /dev/null
+++ b/packages/relay/src/peers/peer-mesh-at-size.test.ts
@@ -0,0 +1,109 @@
+import { ENGINE_SERVICE, engineServer } from '@poppypond/mocks';
+import { describe, expect, it } from 'vitest';
+import { CONFIGURATION, MeshNetwork } from './mocks/mesh-network.js';
+import { encodeMessage } from './peer-messages.js';
+
+const PORTS = [1, 2, 3, 4, 5];
+
+describe('PeerMesh of many hosts', () => {
+  // 12,744 messages in the first second before, as each greeted all others; 1,952 after.
+  it('does not let all greet all when they start together, and still has all find the same first hosts', async () => {
+    const network = new MeshNetwork();
+    const ports = Array.from({ length: 60 }, (_unused, index) => index + 101);
+    let sent = 0;
+    network.lost = () => {
+      sent += 1;
+      return false;
+    };
+    // Each knows those that have entered before it, as the store lists them.
+    ports.forEach((port, index) => network.start(port, ports.slice(0, index + 1)));
+    await network.run(1000);
+    expect(sent).toBeLessThan(12_744 / 6);
+    await network.run(2500);
+    const planners = [...network.hosts.values()].map(
+      ({ mesh }) => mesh.plannersOf(ENGINE_SERVICE)[0],
+    );
+    expect(new Set(planners).size).toBe(1);
+    const counts = [...network.hosts.values()].map(({ mesh }) => mesh.hostCount);
+    expect(Math.min(...counts)).toBe(60);
+  });
+
+  // Out of one host: before, as many copies of the whole list as there are hosts, 11 KB each.
+  it('sends a change of the list out of no host more than its zone needs, and to each host once', async () => {
+    const network = new MeshNetwork();
+    network.zones = 5;
+    const ports = Array.from({ length: 100 }, (_unused, index) => index + 101);
+    const servers = Array.from({ length: 155 }, (_unused, index) =>
+      engineServer(`i-${String(index)}`),
+    );
+    for (const port of ports) network.start(port, ports);
+    for (const { list } of network.hosts.values()) list.replace(servers, 0, 2);
+    await network.run(1500);
+    const bytesBy = new Map<string, number>();
+    network.lost = (message) => {
+      if (message.kind !== 'list_change' && message.kind !== 'told') return false;
+      const bytes = encodeMessage(message).length;
+      bytesBy.set(message.host, (bytesBy.get(message.host) ?? 0) + bytes);
+      return false;
+    };
+    const reader = [...network.hosts.values()].find(({ mesh }) => mesh.isReader());
+    const changed = servers.slice(1).map((server, index) => ({ ...server, isDraining: index < 3 }));
+    reader?.list.replace(changed, 0, 3);
+    reader?.mesh.tellNews();
+    await network.run(50);
+    for (const { list } of network.hosts.values()) {
+      expect(list.digest).toBe(reader?.list.digest);
+    }
+    expect(Math.max(...bytesBy.values())).toBeLessThan(60 * 1024);
+    const whole = [...bytesBy.values()].reduce((sum, bytes) => sum + bytes, 0);
+    expect(whole).toBeLessThan(100 * 1024);
+  });
+
+  it('brings a long configuration to a host that lost pieces of it, without the store', async () => {
+    const network = new MeshNetwork();
+    for (const port of PORTS) network.start(port, PORTS);
+    await network.run(1000);
+    const long = Buffer.from(
+      Array.from(
+        { length: 90_000 },
+        (_unused, index) => (Math.imul(index, 2654435761) >>> 13) & 255,
+      ),
+    );
+    const newest = { ...CONFIGURATION, version: 2 };
+    const heard: number[] = [];
+    for (const { inForce, knowledge } of network.hosts.values()) {
+      knowledge.onConfiguration((bytes) => {
+        heard.push(bytes.length);
+        inForce.apply(newest);
+        knowledge.onConfigurationInForce(bytes);
+      });
+    }
+    let told = 0;
+    network.lost = (message) => {
+      if (message.kind === 'told') told += 1;
+      return message.kind === 'told' && told % 4 === 1 && told < 30;
+    };
+    const reader = network.hosts.get(1);
+    reader?.inForce.apply(newest);
+    reader?.knowledge.onConfigurationInForce(long);
+    reader?.mesh.tellNews();
+    await network.run(2500);
+    expect(heard).toEqual([long.length, long.length, long.length, long.length]);
+    for (const { knowledge } of network.hosts.values()) {
+      expect(knowledge.isConfigurationBehind).toBe(false);
+    }
+  });
+
+  it('says that a host is gone for good once it has left and not come back, and that none is that came', async () => {
+    const network = new MeshNetwork();
+    for (const port of PORTS) network.start(port, PORTS);
+    await network.run(2000);
+    network.hosts.get(4)?.mesh.stop();
+    network.hosts.get(5)?.mesh.stop();
+    await network.run(50);
+    network.hosts.delete(4);
+    network.start(5, PORTS);
+    await network.run(70_000);
+    expect(new Set(network.gone)).toEqual(new Set(['host-4']));
+  });
+});
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -1,133 +1,9 @@
-import type { Clock, Milliseconds } from '@poppypond/core';
-import { FleetView } from '@poppypond/fleet';
 import type { AttemptUse } from '@poppypond/fleet';
-import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
-import { ConfigurationInForce, Freshness } from '@poppypond/routing';
-import type { RoutingConfiguration } from '@poppypond/routing';
-import { silentLog } from '@poppypond/telemetry';
+import { ENGINE_SERVICE } from '@poppypond/mocks';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import type { PlanAnswer } from '../planning/plan-request.js';
-import { Planner } from '../planning/planner.js';
-import { ServerList } from '../store/server-list.js';
-import { decodeMessage, encodeMessage } from './peer-messages.js';
-import type { PeerAddress } from './peer-list.js';
-import type { PeerMessage } from './peer-messages.js';
-import { PeerMesh } from './peer-mesh.js';
-import { SharedKnowledge } from './shared-knowledge.js';
-
-/** A clock of one process: the common one, counted from the start of the process. */
-function clockFrom(common: ManualClock, startedAtMs: Milliseconds): Clock {
-  return {
-    monotonicMs: () => common.monotonicMs() - startedAtMs,
-    wallMs: () => common.wallMs(),
-    after: (delayMs, callback) => common.after(delayMs, callback),
-    every: (periodMs, callback) => common.every(periodMs, callback),
-  };
-}
-
-interface HeardAnswer {
-  readonly attemptId: string;
-  readonly answer: PlanAnswer;
-}
-
-const draw = () => 0.5;
-const ENGINE = engineServer('i-1');
-
-const CONFIGURATION: RoutingConfiguration = {
-  version: 1,
-  routes: [],
-  services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
-  workspaces: [],
-  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-};
-
-function addressOf(port: number): PeerAddress {
-  const host = `host-${String(port)}`;
-  return { host, address: 'a', port, availabilityZone: 'zone-a', capacity: 1 };
-}
-
-interface Sent {
-  readonly from: string;
-  readonly to: number;
-  readonly message: PeerMessage;
-}
-
-interface Host {
-  readonly mesh: PeerMesh;
-  readonly fleet: FleetView;
-  readonly inForce: ConfigurationInForce;
-  readonly freshness: Freshness;
-  readonly list: ServerList;
-  readonly knowledge: SharedKnowledge;
-  readonly startedAtMs: Milliseconds;
-  /** Answers of planners. */
-  readonly answers: HeardAnswer[];
-}
-
-/** Hosts whose messages are delivered when the test says so. */
-class Network {
-  readonly clock = new ManualClock();
-  readonly sent: Sent[] = [];
-  readonly hosts = new Map<number, Host>();
-  /** Whether a message never arrives. */
-  lost: (message: PeerMessage) => boolean = () => false;
-  /** Hosts that others have found to be gone for good. */
-  readonly gone: string[] = [];
-  #lives = 0;
-
-  start(port: number, known: readonly number[], knowsServers = true, isListed = true): Host {
-    const startedAtMs = this.clock.monotonicMs();
-    const clock = clockFrom(this.clock, startedAtMs);
-    const inForce = new ConfigurationInForce();
-    inForce.apply(CONFIGURATION);
-    const freshness = new Freshness(clock);
-    const list = new ServerList(clock, silentLog);
-    const fleet = new FleetView();
-    this.#lives += 1;
-    const knowledge = new SharedKnowledge({ clock, inForce, freshness, list });
-    const answers: HeardAnswer[] = [];
-    const mesh = new PeerMesh({
-      clock,
-      log: silentLog,
-      sender: {
-        send: (_address, to, message) => {
-          this.sent.push({ from: addressOf(port).host, to, message });
-        },
-      },
-      self: { ...addressOf(port), incarnation: `life-${String(this.#lives)}` },
-      fleet,
-      planner: new Planner({ clock, inForce, servers: list, fleet, draw }),
-      engineServices: () => [ENGINE_SERVICE],
-      onPlan: (attemptId, answer) => {
-        answers.push({ attemptId, answer });
-      },
-      knowledge,
-      beatPeriodMs: 500,
-      onGone: (gone) => this.gone.push(gone),
-    });
-    if (knowsServers) list.replace([ENGINE], 0, 1);
-    const host = { mesh, fleet, inForce, freshness, list, knowledge, startedAtMs, answers };
-    this.hosts.set(port, host);
-    mesh.start();
-    if (isListed) mesh.learn(known.map(addressOf));
-    return host;
-  }
-
-  deliver(index: number): void {
-    const [sent] = this.sent.splice(index, 1);
-    const message = sent && decodeMessage(encodeMessage(sent.message));
-    if (sent && message && !this.lost(message)) this.hosts.get(sent.to)?.mesh.receive(message, 'a');
-  }
-
-  /** Lets time pass with every message delivered at once. */
-  async run(forMs: Milliseconds): Promise<void> {
-    for (let passedMs = 0; passedMs < forMs; passedMs += 50) {
-      await this.clock.advance(50);
-      while (this.sent.length > 0) this.deliver(0);
-    }
-  }
-}
+import { CONFIGURATION, ENGINE, MeshNetwork } from './mocks/mesh-network.js';
+import type { Sent } from './mocks/mesh-network.js';
 
 const PORTS = [1, 2, 3, 4, 5];
 
@@ -149,7 +25,7 @@
 
 describe('PeerMesh', () => {
   it('lets two hosts read the store for all, and others when those have lost it', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     for (const port of PORTS) network.start(port, PORTS);
     const readers = () => PORTS.filter((port) => network.hosts.get(port)?.mesh.isReader());
     await network.run(1000);
@@ -165,7 +41,7 @@
   });
 
   it('tells what it runs, mends what was lost with a beat, and drops it with its host', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     const first = network.start(1, [2]);
     const second = network.start(2, [1]);
     await network.run(600);
@@ -183,7 +59,7 @@
   });
 
   it('counts hosts for shared budgets for a while after their last word', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     const first = network.start(1, [2]);
     network.start(2, [1]);
     await network.run(600);
@@ -196,7 +72,7 @@
   });
 
   it('asks only the few that read and plan, and finds others when those are gone', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     for (const port of PORTS) network.start(port, PORTS);
     await network.run(3000);
     network.sent.length = 0;
@@ -224,7 +100,7 @@
   });
 
   it('asks no planner that does not know the servers yet', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     network.lost = (message) => message.kind === 'told';
     for (const port of PORTS) network.start(port, PORTS, port === 4);
     await network.run(3000);
@@ -234,14 +110,14 @@
   });
 
   it('spends nothing of shared budgets before it knows how many share them', () => {
-    const { mesh } = new Network().start(1, []);
+    const { mesh } = new MeshNetwork().start(1, []);
     expect(mesh.hostCount).toBe(1);
-    const unlisted = new Network().start(1, [], true, false);
+    const unlisted = new MeshNetwork().start(1, [], true, false);
     expect(unlisted.mesh.hostCount).toBe(Number.POSITIVE_INFINITY);
   });
 
   it('tells all a changed list of servers, so that they need not ask the store', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     for (const port of PORTS) network.start(port, PORTS);
     await network.run(1000);
     const reader = network.hosts.get(1);
@@ -255,7 +131,7 @@
   });
 
   it('tells all a new configuration as the store keeps it', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     for (const port of PORTS) network.start(port, PORTS);
     await network.run(1000);
     const heard: string[] = [];
@@ -271,7 +147,7 @@
   });
 
   it('is not sent to the store by a reader that knows an older list', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     for (const port of PORTS) network.start(port, PORTS);
     await network.run(1000);
     const [first, second] = [network.hosts.get(1), network.hosts.get(2)];
@@ -291,7 +167,7 @@
   });
 
   it('tells a host that has started while the store is away, and that knows nobody, all it needs', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     for (const port of PORTS) network.start(port, PORTS);
     await network.run(1000);
     const newest = { ...CONFIGURATION, version: 2 };
@@ -316,7 +192,7 @@
   });
 
   it('does not let all hosts ask all while the store is away from every one', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     const ports = Array.from({ length: 30 }, (_unused, index) => index + 1);
     for (const port of ports) network.start(port, ports);
     await network.run(1000);
@@ -332,7 +208,7 @@
   });
 
   it('plans for the host that asks, and tells it', async () => {
-    const network = new Network();
+    const network = new MeshNetwork();
     for (const port of [1, 2]) network.start(port, [1, 2]);
     await network.run(3000);
     const asking = network.hosts.get(1);
@@ -373,7 +249,7 @@
     );
     return fc.assert(
       fc.asyncProperty(fc.array(step, { maxLength: 80 }), async (steps) => {
-        const network = new Network();
+        const network = new MeshNetwork();
         const reader = network.start(1, [2]);
         let other = network.start(2, [1]);
         let provedAtMs = Number.NEGATIVE_INFINITY;
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -241,7 +241,8 @@
     if (!this.#peers.hear(message, address)) return;
     this.parts.fleet.dropHost(host);
     this.parts.log.info('peer_heard', { peer: host, address, incarnation });
-    this.#beat(host, true);
+    // A heartbeat says all, and is answered where it asks.
+    if (message.kind !== 'beat') this.#beat(host, true);
   }
 
   #takeBeat(beat: Beat): void {
@@ -329,7 +330,7 @@
    * has started while the store is away knows nobody and is told by them what it needs to serve.
    */
   #greetSilent(): void {
-    if (!this.#peers.isAmongFirst()) return;
+    if (!this.#peers.isAmongFirst() || this.#peers.aliveCount === 0) return;
     const silent = this.#peers.silent();
     const count = Math.min(GREETED_AT_ONCE, silent.length);
     for (let greeted = 0; greeted < count; greeted += 1) {
--- a/packages/relay/src/planning/planner.test.ts
+++ b/packages/relay/src/planning/planner.test.ts
@@ -85,6 +85,34 @@
     ]);
   });
 
+  it('looks at those that wait in turns, so that many of them do not hold up those that come', async () => {
+    const { clock, fleet, made, answers, ask } = planner(17);
+    for (let index = 0; index < 60; index += 1) {
+      ask(long(String(index), { promptTokens: 200_000 + index }));
+    }
+    const waiting = made.waitingCount;
+    expect(waiting).toBeGreaterThan(40);
+    const decided: number[] = [];
+    const load = fleet.load.bind(fleet);
+    let loads = 0;
+    fleet.load = (...inputs) => {
+      loads += 1;
+      return load(...inputs);
+    };
+    for (let look = 0; look < 6; look += 1) {
+      loads = 0;
+      await clock.advance(10);
+      decided.push(loads / 17);
+    }
+    expect(Math.max(...decided)).toBeLessThanOrEqual(16);
+    for (let round = 0; round < 60; round += 1) {
+      for (const { attemptId } of fleet.attemptsOf('asker')) fleet.end(attemptId);
+      for (let look = 0; look < 4; look += 1) await clock.advance(10);
+    }
+    expect(made.waitingCount).toBe(0);
+    expect(answers.filter(({ kind }) => kind === 'place')).toHaveLength(60);
+  });
+
   it('takes up an answer whose caller has heard of it lately, however long ago it was asked for', () => {
     const { answers, ask } = planner(18);
     ask(long('a', { arrivedAtMs: -60_000, silentSinceMs: -1000 }));
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -31,6 +31,12 @@
 
 /** Pause before waiting requests are looked at again. */
 const LOOK_AGAIN_MS: Milliseconds = 10;
+/**
+ * Requests that are looked at together; the others have their turn 10 ms later. One look takes 0.13 ms
+ * with 150 engines (the mean of 1,200, beside other work), so 60 that wait would take three quarters
+ * of a processor if all were looked at every time, and those that come would wait for it.
+ */
+const LOOKED_AT_TOGETHER = 16;
 /** A waiting request whose host does not ask again for this long is dropped; hosts ask every 300 ms. */
 const ASKED_LATELY_MS: Milliseconds = 1000;
 
@@ -38,6 +44,7 @@
 export class Planner {
   readonly #waiting = new Map<string, Waiting>();
   #cancelLook: CancelTimer | undefined;
+  #lookedAt = 0;
   /** Hosts that don't know of each other must not all begin with the same engines. */
   readonly #shuffled = (servers: readonly BackendServer[]) =>
     servers
@@ -89,7 +96,7 @@
 
   #lookAgain(): void {
     const nowMs = this.parts.clock.monotonicMs();
-    for (const waiting of [...this.#waiting.values()]) {
+    for (const waiting of this.#takeTurn()) {
       const { request, askedAtMs } = waiting;
       const isLeft = nowMs - askedAtMs > ASKED_LATELY_MS || nowMs >= request.limitAtMs;
       if (isLeft) this.#drop(request);
@@ -100,6 +107,14 @@
     this.#cancelLook = undefined;
   }
 
+  /** The next few in the order in which they wait, from the first again after the last. */
+  #takeTurn(): readonly Waiting[] {
+    const all = [...this.#waiting.values()];
+    const from = this.#lookedAt < all.length ? this.#lookedAt : 0;
+    this.#lookedAt = from + LOOKED_AT_TOGETHER;
+    return all.slice(from, this.#lookedAt);
+  }
+
   #lookAgainAt({ request, onAnswer, isAlone }: Waiting, nowMs: Milliseconds): void {
     const answer = this.#decide(request, isAlone, nowMs);
     if (answer.kind === 'wait') return;
