--- a/packages/relay/src/peers/news.ts
+++ b/packages/relay/src/peers/news.ts
@@ -17,6 +17,8 @@
   readonly peers: PeerList;
   /** Sends one message to each of `peers`; any of them may be lost. */
   readonly send: (peers: readonly Peer[], message: PeerMessage) => void;
+  /** Called when something that `host` has told was taken in. */
+  readonly onTaken: (host: string) => void;
   /** Names this host in messages. */
   readonly selfFields: () => SelfFields;
 }
@@ -101,9 +103,9 @@
     if (this.#isKnown(subject, version)) return;
     const name = `${host} ${incarnation} ${subject} ${String(version)}`;
     const whole = this.#collector.add({ name, index, count, bytes });
-    if (whole && this.#takeWhole(told, whole) && told.passOn) {
-      this.#sendWhole(subject, this.parts.peers.inOwnZone(), false);
-    }
+    if (!whole || !this.#takeWhole(told, whole)) return;
+    this.parts.onTaken(host);
+    if (told.passOn) this.#sendWhole(subject, this.parts.peers.inOwnZone(), false);
   }
 
   /** Takes in a change of the list of servers, where this host knows the list before it. */
--- a/packages/relay/src/peers/peer-mesh-at-size.test.ts
+++ b/packages/relay/src/peers/peer-mesh-at-size.test.ts
@@ -94,6 +94,27 @@
     }
   });
 
+  it('lets a host that has started serve as soon as it is told what holds, not a heartbeat later', async () => {
+    const network = new MeshNetwork();
+    for (const port of PORTS.slice(0, 4)) {
+      const { freshness, inForce, knowledge } = network.start(port, PORTS);
+      inForce.apply({ ...CONFIGURATION, version: 2 });
+      knowledge.onConfigurationInForce(Buffer.from('as it is kept'));
+      freshness.prove(0);
+    }
+    await network.run(1200);
+    for (const { freshness, startedAtMs } of network.hosts.values()) {
+      freshness.prove(network.clock.monotonicMs() - startedAtMs);
+    }
+    const { knowledge, inForce } = network.start(5, PORTS);
+    knowledge.onConfiguration(() => {
+      inForce.apply({ ...CONFIGURATION, version: 2 });
+    });
+    await network.run(50);
+    expect(inForce.version).toBe(2);
+    expect(knowledge.configurationAgeMs).toBeLessThan(200);
+  });
+
   it('says that a host is gone for good once it has left and not come back, and that none is that came', async () => {
     const network = new MeshNetwork();
     for (const port of PORTS) network.start(port, PORTS);
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -74,6 +74,9 @@
       send: (peers, message) => {
         this.#sendAll(peers, message);
       },
+      onTaken: (host) => {
+        this.#askForProof(host);
+      },
       selfFields: () => this.#selfFields(),
     });
   }
@@ -259,6 +262,15 @@
     if (peer) this.#news.onWord(peer, beat);
   }
 
+  /**
+   * What is told is not dated, and a host that has just started may serve nothing by it: the next
+   * heartbeat would come up to a second later, in which all that it is asked is refused.
+   */
+  #askForProof(host: string): void {
+    const { configurationAgeMs, listAgeMs } = this.parts.knowledge;
+    if (!Number.isFinite(configurationAgeMs) || !Number.isFinite(listAgeMs)) this.#beat(host, true);
+  }
+
   /** Adds hosts that a peer has told of; what they say of themselves goes first. */
   #takeMembers(members: readonly WireMember[]): void {
     for (const [host, address, port, availabilityZone, capacity] of members) {
