--- /dev/null
+++ b/packages/fleet/src/foresee-first.test.ts
@@ -0,0 +1,53 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { EngineLoad } from './engine-load.js';
+import { foreseeFirstMs } from './foresee-first.js';
+import { MOST_PARTS, withOverrun } from './weigh-parts.js';
+
+function engine(pendingReadMs: number, slackMs: number, passMs: number): EngineLoad {
+  return {
+    server: {
+      id: 'i',
+      service: 's',
+      address: 'a',
+      port: 1,
+      availabilityZone: 'z',
+      slots: 10,
+      isDraining: false,
+    },
+    writers: 1,
+    impatientWriters: 0,
+    writersWorth: 1,
+    contextTokens: 1000,
+    memoryTokens: 1000,
+    passMs,
+    placeWaitMs: 0,
+    pendingReadMs,
+    slackMs,
+    avoidedMs: 0,
+  };
+}
+
+/** Over all engines for each number of parts. */
+function overAll(engines: readonly EngineLoad[], readMs: number): number {
+  const sorted = [...engines].sort((one, other) => one.pendingReadMs - other.pendingReadMs);
+  const firsts = Array.from({ length: Math.min(MOST_PARTS, engines.length) }, (_unused, index) => {
+    const partMs = readMs / (index + 1);
+    const last = sorted.filter((one) => one.slackMs + one.pendingReadMs >= partMs)[index];
+    return last ? last.pendingReadMs + withOverrun(partMs) + last.passMs : Number.POSITIVE_INFINITY;
+  });
+  return Math.min(Number.POSITIVE_INFINITY, ...firsts);
+}
+
+describe('foreseeFirstMs', () => {
+  it('is what the engines that are soonest free of reads give, over each number of parts', () => {
+    const drawn = fc.tuple(fc.nat(3000), fc.integer({ min: -500, max: 3000 }), fc.nat(90));
+    fc.assert(
+      fc.property(fc.array(drawn, { maxLength: 40 }), fc.nat(20_000), (engines, readMs) => {
+        const loads = engines.map(([pending, slack, pass]) => engine(pending, slack, pass));
+        expect(foreseeFirstMs(loads, readMs)).toBe(overAll(loads, readMs));
+      }),
+      { seed: 27 },
+    );
+  });
+});
--- a/packages/fleet/src/foresee-first.ts
+++ b/packages/fleet/src/foresee-first.ts
@@ -2,6 +2,19 @@
 import type { EngineLoad } from './engine-load.js';
 import { MOST_PARTS, withOverrun } from './weigh-parts.js';
 
+/** The last to be free of reads of the first `parts` engines on which a part harms no writer. */
+function lastOfFirst(
+  soonFreeFirst: readonly EngineLoad[],
+  parts: number,
+  partMs: Milliseconds,
+): EngineLoad | undefined {
+  let found = 0;
+  return soonFreeFirst.find(({ slackMs, pendingReadMs }) => {
+    if (slackMs + pendingReadMs >= partMs) found += 1;
+    return found === parts;
+  });
+}
+
 /**
  * The soonest first event, from now, of a prompt that waits until reads that run now are over: with
  * each number of parts, once that many engines are free of reads on which a part harms no writer.
@@ -12,10 +25,7 @@
   let soonestMs = Number.POSITIVE_INFINITY;
   for (let parts = 1; parts <= Math.min(MOST_PARTS, engines.length); parts += 1) {
     const partMs = readMs / parts;
-    const harmless = soonFreeFirst.filter(
-      ({ slackMs, pendingReadMs }) => slackMs + pendingReadMs >= partMs,
-    );
-    const lastFree = harmless[parts - 1];
+    const lastFree = lastOfFirst(soonFreeFirst, parts, partMs);
     if (!lastFree) continue;
     const firstMs = lastFree.pendingReadMs + withOverrun(partMs) + lastFree.passMs;
     soonestMs = Math.min(soonestMs, firstMs);
