--- a/packages/relay/src/request/serving.ts
+++ b/packages/relay/src/request/serving.ts
@@ -5,12 +5,16 @@
 import type { CallerAnswer } from './caller-answer.js';
 import type { RelayParts } from './relay-parts.js';
 import { RelayRun } from './relay-run.js';
+import { StartHold } from './start-hold.js';
 
 /** Admits requests or refuses them, and counts those that are being served. */
 export class Serving {
   #openCount = 0;
+  readonly #startHold: StartHold;
 
-  constructor(readonly parts: RelayParts) {}
+  constructor(readonly parts: RelayParts) {
+    this.#startHold = new StartHold(parts.clock);
+  }
 
   /** Requests that were admitted and whose answer is not over. */
   get openCount(): number {
@@ -25,7 +29,10 @@
       answer.refuse(fault('bad_field', 'the head lacks the identifier of the request'));
       return;
     }
-    const admitted = admit(parts, caller);
+    const admitted = await this.#startHold.admitted(
+      () => admit(parts, caller),
+      () => answer.isGone,
+    );
     if (admitted.isErr) {
       this.#refuse(admitted.error, caller.requestId, answer);
       return;
