--- a/packages/relay/src/peers/datagram-sender.ts
+++ b/packages/relay/src/peers/datagram-sender.ts
@@ -13,6 +13,8 @@
   #lastMessage: PeerMessage | undefined;
   #lastBytes: Buffer = Buffer.alloc(0);
   #isClosed = false;
+  /** Messages that the system has not taken yet. */
+  #pending = 0;
 
   private constructor(
     readonly socket: Socket,
@@ -45,11 +47,20 @@
     const { kind } = message;
     this.measures.count('poppypond_peer_messages_total', { kind });
     this.measures.count('poppypond_peer_bytes_total', { kind }, this.#lastBytes.length);
-    this.socket.send(this.#lastBytes, port, address, () => undefined);
+    this.#pending += 1;
+    this.socket.send(this.#lastBytes, port, address, () => {
+      this.#pending -= 1;
+      this.#closeWhenSent();
+    });
   }
 
+  /** Sends nothing more; what was sent before goes out still, as the last word of a host that leaves. */
   close(): void {
     this.#isClosed = true;
-    this.socket.close();
+    this.#closeWhenSent();
+  }
+
+  #closeWhenSent(): void {
+    if (this.#isClosed && this.#pending === 0) this.socket.close();
   }
 }
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -118,8 +118,9 @@
     for (const { host } of added) this.#beat(host, true);
   }
 
-  /** Tells all known hosts that this one leaves; sends no more heartbeats and takes in nothing afterwards. */
+  /** Tells all hosts heard lately that this one leaves; sends and takes in nothing afterwards. */
   stop(): void {
+    if (this.#isStopped) return;
     this.#cancel();
     this.#isStopped = true;
     this.#sendAll(this.#peers.alive(), { kind: 'leave', ...this.#selfFields() });
