One piece for both watches' own reads, one guarded decoding, dead state out

Found in reading the whole change once more. - Both watches of the store held the same decision, its inputs and its pause; OwnReads holds them once.

--- a/packages/relay/src/peers/list-on-the-wire.ts
+++ b/packages/relay/src/peers/list-on-the-wire.ts
@@ -1,8 +1,8 @@
 import type { BackendServer } from '@poppypond/fleet';
-import { pack, unpack } from 'msgpackr';
+import { pack } from 'msgpackr';
 import { z } from 'zod';
 import type { ListedServers } from '../store/server-list.js';
-import { packBytes, unpackBytes } from './packed-bytes.js';
+import { decodeAs, packBytes, unpackBytes } from './packed-bytes.js';
 import { serverSchema } from './peer-messages.js';
 import type { WireServer } from './peer-messages.js';
 
@@ -33,8 +33,8 @@
 /** The list of servers that was compressed; undefined if this is none. */
 export function unpackList(packed: Uint8Array): ListedServers | undefined {
   const bytes = unpackBytes(packed);
-  const parsed = bytes && listSchema.safeParse(unpack(bytes));
-  if (!parsed?.success) return undefined;
-  const { servers, version, graceMs } = parsed.data;
+  const list = bytes && decodeAs(listSchema, bytes);
+  if (!list) return undefined;
+  const { servers, version, graceMs } = list;
   return { servers: servers.map(fromWireServer), version, graceMs };
 }
--- a/packages/relay/src/peers/news.ts
+++ b/packages/relay/src/peers/news.ts
@@ -57,8 +57,7 @@
 
   /** Tells all what this host knows and has neither told nor heard before. */
   tell(): void {
-    const { own, listed } = this.parts.knowledge;
-    const change = changeOfList(this.parts.knowledge.listedBefore, listed, own.listDigest);
+    const { own, listed, listedBefore } = this.parts.knowledge;
     const isListNew = own.listDigest !== this.#toldDigest;
     const isConfigurationNew = own.configurationVersion > this.#toldVersion;
     this.#noteTold();
@@ -69,6 +68,7 @@
       this.#sendWhole('configuration', zoneHosts, false);
     }
     if (!isListNew) return;
+    const change = changeOfList(listedBefore, listed, own.listDigest);
     this.parts.send(zoneFirsts, this.#changeMessage(change, true));
     this.parts.send(zoneHosts, this.#changeMessage(change, false));
   }
@@ -115,8 +115,8 @@
     const { fromDigest, digest, version, graceMs, goneIds } = message;
     const servers = message.servers.map(fromWireServer);
     const change: ListChange = { fromDigest, digest, version, graceMs, servers, goneIds };
-    const isTaken = knowledge.hearListChange(changedList(knowledge.own, knowledge.listed, change));
-    if (!isTaken) return;
+    const list = changedList(knowledge.own, knowledge.listed, change);
+    if (!list || !knowledge.hearList(list)) return;
     this.#noteTold();
     if (message.passOn) this.parts.send(peers.inOwnZone(), this.#changeMessage(change, false));
   }
@@ -128,24 +128,25 @@
 
   /** False where it can't be read or is no newer than what is known. */
   #takeWhole({ subject, version }: Told, packed: Buffer): boolean {
-    const { knowledge, log } = this.parts;
-    const before = knowledge.own;
-    if (subject === 'configuration') {
-      const bytes = unpackBytes(packed);
-      if (bytes) knowledge.hearConfiguration(bytes, version);
-    } else {
-      const list = unpackList(packed);
-      if (list) knowledge.hearList(list);
-    }
-    this.#noteTold();
-    const { own } = knowledge;
     const isTaken =
-      own.configurationVersion > before.configurationVersion ||
-      own.listVersion > before.listVersion;
-    if (!isTaken) log.warn('news_not_taken', { subject, bytes: packed.length });
+      subject === 'configuration'
+        ? this.#takeConfiguration(packed, version)
+        : this.#takeList(packed);
+    this.#noteTold();
+    if (!isTaken) this.parts.log.warn('news_not_taken', { subject, bytes: packed.length });
     return isTaken;
   }
 
+  #takeConfiguration(packed: Buffer, version: number): boolean {
+    const bytes = unpackBytes(packed);
+    return bytes !== undefined && this.parts.knowledge.hearConfiguration(bytes, version);
+  }
+
+  #takeList(packed: Buffer): boolean {
+    const list = unpackList(packed);
+    return list !== undefined && this.parts.knowledge.hearList(list);
+  }
+
   /** What this host has told or heard is told no more. */
   #noteTold(): void {
     const { configurationVersion, listDigest } = this.parts.knowledge.own;
--- a/packages/relay/src/peers/packed-bytes.test.ts
+++ b/packages/relay/src/peers/packed-bytes.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { packList, unpackList } from './list-on-the-wire.js';
 import { packBytes, unpackBytes } from './packed-bytes.js';
 
 describe('packed bytes', () => {
@@ -17,4 +18,12 @@
     expect(unpackBytes(packBytes(noise))).toEqual(noise);
     expect(unpackBytes(Buffer.from('not compressed'))).toBeUndefined();
   });
+
+  it('that are no list are passed over, and none of them ends the process', () => {
+    const list = { servers: [], version: 3, graceMs: 0 };
+    expect(unpackList(packList(list))).toEqual(list);
+    for (const bytes of [Buffer.from([0xc1]), Buffer.from([0x93, 1]), Buffer.from('text')]) {
+      expect(unpackList(packBytes(bytes))).toBeUndefined();
+    }
+  });
 });
--- a/packages/relay/src/peers/packed-bytes.ts
+++ b/packages/relay/src/peers/packed-bytes.ts
@@ -1,4 +1,6 @@
+import { unpack } from 'msgpackr';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import type { z } from 'zod';
 
 /** Nothing that a platform keeps in one row is larger. */
 const MOST_UNPACKED_BYTES = 8 * 1024 * 1024;
@@ -16,3 +18,16 @@
     return undefined;
   }
 }
+
+/** What was encoded, checked by its schema; undefined if these bytes are none of that. */
+export function decodeAs<Decoded>(
+  schema: z.ZodType<Decoded>,
+  bytes: Uint8Array,
+): Decoded | undefined {
+  try {
+    const parsed = schema.safeParse(unpack(bytes));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/relay/src/peers/peer-list.ts
+++ b/packages/relay/src/peers/peer-list.ts
@@ -14,8 +14,6 @@
 
 /** Another host, and what its messages said of itself. */
 export interface Peer extends PeerAddress {
-  /** When it was listed or heard first, on this process's clock. */
-  readonly knownSinceMs: Milliseconds;
   /** The life of its process that was heard last; undefined while never heard. */
   readonly incarnation: string | undefined;
   /** When this life of it was first heard, on this process's clock. */
@@ -76,7 +74,7 @@
   #reach = 0;
   /** How many hosts each peer has told that it knows. */
   readonly #told = new Map<string, number>();
-  /** All hosts in their order; undefined after each change of who is known and how large. */
+  /** All hosts in their order; undefined after each change of who is known, how large and where. */
   #ranked: readonly PeerAddress[] | undefined;
 
   constructor(
@@ -116,8 +114,7 @@
   /** Adds a host that is listed; false where it was known. */
   add(address: PeerAddress): boolean {
     if (this.#peers.has(address.host)) return false;
-    const knownSinceMs = this.clock.monotonicMs();
-    this.#peers.set(address.host, { ...NEVER_HEARD, ...address, knownSinceMs });
+    this.#peers.set(address.host, { ...NEVER_HEARD, ...address });
     this.#ranked = undefined;
     return true;
   }
@@ -126,7 +123,9 @@
   hear(message: PeerMessage, address: string): boolean {
     const { host, incarnation, port } = message;
     const nowMs = this.clock.monotonicMs();
-    const known = this.#peers.get(host) ?? this.#unknown(host, address, port);
+    const listed = this.#peers.get(host);
+    const unknown = { ...NEVER_HEARD, host, address, port, availabilityZone: '', capacity: 0 };
+    const known = listed ?? unknown;
     const isNew = known.incarnation !== incarnation;
     const heard = {
       ...known,
@@ -142,15 +141,10 @@
     this.#peers.set(host, next);
     const isRankKept =
       next.capacity === known.capacity && next.availabilityZone === known.availabilityZone;
-    if (isNew || !isRankKept) this.#ranked = undefined;
+    if (!listed || !isRankKept) this.#ranked = undefined;
     return isNew;
   }
 
-  #unknown(host: string, address: string, port: number): Peer {
-    const knownSinceMs = this.clock.monotonicMs();
-    return { ...NEVER_HEARD, host, address, port, availabilityZone: '', capacity: 0, knownSinceMs };
-  }
-
   /** Notes which peers are asked for heartbeats now; the others owe none. */
   noteAsked(hosts: ReadonlySet<string>): void {
     const nowMs = this.clock.monotonicMs();
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -1,6 +1,7 @@
 import { PLACEMENT_RULES } from '@poppypond/fleet';
-import { pack, unpack } from 'msgpackr';
+import { pack } from 'msgpackr';
 import { z } from 'zod';
+import { decodeAs } from './packed-bytes.js';
 
 /** An attempt as it is told to peers: durations in place of instants of the sender's clock. */
 const useSchema = z.tuple([
@@ -235,10 +236,5 @@
 
 /** Decodes a datagram; undefined if it is none of ours. */
 export function decodeMessage(datagram: Buffer): PeerMessage | undefined {
-  try {
-    const parsed = messageSchema.safeParse(unpack(datagram));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
+  return decodeAs(messageSchema, datagram);
 }
--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -124,22 +124,19 @@
     return this.parts.list.listedBefore;
   }
 
-  /** Takes in a configuration that a peer has read. */
-  hearConfiguration(bytes: Buffer, configurationVersion: number): void {
+  /** Takes in a configuration that a peer has read; false where it is none or no newer. */
+  hearConfiguration(bytes: Buffer, configurationVersion: number): boolean {
+    const before = this.parts.inForce.version;
     this.#onConfiguration(bytes);
     this.#noteConfiguration(configurationVersion);
     this.#tellBehind();
+    return this.parts.inForce.version > before;
   }
 
-  /** Takes in a list of servers that a peer has read. */
-  hearList(list: ListedServers): void {
-    this.parts.list.adopt(list);
-  }
-
-  /** The same for a list that a change has led to; false where there is none, or none newer. */
-  hearListChange(list: ListedServers | undefined): boolean {
+  /** Takes in a list of servers that a peer has read; false where it is no newer. */
+  hearList(list: ListedServers): boolean {
     const before = this.own.listVersion;
-    if (list) this.parts.list.adopt(list);
+    this.parts.list.adopt(list);
     return this.own.listVersion > before;
   }
 
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -6,9 +6,8 @@
 import type { CountedStore } from './counted-store.js';
 import { DependencyState } from './dependency-state.js';
 import { GrowingPause } from './growing-pause.js';
-import { reasonToRead } from './own-read.js';
 import type { OwnReadReason } from './own-read.js';
-import { ownReadPauseMs } from './own-read-pause.js';
+import { OwnReads } from './own-reads.js';
 import { StoreClock } from './store-clock.js';
 import type { StoreTurns } from './store-turns.js';
 import { Wakeup } from './wakeup.js';
@@ -45,7 +44,7 @@
 /** Keeps the newest configuration in force, and proved to be the newest, while the store answers. */
 export class ConfigurationWatch {
   #version: number | undefined;
-  #readAtMs = Number.NEGATIVE_INFINITY;
+  readonly #ownReads: OwnReads;
   #isStopped = false;
   readonly #storeClock: StoreClock;
   readonly #state: DependencyState;
@@ -56,6 +55,13 @@
     this.#storeClock = new StoreClock(parts.clock);
     this.#state = new DependencyState(parts.clock, parts.log, 'store.configuration');
     this.#wakeup = new Wakeup(parts.clock);
+    const { clock, inForce, knowledge, turns, withinMs } = parts;
+    this.#ownReads = new OwnReads(clock, turns, () => ({
+      isKnown: inForce.table !== undefined,
+      behindForMs: knowledge.isConfigurationBehind ? knowledge.behindForMs : 0,
+      wordAgeMs: knowledge.configurationAgeMs,
+      oldAfterMs: withinMs * OWN_READ_AFTER_SHARE,
+    }));
   }
 
   /** Runs until `stop`. */
@@ -70,7 +76,7 @@
 
   /** Ends the present pause, as a peer knows a newer version. */
   wake(): void {
-    if (this.#reason) this.#wakeup.wake();
+    if (this.#ownReads.reason) this.#wakeup.wake();
   }
 
   /** Takes in a configuration that a peer has read; whether it is the newest must be told otherwise. */
@@ -80,11 +86,10 @@
 
   /** Asks once and takes in the answer. */
   async step(): Promise<void> {
-    const { clock, rows, store } = this.parts;
-    const reason = this.#reason;
-    if (!reason) return this.#wakeup.sleep(this.#untilOwnReadMs());
-    const askedAtMs = clock.monotonicMs();
-    this.#readAtMs = askedAtMs;
+    const { rows, store } = this.parts;
+    const { reason } = this.#ownReads;
+    if (!reason) return this.#wakeup.sleep(this.#ownReads.pauseMs);
+    const askedAtMs = this.#ownReads.noteRead();
     const answer =
       this.#version === undefined
         ? await store.read(rows.configurationTable, reason)
@@ -113,27 +118,6 @@
     return Math.max(SHORTEST_WAIT_MS, Math.round(this.parts.withinMs * WAIT_SHARE));
   }
 
-  get #reason(): OwnReadReason | undefined {
-    const { clock, inForce, knowledge, turns } = this.parts;
-    return reasonToRead({
-      ...turns.now(),
-      isKnown: inForce.table !== undefined,
-      behindForMs: knowledge.isConfigurationBehind ? knowledge.behindForMs : 0,
-      wordAgeMs: knowledge.configurationAgeMs,
-      oldAfterMs: this.#ownReadAfterMs,
-      sinceOwnReadMs: clock.monotonicMs() - this.#readAtMs,
-    });
-  }
-
-  get #ownReadAfterMs(): Milliseconds {
-    return this.parts.withinMs * OWN_READ_AFTER_SHARE;
-  }
-
-  /** The pause of a host that goes by the word of others. */
-  #untilOwnReadMs(): Milliseconds {
-    return ownReadPauseMs(this.#ownReadAfterMs - this.parts.knowledge.configurationAgeMs);
-  }
-
   #take(set: RowSet, askedAtMs: Milliseconds): void {
     const { rows } = this.parts;
     this.#state.onSuccess();
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -6,9 +6,8 @@
 import type { CountedStore } from './counted-store.js';
 import { DependencyState } from './dependency-state.js';
 import { GrowingPause } from './growing-pause.js';
-import { reasonToRead } from './own-read.js';
 import type { OwnReadReason } from './own-read.js';
-import { ownReadPauseMs } from './own-read-pause.js';
+import { OwnReads } from './own-reads.js';
 import type { ServerList } from './server-list.js';
 import type { StoreTurns } from './store-turns.js';
 import { Wakeup } from './wakeup.js';
@@ -49,7 +48,7 @@
 /** Reads the list of backend servers again and again, or goes by the word of peers that do. */
 export class ServerWatch {
   #isStopped = false;
-  #readAtMs = Number.NEGATIVE_INFINITY;
+  readonly #ownReads: OwnReads;
   readonly #state: DependencyState;
   readonly #wakeup: Wakeup;
   readonly #failurePause = new GrowingPause(FIRST_FAILURE_PAUSE_MS, LONGEST_FAILURE_PAUSE_MS);
@@ -57,6 +56,13 @@
   constructor(readonly parts: ServerWatchParts) {
     this.#state = new DependencyState(parts.clock, parts.log, 'store.servers');
     this.#wakeup = new Wakeup(parts.clock);
+    const { clock, knowledge, list, turns, withinMs } = parts;
+    this.#ownReads = new OwnReads(clock, turns, () => ({
+      isKnown: list.isKnown,
+      behindForMs: knowledge.isListDifferent ? knowledge.behindForMs : 0,
+      wordAgeMs: knowledge.listAgeMs,
+      oldAfterMs: withinMs * OWN_READ_AFTER_SHARE,
+    }));
   }
 
   /** Runs until `stop`. */
@@ -76,11 +82,10 @@
 
   /** Reads once; the pause until the next read. */
   async step(): Promise<Milliseconds> {
-    const { clock, store, rows, list, knowledge } = this.parts;
+    const { store, rows, list, knowledge } = this.parts;
     const reason = this.#reason;
-    if (!reason) return this.#untilOwnReadMs();
-    const askedAtMs = clock.monotonicMs();
-    this.#readAtMs = askedAtMs;
+    if (!reason) return this.#ownReads.pauseMs;
+    const askedAtMs = this.#ownReads.noteRead();
     const answer = await store.read(rows.serverTable, reason);
     if (answer.isErr) {
       this.#state.onFailure(answer.error.detail);
@@ -98,37 +103,21 @@
     );
     knowledge.onListRead();
     if (list.digest !== before) this.parts.onChange();
-    if (reason !== 'reader') return this.#untilOwnReadMs();
+    if (reason !== 'reader') return this.#ownReads.pauseMs;
     return list.keepsUnlisted ? RETURN_PAUSE_MS : this.#readPeriodMs;
   }
 
   get #reason(): OwnReadReason | undefined {
-    const { clock, knowledge, list, turns } = this.parts;
+    const { knowledge, list } = this.parts;
     // The watch of the configuration tries again, and tells when the store is back.
     if (knowledge.isStoreLost && list.isKnown) return undefined;
-    return reasonToRead({
-      ...turns.now(),
-      isKnown: list.isKnown,
-      behindForMs: knowledge.isListDifferent ? knowledge.behindForMs : 0,
-      wordAgeMs: knowledge.listAgeMs,
-      oldAfterMs: this.#ownReadAfterMs,
-      sinceOwnReadMs: clock.monotonicMs() - this.#readAtMs,
-    });
+    return this.#ownReads.reason;
   }
 
   get #readPeriodMs(): Milliseconds {
     return Math.max(SHORTEST_READ_PERIOD_MS, this.parts.withinMs * READ_PERIOD_SHARE);
   }
 
-  get #ownReadAfterMs(): Milliseconds {
-    return this.parts.withinMs * OWN_READ_AFTER_SHARE;
-  }
-
-  /** The pause of a host that goes by the word of others. */
-  #untilOwnReadMs(): Milliseconds {
-    return ownReadPauseMs(this.#ownReadAfterMs - this.parts.knowledge.listAgeMs);
-  }
-
   #readRow({ key, value }: StoredRow): readonly BackendServer[] {
     const server = value && this.parts.rows.readServer(key, value);
     return server ? [server] : [];
