Tell planners of servers that are gone, and use no attempt up for one that another server declined

Cause: engines that started again behind a cut had new ids at their old addresses, while the entries of before stayed listed for up to 3.6 s; each host found out by itself that another engine answers there (322 of 2,218 attempts), planners went on choosing them, and two such answers used up the two attempts of a route, so that 45 requests were refused while engines were free. Ruled out: the new id that such an answer names as the server to use (its entry tells more and comes within a heartbeat). A message to those who choose, once a server and host that is the first to know.

--- a/packages/fleet/src/retries.test.ts
+++ b/packages/fleet/src/retries.test.ts
@@ -74,7 +74,7 @@
     failure: 'unknown',
     mayRepeat: true,
     attemptsSent: 1,
-    attemptsNotSent: 0,
+    attemptsUndelivered: 0,
     maxAttempts: 2,
     timeLeftMs: 1000,
     takeRetry: (): boolean => true,
@@ -92,7 +92,10 @@
       { failure: 'not_sent', mayRepeat: false, attemptsSent: 0, takeRetry: (): boolean => false },
       'nothing_was_sent',
     ],
-    [{ failure: 'not_sent', attemptsNotSent: 9 }, 'unreachable'],
+    [{ failure: 'not_sent', attemptsUndelivered: 9 }, 'unreachable'],
+    [{ failure: 'misdirected', mayRepeat: false, attemptsSent: 9 }, 'allowed'],
+    [{ failure: 'misdirected', attemptsUndelivered: 4 }, 'unreachable'],
+    [{ failure: 'misdirected', takeRetry: (): boolean => false }, 'budget_spent'],
   ] as const)('decides %o as %s', (change, why) => {
     expect(decideRetry({ ...inputs, ...change }).why).toBe(why);
   });
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -152,6 +152,26 @@
     }
   });
 
+  it('tells planners that another server has the address of a listed one, until its next life', async () => {
+    const network = new MeshNetwork();
+    for (const port of PORTS) network.start(port, PORTS);
+    await network.run(1000);
+    const known = (port: number) => network.hosts.get(port)?.list.available(ENGINE_SERVICE);
+    const planners = network.hosts.get(5)?.mesh.plannersOf(ENGINE_SERVICE) ?? [];
+    network.hosts.get(5)?.mesh.tellGone(ENGINE);
+    await network.run(50);
+    expect(planners.length).toBeGreaterThan(0);
+    for (const planner of planners) expect(known(Number(planner.slice(-1)))).toEqual([]);
+    const told = network.sent.length;
+    network.hosts.get(5)?.mesh.tellGone(ENGINE);
+    expect(network.sent).toHaveLength(told);
+    const reader = network.hosts.get(1);
+    reader?.list.replace([{ ...ENGINE, port: 2 }], 0, 2);
+    reader?.mesh.tellNews();
+    await network.run(50);
+    for (const port of PORTS) expect(known(port)).toHaveLength(1);
+  });
+
   it('takes in the other servers of a list beside one that can not be used', () => {
     const wire = (id: string, port: unknown) => [id, 's', 'a', port, 'z', 1, false, null];
     const rows = [wire('i-1', 1), wire('i-2', 0), wire('i-3', '80'), 'nothing', wire('i-4', 2)];
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
-import type { AttemptUse, FleetView } from '@poppypond/fleet';
+import type { AttemptUse, BackendServer, FleetView } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
 import { match } from 'ts-pattern';
 import type { PlannerPeers } from '../planning/placing.js';
@@ -7,6 +7,7 @@
 import type { Planner } from '../planning/planner.js';
 import { datedWordOf, makeBeat } from './heartbeat.js';
 import { DepartedHosts } from './departed-hosts.js';
+import { fromWireServer, toWireServer } from './list-on-the-wire.js';
 import { News } from './news.js';
 import { PeerList } from './peer-list.js';
 import type { Peer, PeerAddress } from './peer-list.js';
@@ -181,12 +182,25 @@
     const isKnown = fleet.suspicions.leftMs(server, nowMs) > 0;
     const forMs = fleet.suspicions.add(server, nowMs);
     if (isKnown) return forMs;
-    const message: PeerMessage = { kind: 'suspect', ...this.#selfFields(), server, forMs };
-    if (this.parts.engineServices().includes(service)) this.#tellPlanners(service, message);
-    else this.#sendAll([...this.#peers.all()], message);
+    this.#tellThoseWhoChoose(service, { kind: 'suspect', ...this.#selfFields(), server, forMs });
     return forMs;
   }
 
+  /**
+   * A listed server is gone, so all hosts that choose among those of its service leave it out. Each
+   * host found that out by itself before: of 2,218 attempts in 33 s with 31 engines started again
+   * behind cuts, 322 went to addresses that another engine had.
+   */
+  tellGone(server: BackendServer): void {
+    if (!this.parts.knowledge.hearGone(server, this.parts.self.host)) return;
+    const message: PeerMessage = {
+      kind: 'gone',
+      ...this.#selfFields(),
+      server: toWireServer(server),
+    };
+    this.#tellThoseWhoChoose(server.service, message);
+  }
+
   /** Takes in one message; `address` is where it came from. */
   receive(message: PeerMessage, address: string): void {
     if (this.#isStopped || message.host === this.parts.self.host) return;
@@ -218,6 +232,9 @@
       .with({ kind: 'suspect' }, ({ server, forMs }) => {
         fleet.suspicions.avoid(server, forMs, nowMs);
       })
+      .with({ kind: 'gone' }, ({ server, host }) => {
+        this.parts.knowledge.hearGone(fromWireServer(server), host);
+      })
       .with({ kind: 'told' }, (told) => {
         this.#news.onTold(told);
       })
@@ -379,6 +396,12 @@
     for (const host of this.plannersOf(service)) this.#sendTo(host, message);
   }
 
+  /** Planners choose among engines, every host among the servers of plain services. */
+  #tellThoseWhoChoose(service: string, message: PeerMessage): void {
+    if (this.parts.engineServices().includes(service)) this.#tellPlanners(service, message);
+    else this.#sendAll([...this.#peers.all()], message);
+  }
+
   #sendTo(host: string, message: PeerMessage): void {
     const peer = this.#peers.find(host);
     if (peer) this.parts.sender.send(peer.address, peer.port, message);
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -144,6 +144,8 @@
     return server.success ? [server.data] : [];
   }),
 );
+/** Sent when another server was found at the address of a listed one. */
+const goneSchema = z.object({ kind: z.literal('gone'), ...hostFields, server: serverSchema });
 
 const bytesSchema = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
 
@@ -210,6 +212,7 @@
   withdrawSchema,
   changeSchema,
   suspectSchema,
+  goneSchema,
   toldSchema,
   listChangeSchema,
   wantSchema,
--- a/packages/relay/src/peers/shared-knowledge.ts
+++ b/packages/relay/src/peers/shared-knowledge.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
+import type { BackendServer } from '@poppypond/fleet';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { DigestedList } from '../store/list-change.js';
 import type { ListedServers, ServerList } from '../store/server-list.js';
@@ -140,6 +141,11 @@
     return this.own.listVersion > before;
   }
 
+  /** Takes in that a listed server is gone, by the word of `host`; false where that is nothing new. */
+  hearGone(server: BackendServer, host: string): boolean {
+    return this.parts.list.onGone(server, host);
+  }
+
   #noteConfiguration(version: number): void {
     if (version <= this.#told.version) return;
     this.#told = { version, atMs: this.parts.clock.monotonicMs() };
--- a/packages/relay/src/request/attempt-tally.ts
+++ b/packages/relay/src/request/attempt-tally.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@poppypond/core';
-import { decideRetry } from '@poppypond/fleet';
+import { decideRetry, isUndelivered } from '@poppypond/fleet';
 import type { AttemptFailure } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
 import type { RequestRecord } from './request-record.js';
@@ -16,20 +16,20 @@
 /** The attempts of one request that are over, and whether another may follow. */
 export class AttemptTally {
   #sent = 0;
-  #notSent = 0;
+  #undelivered = 0;
   #mayHaveRun = false;
   readonly #failedIds = new Set<string>();
 
   constructor(readonly parts: AttemptTallyParts) {}
 
-  /** Attempts of which bytes left this host. */
+  /** Attempts that reached a server of the service. */
   get sent(): number {
     return this.#sent;
   }
 
-  /** Attempts of which no byte left this host. */
-  get notSent(): number {
-    return this.#notSent;
+  /** Attempts that no server of the service has seen. */
+  get undelivered(): number {
+    return this.#undelivered;
   }
 
   /** Whether an attempt that failed or was given up may have run the request. */
@@ -61,7 +61,7 @@
 
   /** Counts a failed attempt; true where another follows, which the budget then counts. */
   onFailed(serverId: string, failure: AttemptFailure): boolean {
-    if (failure === 'not_sent') this.#notSent += 1;
+    if (isUndelivered(failure)) this.#undelivered += 1;
     else this.#sent += 1;
     if (failure === 'unknown' || failure === 'failed') this.#mayHaveRun = true;
     this.#failedIds.add(serverId);
@@ -82,7 +82,7 @@
       failure,
       mayRepeat: this.mayRepeat,
       attemptsSent,
-      attemptsNotSent: this.#notSent,
+      attemptsUndelivered: this.#undelivered,
       maxAttempts: route.maxAttempts,
       timeLeftMs,
       takeRetry,
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -275,7 +275,7 @@
   #finishWhole(head: AnswerHead, body: Buffer, choice: Choice): boolean {
     const detail = `status ${String(head.status)}`;
     if (head.isNotRun) {
-      if (head.status === MISDIRECTED) this.parts.servers.onGone(choice.server);
+      if (head.status === MISDIRECTED) return this.#finishMisdirected(choice, detail);
       this.#blame(head.faultyEngine, choice);
       return this.#finishFailed('not_run', choice, detail);
     }
@@ -290,6 +290,15 @@
     return true;
   }
 
+  /**
+   * Another server has the address, so the one that was meant is gone: whoever chooses among the
+   * servers of its service is told, as its entry may stay listed for seconds.
+   */
+  #finishMisdirected(choice: Choice, detail: string): boolean {
+    this.parts.peers.tellGone(choice.server);
+    return this.#finishFailed('misdirected', choice, detail);
+  }
+
   /** Avoids the engine for want of which the chosen one could not serve. */
   #blame(faultyEngine: string | undefined, choice: Choice): void {
     const blamed = findReader(choice, faultyEngine);
@@ -345,7 +354,7 @@
       status,
       why,
       attemptsSent: this.#tally.sent,
-      attemptsNotSent: this.#tally.notSent,
+      attemptsUndelivered: this.#tally.undelivered,
       lastEventId: this.#events.lastId,
     });
   }
--- a/packages/relay/src/request/request-record.ts
+++ b/packages/relay/src/request/request-record.ts
@@ -13,7 +13,7 @@
   readonly status: number | undefined;
   readonly why: string | undefined;
   readonly attemptsSent: number;
-  readonly attemptsNotSent: number;
+  readonly attemptsUndelivered: number;
   readonly lastEventId: number | undefined;
 }
 
@@ -171,7 +171,7 @@
       longest_pause_ms: isStream ? Math.round(this.#longestGapMs) : undefined,
       pause_aim_ms: isStream ? gapAimMs : undefined,
       attempts: end.attemptsSent,
-      not_sent: end.attemptsNotSent,
+      undelivered: end.attemptsUndelivered,
       last_event: end.lastEventId,
     };
     if (end.code === 'ok') log.info('answered', line);
--- a/packages/relay/src/store/server-list.test.ts
+++ b/packages/relay/src/store/server-list.test.ts
@@ -119,7 +119,7 @@
   it('believes a server that another has its address, until it is listed no more', () => {
     const list = new ServerList(new ManualClock(), silentLog);
     list.replace([server('a'), server('b')], 0, 0);
-    list.onGone(server('a'));
+    list.onGone(server('a'), 'h');
     list.replace([server('a'), server('b')], 0, 0);
     expect(idsOf(list)).toEqual(['b']);
   });
--- a/packages/relay/src/store/server-list.ts
+++ b/packages/relay/src/store/server-list.ts
@@ -178,14 +178,19 @@
     this.#byService.clear();
   }
 
-  /** The server itself, or whoever has its address now, said that it is gone. */
-  onGone(server: BackendServer): void {
+  /**
+   * The server itself, or whoever has its address now, said that it is gone; `toldBy` is the host that
+   * heard it. False where that is nothing new.
+   */
+  onGone(server: BackendServer, toldBy: string): boolean {
     const { id } = server;
     const known = this.#servers.get(id);
-    if (this.#isGone(server) || (known && !isSameLife(known, server))) return;
+    if (this.#isGone(server) || !known || !isSameLife(known, server)) return false;
     this.#gone.set(id, server);
     this.#byService.clear();
-    this.log.warn('server_gone', { server: id, why: 'address_answers_for_another' });
+    const why = 'address_answers_for_another';
+    this.log.warn('server_gone', { server: id, why, told_by: toldBy });
+    return true;
   }
 
   #isGone(server: BackendServer): boolean {
--- a/packages/relay/src/store/server-lives.test.ts
+++ b/packages/relay/src/store/server-lives.test.ts
@@ -34,13 +34,13 @@
     const { list, begun, read, present } = listOfOne();
     const over: string[] = [];
     list.watchLife(born(FIRST_BORN), () => over.push('first'));
-    list.onGone(born(FIRST_BORN));
+    list.onGone(born(FIRST_BORN), 'h');
     expect(present()).toBeUndefined();
     read(born(FIRST_BORN + 50));
     expect(present()).toBe(FIRST_BORN + 50);
     expect(over).toEqual(['first']);
     expect(begun).toEqual([FIRST_BORN + 50]);
-    list.onGone(born(FIRST_BORN));
+    list.onGone(born(FIRST_BORN), 'h');
     expect(present()).toBe(FIRST_BORN + 50);
   });
 
