Look after engines that read long prompts, and hold no memory on for a writer that has died

Cause: an engine that depends on a dead one stands still for 1.5 s before it says so, and a writer that goes dark was looked after only half as long again as its first event was expected; memory for a prompt on several engines was held on where the writer had died and no attempt could follow. Ruled out: word of those who find an engine dead by other requests (short prompts are packed on the first engines, so engines that only read parts are found out by nobody else).

--- a/packages/emulator/src/play-day.ts
+++ b/packages/emulator/src/play-day.ts
@@ -152,6 +152,8 @@
       requestId,
       host: 'host',
       service: SERVICE,
+      workspace: 'wheat',
+      priority: 1,
       promptTokens,
       answerTokens: events * this.deployment.figures.stepsPerPass,
       aimMs: kind.aimMs,
--- /dev/null
+++ b/packages/relay/src/backend/held-memory.test.ts
@@ -0,0 +1,57 @@
+import { engineServer, ManualClock } from '@poppypond/mocks';
+import { silentLog } from '@poppypond/telemetry';
+import { describe, expect, it } from 'vitest';
+import type { EngineMemory } from '../ports.js';
+import { HeldMemory } from './held-memory.js';
+
+/** Memory held for a writer that lives or is silent as the test says. */
+async function heldForWriter() {
+  const clock = new ManualClock();
+  let isAlive = true;
+  let lost = 0;
+  const reservedAtMs: number[] = [];
+  const memory: EngineMemory = {
+    reserve: () => {
+      reservedAtMs.push(clock.monotonicMs());
+      return Promise.resolve({ isHeld: true });
+    },
+    release: () => Promise.resolve(true),
+    readWork: () => Promise.resolve(isAlive ? { running: 1, memoryTokens: 1 } : undefined),
+  };
+  const held = await HeldMemory.take({ clock, log: silentLog, memory }, 'r1', {
+    requestId: 'q1',
+    writer: engineServer('i-1'),
+    needs: [{ server: engineServer('i-2'), tokens: 1000 }],
+    onWriterLost: () => {
+      lost += 1;
+    },
+  });
+  const setAlive = (alive: boolean) => {
+    isAlive = alive;
+  };
+  return { clock, held, reservedAtMs, setAlive, lostCount: () => lost };
+}
+
+describe('HeldMemory', () => {
+  it('is held on while the writer lives, and lapses soon after it has died', async () => {
+    const { clock, reservedAtMs, setAlive, lostCount } = await heldForWriter();
+    for (let passedMs = 0; passedMs < 5000; passedMs += 100) await clock.advance(100);
+    expect(reservedAtMs.length).toBeGreaterThanOrEqual(7);
+    setAlive(false);
+    const diedAtMs = clock.monotonicMs();
+    for (let passedMs = 0; passedMs < 5000; passedMs += 100) await clock.advance(100);
+    expect(lostCount()).toBeGreaterThan(0);
+    expect((reservedAtMs.at(-1) ?? 0) - diedAtMs).toBeLessThanOrEqual(700);
+  });
+
+  it('is held on again at once where the writer was only silent for a moment', async () => {
+    const { clock, reservedAtMs, setAlive } = await heldForWriter();
+    await clock.advance(700);
+    setAlive(false);
+    await clock.advance(700);
+    setAlive(true);
+    const before = reservedAtMs.length;
+    await clock.advance(700);
+    expect(reservedAtMs.length).toBe(before + 1);
+  });
+});
--- a/packages/relay/src/backend/held-memory.ts
+++ b/packages/relay/src/backend/held-memory.ts
@@ -40,6 +40,8 @@
 export class HeldMemory {
   #cancel: CancelTimer = () => undefined;
   #isReleased = false;
+  /** Whether the writer answered the last question for its state. */
+  #isWriterHeard = true;
 
   private constructor(
     readonly parts: HeldMemoryParts,
@@ -82,12 +84,18 @@
     await Promise.all(this.use.needs.map((need) => this.#releaseOne(need.server)));
   }
 
+  /**
+   * Holds on for a writer that lives. One that has died uses the memory no more, while its attempt may
+   * wait to its end where no other may follow: the memory then stayed held for 5 s and more.
+   */
   async #holdOn(): Promise<void> {
-    const [writerWork] = await Promise.all([
-      this.parts.memory.readWork(this.use.writer),
-      this.#reserveAll(),
-    ]);
-    if (!writerWork && !this.#isReleased) this.use.onWriterLost();
+    const wasHeard = this.#isWriterHeard;
+    if (wasHeard) void this.#reserveAll();
+    const work = await this.parts.memory.readWork(this.use.writer);
+    if (this.#isReleased) return;
+    this.#isWriterHeard = work !== undefined;
+    if (!work) this.use.onWriterLost();
+    else if (!wasHeard) void this.#reserveAll();
   }
 
   #reserveAll(): Promise<readonly boolean[]> {
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -273,6 +273,8 @@
       requestId: 'r',
       host: 'host-1',
       service: ENGINE_SERVICE,
+      workspace: 'wheat',
+      priority: 1,
       promptTokens: 5000,
       answerTokens: 1500,
       aimMs: 300,
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -29,6 +29,8 @@
   attempt: z.string(),
   request: z.string(),
   service: z.string(),
+  workspace: z.string(),
+  priority: z.number(),
   promptTokens: z.number(),
   answerTokens: z.number(),
   aimMs: z.number(),
--- a/packages/relay/src/peers/work-on-the-wire.ts
+++ b/packages/relay/src/peers/work-on-the-wire.ts
@@ -40,11 +40,14 @@
 
 /** A question to a planner for the wire, as of `nowMs`. */
 export function toWireAsk(request: PlanRequest, nowMs: Milliseconds): WireAsk {
-  const { attemptId, requestId, service, promptTokens, answerTokens, aimMs, gapAimMs } = request;
+  const { attemptId, requestId, service, workspace, priority } = request;
+  const { promptTokens, answerTokens, aimMs, gapAimMs } = request;
   return {
     attempt: attemptId,
     request: requestId,
     service,
+    workspace,
+    priority,
     promptTokens,
     answerTokens,
     aimMs,
--- a/packages/relay/src/planning/placing.test.ts
+++ b/packages/relay/src/planning/placing.test.ts
@@ -15,6 +15,8 @@
   requestId: 'r',
   host: 'self',
   service: 'engines',
+  workspace: 'wheat',
+  priority: 1,
   promptTokens: 5000,
   answerTokens: 1000,
   aimMs: 300,
--- a/packages/relay/src/planning/plan-request.ts
+++ b/packages/relay/src/planning/plan-request.ts
@@ -9,6 +9,10 @@
   /** The host that asks. */
   readonly host: string;
   readonly service: string;
+  /** Empty where the route needs no key. */
+  readonly workspace: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
   readonly promptTokens: number;
   readonly answerTokens: number;
   readonly aimMs: Milliseconds;
--- a/packages/relay/src/planning/planner.test.ts
+++ b/packages/relay/src/planning/planner.test.ts
@@ -22,6 +22,8 @@
     requestId,
     host: 'asker',
     service: ENGINE_SERVICE,
+    workspace: 'wheat',
+    priority: 1,
     promptTokens: 300_000,
     answerTokens: 1000,
     aimMs: 4000,
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -5,6 +5,8 @@
 import { inAgreedOrder, planEngines } from './plan-engines.js';
 import type { PlanAnswer, PlanRequest } from './plan-request.js';
 import { toAttemptUse } from './planned-use.js';
+import { LeastServedFirst } from './waiting-order.js';
+import type { WaitingOrder } from './waiting-order.js';
 
 /** Takes a planner's answer. */
 export type AnswerListener = (answer: PlanAnswer) => void;
@@ -17,6 +19,8 @@
   readonly fleet: FleetView;
   /** Uniform random numbers in [0, 1). */
   readonly draw: () => number;
+  /** In which order those that wait are looked at. */
+  readonly order?: WaitingOrder;
   /** Told of each service for which this host is asked to plan as its planner. */
   readonly onPlanner?: (service: string) => void;
 }
@@ -43,6 +47,7 @@
 /** Decides for hosts where their streams run, and keeps those that must wait. */
 export class Planner {
   readonly #waiting = new Map<string, Waiting>();
+  readonly #order: WaitingOrder;
   #cancelLook: CancelTimer | undefined;
   #lookedAt = 0;
   /** Hosts that don't know of each other must not all begin with the same engines. */
@@ -52,7 +57,9 @@
       .sort((left, right) => left.place - right.place)
       .map(({ server }) => server);
 
-  constructor(readonly parts: PlannerParts) {}
+  constructor(readonly parts: PlannerParts) {
+    this.#order = parts.order ?? new LeastServedFirst(parts.clock);
+  }
 
   /** Whether this host knows the configuration and the servers. */
   get canPlan(): boolean {
@@ -107,9 +114,9 @@
     this.#cancelLook = undefined;
   }
 
-  /** The next few in the order in which they wait, from the first again after the last. */
+  /** The next few in the order in which they are served, from the first again after the last. */
   #takeTurn(): readonly Waiting[] {
-    const all = [...this.#waiting.values()];
+    const all = this.#order.sort([...this.#waiting.values()]);
     const from = this.#lookedAt < all.length ? this.#lookedAt : 0;
     this.#lookedAt = from + LOOKED_AT_TOGETHER;
     return all.slice(from, this.#lookedAt);
@@ -132,6 +139,7 @@
     if (answer.kind === 'wait') return answer;
     if (answer.kind === 'place') {
       fleet.begin(toAttemptUse(request, answer.stream, nowMs));
+      this.#order.onPlaced(request, answer.stream);
     }
     return answer;
   }
--- /dev/null
+++ b/packages/relay/src/planning/waiting-order.test.ts
@@ -0,0 +1,121 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import { FleetView } from '@poppypond/fleet';
+import { ENGINE_SERVICE, engineConfiguration, engineServer, ManualClock } from '@poppypond/mocks';
+import { ConfigurationInForce } from '@poppypond/routing';
+import { silentLog } from '@poppypond/telemetry';
+import { describe, expect, it } from 'vitest';
+import { ServerList } from '../store/server-list.js';
+import type { PlanAnswer, PlanRequest } from './plan-request.js';
+import { Planner } from './planner.js';
+import { LeastServedFirst, MostUrgentFirst } from './waiting-order.js';
+import type { WaitingOrder } from './waiting-order.js';
+
+const ENGINES = 18;
+const AIM_MS: Milliseconds = 4000;
+const WRITE_MS: Milliseconds = 1500;
+const DAY_MS: Milliseconds = 40_000;
+const STEP_MS: Milliseconds = 10;
+
+/** Who sends long prompts, and how often. */
+interface Sender {
+  readonly workspace: string;
+  readonly priority: number;
+  readonly everyMs: Milliseconds;
+}
+
+/** Plays senders against a planner; of each workspace's prompts, the share that began within the aim. */
+async function playLoad(
+  senders: readonly Sender[],
+  orderFor: (clock: Clock) => WaitingOrder,
+): Promise<ReadonlyMap<string, number>> {
+  const clock = new ManualClock();
+  const inForce = new ConfigurationInForce();
+  inForce.apply(engineConfiguration());
+  const servers = new ServerList(clock, silentLog);
+  const ids = Array.from({ length: ENGINES }, (_unused, index) => `i-${String(index + 10)}`);
+  servers.replace(ids.map(engineServer), 0, 1);
+  const fleet = new FleetView();
+  const order = orderFor(clock);
+  const planner = new Planner({ clock, inForce, servers, fleet, draw: () => 0.5, order });
+  const asked = new Map<string, number>();
+  const inTime = new Map<string, number>();
+  const count = (counts: Map<string, number>, workspace: string) => {
+    counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
+  };
+  const send = ({ workspace, priority }: Sender, index: number) => {
+    const attemptId = `${workspace}-${String(index)}`;
+    const arrivedAtMs = clock.monotonicMs();
+    const request: PlanRequest = {
+      attemptId,
+      requestId: attemptId,
+      host: 'asker',
+      service: ENGINE_SERVICE,
+      workspace,
+      priority,
+      promptTokens: 260_000,
+      answerTokens: 700,
+      aimMs: AIM_MS,
+      gapAimMs: 1000,
+      arrivedAtMs,
+      silentSinceMs: arrivedAtMs,
+      limitAtMs: arrivedAtMs + 15_000,
+      avoidedIds: [],
+    };
+    let isOver = false;
+    const onAnswer = (answer: PlanAnswer) => {
+      isOver ||= answer.kind !== 'wait';
+      if (answer.kind !== 'place') return;
+      const { expectedFirstMs } = answer.stream;
+      const firstMs = clock.monotonicMs() - arrivedAtMs + expectedFirstMs;
+      if (firstMs <= AIM_MS) count(inTime, workspace);
+      clock.after(expectedFirstMs, () => {
+        fleet.onReadDone(attemptId);
+      });
+      clock.after(expectedFirstMs + WRITE_MS, () => {
+        fleet.end(attemptId);
+      });
+    };
+    const ask = () => {
+      if (isOver) return;
+      planner.submit(request, onAnswer);
+      clock.after(300, ask);
+    };
+    ask();
+  };
+  for (let nowMs = 0; nowMs < DAY_MS; nowMs += STEP_MS) {
+    for (const sender of senders) {
+      if (nowMs % sender.everyMs !== 0) continue;
+      count(asked, sender.workspace);
+      send(sender, nowMs);
+    }
+    await clock.advance(STEP_MS);
+  }
+  return new Map([...asked].map(([name, all]) => [name, (inTime.get(name) ?? 0) / all]));
+}
+
+function shareOf(shares: ReadonlyMap<string, number>, names: readonly string[]): number {
+  return names.reduce((sum, name) => sum + (shares.get(name) ?? 0), 0) / names.length;
+}
+
+describe('WaitingOrder', () => {
+  const others = ['barley', 'oats', 'rye'];
+  const usual = others.map((workspace, index) => {
+    return { workspace, priority: 1, everyMs: 2000 + index * 110 };
+  });
+  const hot = { workspace: 'wheat', priority: 1, everyMs: 230 };
+
+  it('has the prompts of a workspace that sends too many wait behind those of the others', async () => {
+    const senders = [hot, ...usual];
+    const asTheyCame = await playLoad(senders, () => new MostUrgentFirst());
+    const leastServed = await playLoad(senders, (clock) => new LeastServedFirst(clock));
+    expect(shareOf(asTheyCame, others)).toBeCloseTo(0.21, 1);
+    expect(shareOf(leastServed, others)).toBeGreaterThan(shareOf(asTheyCame, others) * 1.4);
+    expect(leastServed.get('wheat')).toBeGreaterThan(0.2);
+  });
+
+  it('looks at the more urgent first, by the workspace or the route', async () => {
+    const urgent = { workspace: 'audit', priority: 0, everyMs: 2300 };
+    const shares = await playLoad([hot, urgent], (clock) => new LeastServedFirst(clock));
+    expect(shares.get('audit')).toBeGreaterThan(1.5 * (shares.get('wheat') ?? 1));
+  });
+});
--- /dev/null
+++ b/packages/relay/src/planning/waiting-order.ts
@@ -0,0 +1,68 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { PlannedStream, PlanRequest } from './plan-request.js';
+
+/** In which order those that wait for engines are looked at; who comes first gets what has become free. */
+export interface WaitingOrder {
+  /** The requests in the order in which they are to be looked at now. */
+  sort<Item extends { readonly request: PlanRequest }>(waiting: readonly Item[]): readonly Item[];
+  /** A request was placed, whether it had waited or not. */
+  onPlaced(request: PlanRequest, stream: PlannedStream): void;
+}
+
+/** The most urgent first, of those the ones that have waited longest. */
+export class MostUrgentFirst implements WaitingOrder {
+  sort<Item extends { readonly request: PlanRequest }>(waiting: readonly Item[]): readonly Item[] {
+    return [...waiting].sort(({ request: one }, { request: other }) => {
+      return one.priority - other.priority || one.arrivedAtMs - other.arrivedAtMs;
+    });
+  }
+
+  onPlaced(): void {
+    // The order does not depend on what was placed.
+  }
+}
+
+/** Engine time that a workspace was given counts half after this long: some two aims of long prompts. */
+const HALF_LIFE_MS: Milliseconds = 8000;
+
+interface Given {
+  readonly engineMs: Milliseconds;
+  readonly atMs: Milliseconds;
+}
+
+/**
+ * The most urgent first; of those the ones whose workspace was given least engine time lately; of one
+ * workspace those that have waited longest. A workspace that sends many times its usual waits with
+ * the rest of it behind the others, and they not behind it. On 18 engines that are asked for 1.3
+ * times what they can read, three quarters of it by one workspace of four, 0.33 of the prompts of the
+ * other three begin within their aim in place of 0.21, and 0.22 in place of 0.28 of its own (the test
+ * plays both).
+ */
+export class LeastServedFirst implements WaitingOrder {
+  readonly #given = new Map<string, Given>();
+
+  constructor(readonly clock: Clock) {}
+
+  sort<Item extends { readonly request: PlanRequest }>(waiting: readonly Item[]): readonly Item[] {
+    const nowMs = this.clock.monotonicMs();
+    return waiting
+      .map((item) => ({ item, givenMs: this.#givenMs(item.request.workspace, nowMs) }))
+      .sort(({ item: { request: one }, ...left }, { item: { request: other }, ...right }) => {
+        if (one.priority !== other.priority) return one.priority - other.priority;
+        return left.givenMs - right.givenMs || one.arrivedAtMs - other.arrivedAtMs;
+      })
+      .map(({ item }) => item);
+  }
+
+  onPlaced({ workspace }: PlanRequest, { partMs, readerIds }: PlannedStream): void {
+    const nowMs = this.clock.monotonicMs();
+    const engineMs = this.#givenMs(workspace, nowMs) + partMs * (readerIds.length + 1);
+    this.#given.set(workspace, { engineMs, atMs: nowMs });
+  }
+
+  #givenMs(workspace: string, nowMs: Milliseconds): Milliseconds {
+    const given = this.#given.get(workspace);
+    if (!given) return 0;
+    return given.engineMs * 0.5 ** ((nowMs - given.atMs) / HALF_LIFE_MS);
+  }
+}
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -34,6 +34,8 @@
   readonly timeLeftMs: Milliseconds;
   /** Undefined on routes that need no key. */
   readonly workspace: string | undefined;
+  /** In which order an engine lets in what waits there, 0 first; undefined for plain services. */
+  readonly priority: number | undefined;
   readonly lastEventId: number | undefined;
   /** Engines that read a part of the prompt, in the order in which memory is filled. */
   readonly readers: readonly ReaderAddress[];
--- a/packages/relay/src/request/admit.ts
+++ b/packages/relay/src/request/admit.ts
@@ -14,6 +14,8 @@
   readonly figures: EngineFigures | undefined;
   /** Undefined on routes that need no key. */
   readonly workspace: string | undefined;
+  /** The workspace's own, or else the route's; 0 is the most urgent. */
+  readonly priority: number;
   readonly configurationVersion: number;
 }
 
@@ -47,6 +49,7 @@
     service,
     figures: table.service(service)?.engine,
     workspace: workspace?.name,
+    priority: workspace?.priority ?? route.priority,
     configurationVersion: table.version,
   });
 }
--- a/packages/relay/src/request/choose-engines.ts
+++ b/packages/relay/src/request/choose-engines.ts
@@ -15,6 +15,8 @@
     requestId: caller.requestId,
     host: parts.host,
     service: admitted.service,
+    workspace: admitted.workspace ?? '',
+    priority: admitted.priority,
     promptTokens: caller.promptTokens,
     answerTokens: caller.answerTokens,
     aimMs: admitted.route.aimMs,
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -17,6 +17,7 @@
 import type { Choice } from './choice.js';
 import { choose } from './choose-server.js';
 import type { RelayParts } from './relay-parts.js';
+import { ReadWatch } from './read-watch.js';
 import { RequestRecord } from './request-record.js';
 import { SilenceWatch } from './silence-watch.js';
 
@@ -46,9 +47,12 @@
   readonly #tally: AttemptTally;
   readonly #events: AnswerEvents;
   readonly #silence: SilenceWatch;
+  readonly #reads: ReadWatch;
   /** The last event that the caller was sent, or else the request's coming. */
   #lastEventAtMs: Milliseconds;
   #current: RunningAttempt | undefined;
+  /** Whether it was found that no attempt may follow the current one. */
+  #isLastAttempt = false;
   /** Whether the current attempt was given up and another follows. */
   #isPassedOver = false;
   /** Why the request ends with the current attempt, which was given up; undefined where it doesn't. */
@@ -75,14 +79,23 @@
     this.#limitAtMs = arrivedAtMs + waitsMs;
     this.#events = new AnswerEvents(answer, caller.lastEventId);
     this.#lastEventAtMs = arrivedAtMs;
+    const { clock, memory } = parts;
+    const isAlive = async (server: BackendServer) => (await memory.readWork(server)) !== undefined;
     this.#silence = new SilenceWatch({
-      clock: parts.clock,
+      clock,
       route: this.#route,
-      isAlive: async (server) => (await parts.memory.readWork(server)) !== undefined,
+      isAlive,
       onSilent: () => {
         this.#passOver('silent');
       },
     });
+    this.#reads = new ReadWatch({
+      clock,
+      isAlive,
+      onDead: (server) => {
+        this.#passOver('it reads a part and gives no answer', server);
+      },
+    });
   }
 
   /** Serves the request; resolves when its answer is over. */
@@ -104,6 +117,7 @@
     } finally {
       cancelLimit();
       this.#silence.end();
+      this.#reads.end();
     }
   }
 
@@ -148,7 +162,7 @@
     const startedAtMs = this.parts.clock.monotonicMs();
     this.#current = { id, choice, attempt, startedAtMs, hasEvents: false };
     // Another server is tried for a silent one only where the request may be repeated.
-    if (this.#tally.mayRepeat) this.#silence.begin(choice, this.#leftMs());
+    if (this.#tally.mayRepeat) this.#watch(choice);
     const endWatches = [choice.server, ...choice.readers].map((server) =>
       this.parts.servers.watchLife(server, () => {
         this.#onLifeOver(server);
@@ -157,6 +171,7 @@
     const end = await attempt.done;
     this.#current = undefined;
     this.#silence.end();
+    this.#reads.end();
     for (const endWatch of endWatches) endWatch();
     this.parts.peers.end(id, this.#engineService);
     void choice.held?.release();
@@ -164,6 +179,11 @@
     return end;
   }
 
+  #watch(choice: Choice): void {
+    this.#silence.begin(choice, this.#leftMs());
+    if (choice.readers.length > 0) this.#reads.begin([choice.server, ...choice.readers]);
+  }
+
   #open(choice: Choice, timeLeftMs: Milliseconds): ServerAttempt {
     const { clock, wire } = this.parts;
     const { caller, body } = this;
@@ -172,6 +192,7 @@
       server,
       timeLeftMs,
       workspace: this.admitted.workspace,
+      priority: this.admitted.figures && this.admitted.priority,
       lastEventId: this.#events.lastId,
       readers: readersOf(choice),
       bodyLength: body.length,
@@ -199,11 +220,16 @@
     return this.admitted.figures && this.admitted.service;
   }
 
-  /** Gives the current attempt up and tries another server, if one more may be tried. */
-  #passOver(why: string): void {
+  /**
+   * Gives the current attempt up for a fault of `server`, in place of that which writes, and tries
+   * others, if one more may be tried.
+   */
+  #passOver(why: string, server = this.#current?.choice.server): void {
     const running = this.#current;
-    if (!running || !this.#tally.tryPassOver(running.choice.server.id)) return;
-    this.#suspect(running.choice.server, why);
+    if (!running || !server || this.#isLastAttempt) return;
+    this.#isLastAttempt = !this.#tally.tryPassOver(server.id);
+    if (this.#isLastAttempt) return;
+    this.#suspect(server, why);
     this.#isPassedOver = true;
     running.attempt.cancel();
   }
@@ -237,6 +263,7 @@
 
   #onFirstEvent(running: RunningAttempt): void {
     running.hasEvents = true;
+    this.#reads.end();
     const { id, choice, startedAtMs } = running;
     const { clock, fleet, peers } = this.parts;
     const { partMs = 0, expectedFirstMs = 0 } = choice.plan?.stream ?? {};
