--- a/packages/peer/src/membership.ts
+++ b/packages/peer/src/membership.ts
@@ -31,7 +31,8 @@
   readonly #entries = new Map<string, Entry>();
   /** Incarnation of a removed run to its last heartbeat. */
   readonly #removed = new Map<string, number>();
-  #nextNews = 0;
+  /** Which entry comes next in the news for each receiver. */
+  readonly #nextNews = new Map<string, number>();
 
   constructor(
     readonly self: Member,
@@ -70,14 +71,18 @@
     return beat <= (this.#removed.get(member.incarnation) ?? -1);
   }
 
-  /** News about a few members, taken in turn. */
-  nextNews(count: number): readonly MemberNews[] {
+  /**
+   * News about a few members for one receiver, taken in turn. With one turn for all receivers, 11
+   * members and 11 links had each receiver told of the same four for ever.
+   */
+  nextNews(receiver: string, count: number): readonly MemberNews[] {
     const all = [...this.#entries.values()];
+    const first = this.#nextNews.get(receiver) ?? 0;
     const news = Array.from({ length: Math.min(count, all.length) }, (_, index) => {
-      const entry = all[(this.#nextNews + index) % all.length];
+      const entry = all[(first + index) % all.length];
       return entry ? [{ member: entry.member, beat: entry.beat }] : [];
     });
-    this.#nextNews += count;
+    this.#nextNews.set(receiver, (first + count) % Math.max(1, all.length));
     return news.flat();
   }
 
@@ -105,6 +110,7 @@
     const entry = this.#entries.get(host);
     if (!entry) return;
     this.#entries.delete(host);
+    this.#nextNews.delete(host);
     if (this.#removed.size > MAX_REMOVED) this.#removed.clear();
     this.#removed.set(entry.member.incarnation, entry.beat);
   }
--- a/packages/peer/src/mesh.test.ts
+++ b/packages/peer/src/mesh.test.ts
@@ -61,6 +61,22 @@
     expect(links).toBeLessThan(12 * 11);
   });
 
+  it('has all know each other again after a stall in which each removed all others', async () => {
+    const first = await startMesh('h00', [], 2);
+    const seeds = [first.settings.self.peerUrl];
+    const names = Array.from(
+      { length: 11 },
+      (_, index) => `h${String(index + 1).padStart(2, '0')}`,
+    );
+    const all = [first, ...(await Promise.all(names.map((host) => startMesh(host, seeds, 2))))];
+    const allKnown = () => all.every((mesh) => mesh.members().length === 11);
+    await until(allKnown);
+    const untilMs = performance.now() + 800;
+    while (performance.now() < untilMs);
+    for (const mesh of all) mesh.members();
+    await until(allKnown);
+  });
+
   it('suspects a silent host, then removes it', async () => {
     const first = await startMesh('h1', []);
     const second = await startMesh('h2', [first.settings.self.peerUrl]);
--- a/packages/peer/src/mesh.ts
+++ b/packages/peer/src/mesh.ts
@@ -124,7 +124,8 @@
   #tick(): void {
     this.#beat += 1;
     for (const { host } of this.linked()) {
-      this.send(host, HEARTBEAT, { beat: this.#beat, news: this.membership.nextNews(NEWS_COUNT) });
+      const news = this.membership.nextNews(host, NEWS_COUNT);
+      this.send(host, HEARTBEAT, { beat: this.#beat, news });
     }
     const linkedUrls = new Set(this.linked().map((member) => member.peerUrl));
     for (const url of this.#wantedUrls()) {
