--- a/packages/relay/src/backend/held-memory.ts
+++ b/packages/relay/src/backend/held-memory.ts
@@ -17,7 +17,7 @@
   readonly writer: BackendServer;
   readonly needs: readonly MemoryNeed[];
   /** Called when the writer no longer answers; what is held is free again soon after. */
-  readonly onWriterLost: () => void;
+  readonly onWriterLost: (writer: BackendServer) => void;
 }
 
 /**
@@ -94,7 +94,7 @@
     const work = await this.parts.memory.readWork(this.use.writer);
     if (this.#isReleased) return;
     this.#isWriterHeard = work !== undefined;
-    if (!work) this.use.onWriterLost();
+    if (!work) this.use.onWriterLost(this.use.writer);
     else if (!wasHeard) void this.#reserveAll();
   }
 
--- a/packages/relay/src/request/choice.ts
+++ b/packages/relay/src/request/choice.ts
@@ -39,7 +39,7 @@
   /** Servers that failed this request already. */
   readonly failedIds: ReadonlySet<string>;
   /** Called when the engine no longer answers for which memory is held elsewhere. */
-  readonly onWriterLost: () => void;
+  readonly onWriterLost: (writer: BackendServer) => void;
   /** Whether there is nothing left to choose for. */
   readonly isOver: () => boolean;
 }
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -12,14 +12,13 @@
 import { AnswerEvents } from './answer-events.js';
 import { AttemptTally } from './attempt-tally.js';
 import { useOf } from './attempt-use.js';
+import { AttemptWatch } from './attempt-watch.js';
 import type { CallerAnswer } from './caller-answer.js';
 import { findReader, readersOf } from './choice.js';
 import type { Choice } from './choice.js';
 import { choose } from './choose-server.js';
 import type { RelayParts } from './relay-parts.js';
-import { ReadWatch } from './read-watch.js';
 import { RequestRecord } from './request-record.js';
-import { SilenceWatch } from './silence-watch.js';
 
 /** What is known while one attempt runs. */
 interface RunningAttempt {
@@ -46,8 +45,7 @@
   readonly #record: RequestRecord;
   readonly #tally: AttemptTally;
   readonly #events: AnswerEvents;
-  readonly #silence: SilenceWatch;
-  readonly #reads: ReadWatch;
+  readonly #watch: AttemptWatch;
   /** The last event that the caller was sent, or else the request's coming. */
   #lastEventAtMs: Milliseconds;
   #current: RunningAttempt | undefined;
@@ -79,21 +77,18 @@
     this.#limitAtMs = arrivedAtMs + waitsMs;
     this.#events = new AnswerEvents(answer, caller.lastEventId);
     this.#lastEventAtMs = arrivedAtMs;
-    const { clock, memory } = parts;
-    const isAlive = async (server: BackendServer) => (await memory.readWork(server)) !== undefined;
-    this.#silence = new SilenceWatch({
+    const { clock, memory, servers } = parts;
+    this.#watch = new AttemptWatch({
       clock,
+      memory,
+      servers,
       route: this.#route,
-      isAlive,
-      onSilent: () => {
-        this.#passOver('silent');
+      mayRepeat: this.#tally.mayRepeat,
+      onDead: (server, why) => {
+        this.#passOver(server, why);
       },
-    });
-    this.#reads = new ReadWatch({
-      clock,
-      isAlive,
-      onDead: (server) => {
-        this.#passOver('it reads a part and gives no answer', server);
+      onLifeOver: (server) => {
+        this.#onLifeOver(server);
       },
     });
   }
@@ -116,8 +111,7 @@
       await this.#tryServers();
     } finally {
       cancelLimit();
-      this.#silence.end();
-      this.#reads.end();
+      this.#watch.end();
     }
   }
 
@@ -132,8 +126,8 @@
       silentSinceMs: () => this.#lastEventAtMs,
       failedIds: this.#tally.failedIds,
       isOver: () => this.#isOver(),
-      onWriterLost: () => {
-        this.#passOver('no answer to a question for its state');
+      onWriterLost: (writer: BackendServer) => {
+        this.#passOver(writer, 'no answer to a question for its state');
       },
     };
     for (;;) {
@@ -161,29 +155,16 @@
     const attempt = this.#open(choice, timeLeftMs);
     const startedAtMs = this.parts.clock.monotonicMs();
     this.#current = { id, choice, attempt, startedAtMs, hasEvents: false };
-    // Another server is tried for a silent one only where the request may be repeated.
-    if (this.#tally.mayRepeat) this.#watch(choice);
-    const endWatches = [choice.server, ...choice.readers].map((server) =>
-      this.parts.servers.watchLife(server, () => {
-        this.#onLifeOver(server);
-      }),
-    );
+    this.#watch.begin(choice, this.#leftMs());
     const end = await attempt.done;
     this.#current = undefined;
-    this.#silence.end();
-    this.#reads.end();
-    for (const endWatch of endWatches) endWatch();
+    this.#watch.end();
     this.parts.peers.end(id, this.#engineService);
     void choice.held?.release();
     this.#record.attemptEnded(end.kind);
     return end;
   }
 
-  #watch(choice: Choice): void {
-    this.#silence.begin(choice, this.#leftMs());
-    if (choice.readers.length > 0) this.#reads.begin([choice.server, ...choice.readers]);
-  }
-
   #open(choice: Choice, timeLeftMs: Milliseconds): ServerAttempt {
     const { clock, wire } = this.parts;
     const { caller, body } = this;
@@ -220,13 +201,10 @@
     return this.admitted.figures && this.admitted.service;
   }
 
-  /**
-   * Gives the current attempt up for a fault of `server`, in place of that which writes, and tries
-   * others, if one more may be tried.
-   */
-  #passOver(why: string, server = this.#current?.choice.server): void {
+  /** Gives the current attempt up for a fault of `server` and tries others, if one more may be tried. */
+  #passOver(server: BackendServer, why: string): void {
     const running = this.#current;
-    if (!running || !server || this.#isLastAttempt) return;
+    if (!running || this.#isLastAttempt) return;
     this.#isLastAttempt = !this.#tally.tryPassOver(server.id);
     if (this.#isLastAttempt) return;
     this.#suspect(server, why);
@@ -257,13 +235,12 @@
     if (!running.hasEvents) this.#onFirstEvent(running);
     this.#record.events();
     this.#lastEventAtMs = this.parts.clock.monotonicMs();
-    if (this.#tally.mayRepeat) this.#silence.onEvents();
+    this.#watch.onEvents();
     return this.#events.write(frames, head);
   }
 
   #onFirstEvent(running: RunningAttempt): void {
     running.hasEvents = true;
-    this.#reads.end();
     const { id, choice, startedAtMs } = running;
     const { clock, fleet, peers } = this.parts;
     const { partMs = 0, expectedFirstMs = 0 } = choice.plan?.stream ?? {};
--- a/packages/relay/src/request/silence-watch.ts
+++ b/packages/relay/src/request/silence-watch.ts
@@ -10,8 +10,8 @@
   readonly route: Route;
   /** Whether a server answers a question for its state. */
   readonly isAlive: (server: BackendServer) => Promise<boolean>;
-  /** The attempt that is watched is to be given up. */
-  readonly onSilent: () => void;
+  /** The attempt that is watched is to be given up, as this server is silent. */
+  readonly onSilent: (server: BackendServer) => void;
 }
 
 /** Pause before a silent engine that lives is looked after again. */
@@ -58,7 +58,7 @@
     const isBusy = this.#mayBeBusy(silent) && (await this.parts.isAlive(silent.server));
     if (this.#watched !== silent) return;
     if (isBusy) this.#lookAfter(BUSY_LOOK_AGAIN_MS);
-    else this.parts.onSilent();
+    else this.parts.onSilent(silent.server);
   }
 
   #mayBeBusy({ plan }: Choice): boolean {
