--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -49,8 +49,6 @@
   /** The last event that the caller was sent, or else the request's coming. */
   #lastEventAtMs: Milliseconds;
   #current: RunningAttempt | undefined;
-  /** Whether it was found that no attempt may follow the current one. */
-  #isLastAttempt = false;
   /** Whether the current attempt was given up and another follows. */
   #isPassedOver = false;
   /** Why the request ends with the current attempt, which was given up; undefined where it doesn't. */
@@ -204,9 +202,7 @@
   /** Gives the current attempt up for a fault of `server` and tries others, if one more may be tried. */
   #passOver(server: BackendServer, why: string): void {
     const running = this.#current;
-    if (!running || this.#isLastAttempt) return;
-    this.#isLastAttempt = !this.#tally.tryPassOver(server.id);
-    if (this.#isLastAttempt) return;
+    if (!running || !this.#tally.tryPassOver(server.id)) return;
     this.#suspect(server, why);
     this.#isPassedOver = true;
     running.attempt.cancel();
