Know the last life of a server for 30 s after its entry has lapsed

Cause: a server whose entry had lapsed (a crash behind a cut, the store away) came back as one not known before, so that attempts and suspicions of the life before went on counting; found by reading. Test: told as a new life after a lapse (failed before), taken back as it was where it lives on.

--- a/packages/relay/src/store/server-list.ts
+++ b/packages/relay/src/store/server-list.ts
@@ -16,6 +16,8 @@
  * of its entries lapsed unseen; they lapse after some four seconds of silence.
  */
 const KNOWN_ALL_THE_WHILE_MS: Milliseconds = 2000;
+/** A life is known this long after its entry has lapsed; requests that depend on it end before. */
+const LAPSED_KNOWN_MS: Milliseconds = 30_000;
 const DIGEST_LENGTH = 10;
 
 function byId(left: BackendServer, right: BackendServer): number {
@@ -42,6 +44,11 @@
   /** Lives that told us that they are gone, or whose address another has, by id. */
   readonly #gone = new Map<string, BackendServer>();
   readonly #lives = new ServerLives();
+  /** The last life of servers that are listed no more, by id, and since when. */
+  readonly #lapsed = new Map<
+    string,
+    { readonly server: BackendServer; readonly atMs: Milliseconds }
+  >();
   readonly #watchers = new LifeWatchers();
   #onNewLife: (server: BackendServer) => void = () => undefined;
   readonly #byService = new Map<string, readonly BackendServer[]>();
@@ -165,8 +172,7 @@
         this.#keepsUnlisted = true;
         continue;
       }
-      this.#servers.delete(id);
-      this.#lives.forget(id);
+      this.#lapse(id, nowMs);
       this.log.warn('server_gone', { server: id, why: 'not_listed' });
     }
     if (isFirst) this.#logFirst(listed, version);
@@ -174,6 +180,7 @@
       const present = this.#lives.choose(this.#servers.get(server.id), server, nowMs);
       this.#put(present, 'its_entry', isFirst);
     }
+    this.#forgetLapsed(nowMs);
     for (const id of this.#gone.keys()) if (!listedIds.has(id)) this.#gone.delete(id);
     this.#byService.clear();
   }
@@ -215,14 +222,28 @@
     if (before === server) return;
     this.#servers.set(server.id, server);
     this.#byService.clear();
-    if (before && !isSameLife(before, server)) this.#beginLife(before, server, toldBy);
     // Whoever saw it before its entry lapsed may depend on an earlier life still.
-    else if (!before) this.#watchers.announce(server);
+    const last = before ?? this.#lapsed.get(server.id)?.server;
+    if (last && !isSameLife(last, server)) this.#beginLife(last, server, toldBy);
     if (isFirstList || before?.isDraining === server.isDraining) return;
     const state = server.isDraining ? 'draining' : 'ready';
     this.log.warn('server_listed', { server: server.id, service: server.service, state });
   }
 
+  #lapse(id: string, nowMs: Milliseconds): void {
+    const server = this.#servers.get(id);
+    if (server) this.#lapsed.set(id, { server, atMs: nowMs });
+    this.#servers.delete(id);
+  }
+
+  #forgetLapsed(nowMs: Milliseconds): void {
+    for (const [id, { atMs }] of this.#lapsed) {
+      if (nowMs - atMs < LAPSED_KNOWN_MS) continue;
+      this.#lapsed.delete(id);
+      if (!this.#servers.has(id)) this.#lives.forget(id);
+    }
+  }
+
   #beginLife(before: BackendServer, server: BackendServer, toldBy: string): void {
     this.log.warn('server_started_again', {
       server: server.id,
--- a/packages/relay/src/store/server-lives.test.ts
+++ b/packages/relay/src/store/server-lives.test.ts
@@ -58,7 +58,16 @@
     list.replace([], clock.monotonicMs(), 10);
     expect(begun).toEqual([]);
     list.replace([born(FIRST_BORN + 900)], clock.monotonicMs(), 11);
-    expect(begun).toEqual([0]);
+    expect(begun).toEqual([FIRST_BORN + 900, 0]);
+  });
+
+  it('takes a server back whose entry had lapsed as what it was, where it lives on', () => {
+    const { clock, list, begun, present } = listOfOne();
+    list.watchLife(born(FIRST_BORN), () => begun.push(0));
+    list.replace([], clock.monotonicMs(), 10);
+    list.replace([born(FIRST_BORN)], clock.monotonicMs(), 11);
+    expect(present()).toBe(FIRST_BORN);
+    expect(begun).toEqual([]);
   });
 
   it('goes on with the later life when a heartbeat of the one before comes late', async () => {
