--- a/packages/peer/src/mesh.test.ts
+++ b/packages/peer/src/mesh.test.ts
@@ -5,6 +5,8 @@
 import { PeerMesh } from './mesh.js';
 
 const clock = new SystemClock();
+/** Hosts beside the first. */
+const NAMES = Array.from({ length: 11 }, (_, index) => `h${String(index + 1).padStart(2, '0')}`);
 const closers: (() => Promise<void>)[] = [];
 
 async function startMesh(host: string, seeds: readonly string[], fanOut = 8): Promise<PeerMesh> {
@@ -51,11 +53,7 @@
   it('does not connect all to all when there are many', async () => {
     const first = await startMesh('h00', [], 2);
     const seeds = [first.settings.self.peerUrl];
-    const names = Array.from(
-      { length: 11 },
-      (_, index) => `h${String(index + 1).padStart(2, '0')}`,
-    );
-    const others = await Promise.all(names.map((host) => startMesh(host, seeds, 2)));
+    const others = await Promise.all(NAMES.map((host) => startMesh(host, seeds, 2)));
     await until(() => others.every((mesh) => mesh.members().length === 11));
     const links = [first, ...others].reduce((sum, mesh) => sum + mesh.linked().length, 0);
     expect(links).toBeLessThan(12 * 11);
@@ -64,11 +62,7 @@
   it('has all know each other again after a stall in which each removed all others', async () => {
     const first = await startMesh('h00', [], 2);
     const seeds = [first.settings.self.peerUrl];
-    const names = Array.from(
-      { length: 11 },
-      (_, index) => `h${String(index + 1).padStart(2, '0')}`,
-    );
-    const all = [first, ...(await Promise.all(names.map((host) => startMesh(host, seeds, 2))))];
+    const all = [first, ...(await Promise.all(NAMES.map((host) => startMesh(host, seeds, 2))))];
     const allKnown = () => all.every((mesh) => mesh.members().length === 11);
     await until(allKnown);
     const untilMs = performance.now() + 800;
