Know no host by a row of another writer

Cause: rows of the list of hosts were taken with any port; sending a datagram to port 0 or 99,999 throws, which ends the process of every host that has read the row. Found by reading. Test failed before.

--- a/packages/relay/src/peers/member-directory.test.ts
+++ b/packages/relay/src/peers/member-directory.test.ts
@@ -78,6 +78,20 @@
     }
   });
 
+  it('knows no host by a row of another writer, which sending to would end the process', async () => {
+    const { made, rows } = directory();
+    await made.join({ ...SELF, host: 'host-2' }, true);
+    const good = { address: '10.0.0.3', port: 7000, availabilityZone: 'zone-a', capacity: 1 };
+    const bad = [{ port: 0 }, { port: 99_999 }, { port: '7000' }, { address: 'nowhere' }];
+    const worse = [{ capacity: -1 }, { availabilityZone: 7 }, { address: undefined }];
+    for (const [index, change] of [...bad, ...worse].entries()) {
+      rows.set(`other-${String(index)}`, Buffer.from(JSON.stringify({ ...good, ...change })));
+    }
+    rows.set('other-bytes', Buffer.from([0xff, 0x00]));
+    const known = await made.join(SELF, false);
+    expect(known?.map(({ host }) => host)).toEqual(['host-2', 'host-1']);
+  });
+
   it('says that it has not joined while the store is away, and takes off who is gone', async () => {
     let isAway = true;
     const { made, rows } = directory(() => isAway);
--- a/packages/relay/src/peers/member-directory.ts
+++ b/packages/relay/src/peers/member-directory.ts
@@ -6,11 +6,14 @@
 
 const MEMBERS_TABLE = 'members';
 
+const LAST_PORT = 65_535;
+
+/** All that a host writes of itself; a row that is not of that form was written by another program. */
 const memberSchema = z.object({
-  address: z.string(),
-  port: z.number(),
-  availabilityZone: z.string().default(''),
-  capacity: z.number().default(1),
+  address: z.ipv4(),
+  port: z.int().min(1).max(LAST_PORT),
+  availabilityZone: z.string(),
+  capacity: z.number().positive(),
 });
 
 function sameAddress(left: PeerAddress, right: PeerAddress): boolean {
@@ -60,7 +63,9 @@
     if (read.isErr) return this.#failed('list', read.error.detail);
     return read.value.rows.flatMap(({ key, value: row }) => {
       const member = memberSchema.safeParse(row && parseJson(row.toString('utf8')));
-      return member.success ? [{ host: key, ...member.data }] : [];
+      if (member.success) return [{ host: key, ...member.data }];
+      this.log.warn('member_entry_unusable', { peer: key });
+      return [];
     });
   }
 
