Log what servers say of themselves in answers of all kinds: that they leave, that they want rest

It is read in the head of every answer, of orders and reports too; each word is logged once, with the list's own word and its age. Nothing is decided by it yet.

--- /dev/null
+++ b/packages/fleet/src/leaving-lives.ts
@@ -0,0 +1,72 @@
+import type { Milliseconds } from '@poppypond/core';
+import { isSameLife } from './backend-server.js';
+import type { BackendServer } from './backend-server.js';
+
+interface LeavingLife {
+  readonly server: BackendServer;
+  readonly saidAtMs: Milliseconds;
+  /** When the list told last that it drains or did not list it; undefined while it did neither. */
+  readonly confirmedAtMs?: Milliseconds;
+  /** Since when it has not been listed. */
+  readonly unlistedSinceMs?: Milliseconds;
+}
+
+/**
+ * A server writes about every 1.2 s, and its entry goes after three writes that did not come. A "ready" that
+ * was written before it left, and taken late, is over by then.
+ */
+const LATE_WRITE_MS: Milliseconds = 3600;
+/** A life that is not listed for so long is over: servers serve on for some seconds after their entries go. */
+const UNLISTED_KNOWN_MS: Milliseconds = 60_000;
+
+/**
+ * Lives of servers that said themselves that they leave. Such a word is newer than any entry that tells otherwise,
+ * by a time that nobody knows: the list is as old as the store is away. So it holds as long as the life.
+ */
+export class LeavingLives {
+  readonly #lives = new Map<string, LeavingLife>();
+
+  get size(): number {
+    return this.#lives.size;
+  }
+
+  /** The server said so at `saidAtMs`, to this host or another; false where that was known. */
+  add(server: BackendServer, saidAtMs: Milliseconds): boolean {
+    if (this.saidAtMs(server) !== undefined) return false;
+    this.#lives.set(server.id, { server, saidAtMs });
+    return true;
+  }
+
+  /** When this life first said that it leaves; undefined where it did not. */
+  saidAtMs(server: BackendServer): Milliseconds | undefined {
+    const known = this.#lives.get(server.id);
+    return known && isSameLife(known.server, server) ? known.saidAtMs : undefined;
+  }
+
+  /**
+   * Takes in a list that holds now. Where servers don't tell their births, one that is ready again well after it was
+   * listed as draining or not at all has started again; where they do, another birth is another life by itself.
+   */
+  onListed(listed: readonly BackendServer[], nowMs: Milliseconds): void {
+    if (this.#lives.size === 0) return;
+    const byId = new Map(listed.map((server) => [server.id, server]));
+    for (const [id, life] of [...this.#lives]) this.#compare(id, life, byId.get(id), nowMs);
+  }
+
+  #compare(
+    id: string,
+    life: LeavingLife,
+    listed: BackendServer | undefined,
+    nowMs: Milliseconds,
+  ): void {
+    const { confirmedAtMs = nowMs, unlistedSinceMs = nowMs } = life;
+    if (listed === undefined) {
+      if (nowMs - unlistedSinceMs > UNLISTED_KNOWN_MS) this.#lives.delete(id);
+      else this.#lives.set(id, { ...life, confirmedAtMs: nowMs, unlistedSinceMs });
+    } else if (!isSameLife(life.server, listed)) this.#lives.delete(id);
+    else if (listed.isDraining) this.#lives.set(id, { ...life, confirmedAtMs: nowMs });
+    else if (nowMs - Math.min(confirmedAtMs, unlistedSinceMs) > LATE_WRITE_MS) {
+      this.#lives.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/resting-servers.ts
@@ -0,0 +1,116 @@
+import type { Milliseconds } from '@poppypond/core';
+import { isSameLife } from './backend-server.js';
+import type { BackendServer } from './backend-server.js';
+
+interface Rest {
+  readonly server: BackendServer;
+  readonly untilMs: Milliseconds;
+  /** Requests that may be without an answer at once, after the rest. */
+  readonly most: number;
+  /** Requests sent after the rest that have no answer yet. */
+  readonly unanswered: ReadonlySet<string>;
+}
+
+/** What came of a word that a server wants rest. */
+export interface RestBegun {
+  /** Until when it is sent nothing, on this process's clock. */
+  readonly untilMs: Milliseconds;
+  /** False where it had asked for as much before. */
+  readonly isNews: boolean;
+}
+
+/**
+ * A server that asks for longer is sent one request after this. Half of all drains and restarts take less than a
+ * minute; a number that is meant for somebody else, or the fault of a clock, must not cost a server for a day.
+ */
+export const LONGEST_REST_MS: Milliseconds = 600_000;
+/** A word that prolongs a rest by less is no news: many answers that say the same come over some milliseconds. */
+const NEWS_MS: Milliseconds = 500;
+/** Hosts that were asked for the same rest come back within this share of it, and not all at its end. */
+const RETURN_SPREAD_SHARE = 0.1;
+const LONGEST_RETURN_SPREAD_MS: Milliseconds = 500;
+/** After a rest one request is sent, and twice as many with each that is answered, up to no bound. */
+const FIRST_MOST = 1;
+const MOST_GROWTH = 2;
+const NO_BOUND_FROM = 32;
+
+/**
+ * Servers that asked this host for rest, by a 503 with the time for which they want nothing more from it. It binds
+ * this host alone. After a rest it returns by steps: a server that is sent at once all that a host has turns it away
+ * again.
+ */
+export class RestingServers {
+  readonly #rests = new Map<string, Rest>();
+
+  /** `draw`: uniform random numbers in [0, 1). */
+  constructor(readonly draw: () => number) {}
+
+  get size(): number {
+    return this.#rests.size;
+  }
+
+  /** The server wants nothing for `forMs` from now. Of several words the one that lasts longest holds. */
+  begin(server: BackendServer, forMs: Milliseconds, nowMs: Milliseconds): RestBegun {
+    const known = this.#find(server);
+    const spreadMs = Math.min(forMs * RETURN_SPREAD_SHARE, LONGEST_RETURN_SPREAD_MS) * this.draw();
+    const wantedMs = nowMs + Math.min(forMs, LONGEST_REST_MS) + spreadMs;
+    const untilMs = Math.max(wantedMs, known?.untilMs ?? 0);
+    const unanswered = known?.unanswered ?? new Set();
+    this.#rests.set(server.id, { server, untilMs, most: FIRST_MOST, unanswered });
+    const isResting = known !== undefined && known.untilMs > nowMs;
+    return { untilMs, isNews: !isResting || untilMs - known.untilMs > NEWS_MS };
+  }
+
+  /** How long the server rests still; 0 where it does not. */
+  leftMs(server: BackendServer, nowMs: Milliseconds): Milliseconds {
+    return Math.max(0, (this.#find(server)?.untilMs ?? 0) - nowMs);
+  }
+
+  /** Whether one more request may be sent: it does not rest, nor is it returned to by steps that are taken. */
+  mayTake(server: BackendServer, nowMs: Milliseconds): boolean {
+    const rest = this.#find(server);
+    return rest === undefined || (rest.untilMs <= nowMs && rest.unanswered.size < rest.most);
+  }
+
+  /** A request is sent now; to be asked of `mayTake` before. */
+  onSent(server: BackendServer, attemptId: string, nowMs: Milliseconds): void {
+    const rest = this.#find(server);
+    if (!rest || rest.untilMs > nowMs) return;
+    this.#rests.set(server.id, { ...rest, unanswered: new Set([...rest.unanswered, attemptId]) });
+  }
+
+  /** The request has an answer, which a new rest may follow. */
+  onAnswered(server: BackendServer, attemptId: string): void {
+    const rest = this.#take(server, attemptId);
+    if (!rest) return;
+    const most = rest.most * MOST_GROWTH;
+    if (most >= NO_BOUND_FROM) this.#rests.delete(server.id);
+    else this.#rests.set(server.id, { ...rest, most });
+  }
+
+  /** The request is over, with an answer or without one. */
+  onOver(server: BackendServer, attemptId: string): void {
+    const rest = this.#take(server, attemptId);
+    if (rest) this.#rests.set(server.id, rest);
+  }
+
+  /** Forgets rests of servers that are not among those in `knownIds`. */
+  expire(isKnown: (serverId: string) => boolean, nowMs: Milliseconds): void {
+    for (const [id, { untilMs }] of this.#rests) {
+      if (untilMs <= nowMs && !isKnown(id)) this.#rests.delete(id);
+    }
+  }
+
+  #take(server: BackendServer, attemptId: string): Rest | undefined {
+    const rest = this.#find(server);
+    if (!rest?.unanswered.has(attemptId)) return undefined;
+    const unanswered = new Set(rest.unanswered);
+    unanswered.delete(attemptId);
+    return { ...rest, unanswered };
+  }
+
+  #find(server: BackendServer): Rest | undefined {
+    const rest = this.#rests.get(server.id);
+    return rest && isSameLife(rest.server, server) ? rest : undefined;
+  }
+}
--- a/packages/relay/src/backend/held-memory.test.ts
+++ b/packages/relay/src/backend/held-memory.test.ts
@@ -15,7 +15,7 @@
       reservedAtMs.push(clock.monotonicMs());
       return Promise.resolve({ isHeld: true });
     },
-    release: () => Promise.resolve(true),
+    release: () => Promise.resolve({ isAnswered: true }),
     readWork: () => Promise.resolve(isAlive ? { running: 1, memoryTokens: 1 } : undefined),
   };
   const held = await HeldMemory.take({ clock, log: silentLog, memory }, 'r1', {
--- a/packages/relay/src/backend/held-memory.ts
+++ b/packages/relay/src/backend/held-memory.ts
@@ -109,7 +109,8 @@
 
   async #releaseOne(server: BackendServer): Promise<void> {
     for (let tries = 0; tries < RELEASE_TRIES; tries += 1) {
-      if (await this.parts.memory.release(server, this.id)) return;
+      const { isAnswered } = await this.parts.memory.release(server, this.id);
+      if (isAnswered) return;
       await delay(this.parts.clock, RELEASE_PAUSE_MS);
     }
     this.parts.log.warn('memory_left_to_lapse', {
--- a/packages/relay/src/backend/server-attempt.test.ts
+++ b/packages/relay/src/backend/server-attempt.test.ts
@@ -66,8 +66,10 @@
         isSigned: headers['x-signed'] !== undefined,
         isNotRun: headers['x-not-run'] !== undefined,
         faultyEngine: undefined,
+        word: { isLeaving: false, restMs: undefined },
         forwarded: [],
       }),
+      onHead: () => undefined,
       onFrames: (more) => {
         frames.push(...more);
         return true;
@@ -158,6 +160,7 @@
         readAnswer: () => {
           throw new Error('no answer can come');
         },
+        onHead: () => undefined,
         onFrames: () => true,
       },
     );
--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -39,6 +39,8 @@
 export interface AttemptParts {
   readonly clock: Clock;
   readonly readAnswer: (message: IncomingMessage) => AnswerHead;
+  /** The head of an answer of this server to this request has come, of whatever status. */
+  readonly onHead: (head: AnswerHead) => void;
   readonly onFrames: FramesListener;
 }
 
@@ -150,6 +152,8 @@
     this.#response = response;
     const head = this.parts.readAnswer(response);
     response.on('error', () => undefined);
+    // Refusals may lack the request's identifier; one of another request is another answer.
+    if ((head.requestId ?? this.call.requestId) === this.call.requestId) this.parts.onHead(head);
     if (isSuccess(head.status) && (head.requestId !== this.call.requestId || !head.isSigned)) {
       this.#end({ kind: 'broken', detail: 'the answer is not one to this request' });
     } else if (isSuccess(head.status) && this.call.wantsEvents) {
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -1,6 +1,6 @@
 import { newOwner, SystemClock } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
-import { FleetView, Quarantine, RetryBudget } from '@poppypond/fleet';
+import { FleetView, Quarantine, RestingServers, RetryBudget } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import {
@@ -12,6 +12,7 @@
 } from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
 import { LifeAwareMemory } from './backend/life-aware-memory.js';
+import { ServerNotices } from './notices/server-notices.js';
 import { PauseWatch } from './pause-watch.js';
 import type { PeerAddress } from './peers/peer-list.js';
 import { PeerMesh } from './peers/peer-mesh.js';
@@ -45,11 +46,14 @@
   readonly servers: ServerList;
   readonly memory: EngineMemory;
   readonly knowledge: SharedKnowledge;
+  readonly notices: ServerNotices;
   readonly keyTrust: KeyTrust;
   readonly quarantine: SharedQuarantine;
   readonly pauses: PauseWatch;
 }
 
+const draw = Math.random;
+
 /** A key counts for this much less than allowed, for the way between check and use. */
 const KEY_MARGIN_MS: Milliseconds = 200;
 const MS_PER_SECOND = 1000;
@@ -72,10 +76,17 @@
   servers.onNewLife(({ id }) => {
     fleet.forgetServer(id);
   });
-  const memory = new LifeAwareMemory(ports.memory, (asked, bornMs) => {
-    servers.onBirthTold(asked, bornMs);
-  });
   const measures = new Measures();
+  const rests = new RestingServers(draw);
+  const notices = new ServerNotices({ clock, log, measures, host, servers, rests });
+  const memory = new LifeAwareMemory(ports.memory, {
+    onBirthTold: (asked, bornMs) => {
+      servers.onBirthTold(asked, bornMs);
+    },
+    onWord: (asked, word) => {
+      notices.hear(asked, word);
+    },
+  });
   const knowledge = new SharedKnowledge({ clock, inForce, freshness, list: servers });
   const keyTrust = new KeyTrust(
     { clock, log, measures, inForce, freshness, knowledge },
@@ -103,6 +114,7 @@
     servers,
     memory,
     knowledge,
+    notices,
     keyTrust,
     quarantine,
     pauses: new PauseWatch(clock),
@@ -123,8 +135,6 @@
   return Math.max(SHORTEST_BEAT_PERIOD_MS, Math.min(LONGEST_BEAT_PERIOD_MS, shareMs));
 }
 
-const draw = Math.random;
-
 /** How other relays reach this one. */
 export function selfAddress(settings: RelaySettings): PeerAddress {
   const { host, address, availabilityZone, peerPort, coreShare, coreSpeed } = settings;
@@ -187,6 +197,7 @@
     keyTrust,
     quarantine,
     pauses,
+    notices: base.notices,
     fleet,
     servers,
     peers,
--- /dev/null
+++ b/packages/relay/src/notices/server-notices.ts
@@ -0,0 +1,67 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { BackendServer, RestingServers } from '@poppypond/fleet';
+import type { Log, Measures } from '@poppypond/telemetry';
+import type { ServerWord } from '../ports.js';
+import type { ServerList } from '../store/server-list.js';
+
+/** What the notices need. */
+export interface ServerNoticesParts {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly measures: Measures;
+  /** Names this host. */
+  readonly host: string;
+  readonly servers: ServerList;
+  readonly rests: RestingServers;
+}
+
+/**
+ * What servers say of themselves in their answers of all kinds. That a server leaves binds all hosts and holds as
+ * long as its life; that it wants rest binds this host until the rest is over. Each is logged once.
+ */
+export class ServerNotices {
+  constructor(readonly parts: ServerNoticesParts) {}
+
+  /** Takes in what the server that was asked as `server` has said in an answer. */
+  hear(server: BackendServer, { isLeaving, restMs }: ServerWord): void {
+    if (isLeaving) this.hearLeaving(server, this.parts.clock.monotonicMs(), this.parts.host);
+    if (restMs !== undefined) this.#hearRest(server, restMs);
+  }
+
+  /** The server told `toldBy` at `saidAtMs`, on this process's clock, that it leaves; false where that was known. */
+  hearLeaving(server: BackendServer, saidAtMs: Milliseconds, toldBy: string): boolean {
+    const { log, measures, servers } = this.parts;
+    const listed = servers.stateOf(server);
+    if (!servers.onLeaving(server, saidAtMs)) return false;
+    measures.count('poppypond_server_words_total', { word: 'leaving' });
+    log.warn('server_leaving', {
+      server: server.id,
+      service: server.service,
+      born_ms: server.bornMs,
+      told_by: toldBy,
+      listed,
+      list_age_ms: Math.round(servers.freshness.ageMs()),
+    });
+    return true;
+  }
+
+  #hearRest(server: BackendServer, restMs: Milliseconds): void {
+    const { clock, log, measures, rests } = this.parts;
+    const nowMs = clock.monotonicMs();
+    const { untilMs, isNews } = rests.begin(server, restMs, nowMs);
+    if (!isNews) return;
+    const forMs = untilMs - nowMs;
+    measures.count('poppypond_server_words_total', { word: 'rest' });
+    log.warn('server_rests', {
+      server: server.id,
+      service: server.service,
+      asked_ms: Math.round(restMs),
+      for_ms: Math.round(forMs),
+      resting: rests.size,
+    });
+    clock.after(forMs, () => {
+      if (rests.leftMs(server, clock.monotonicMs()) > 0) return;
+      log.info('server_rest_over', { server: server.id, after_ms: Math.round(forMs) });
+    });
+  }
+}
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -49,6 +49,14 @@
   readonly reservation: string | undefined;
 }
 
+/** What a server says of itself in an answer, whatever it answers. */
+export interface ServerWord {
+  /** Whether it leaves, and wants no new requests from any host. */
+  readonly isLeaving: boolean;
+  /** For how long it wants nothing from this host; undefined where it doesn't ask for rest. */
+  readonly restMs: Milliseconds | undefined;
+}
+
 /** The head of a backend server's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -60,6 +68,8 @@
   readonly isNotRun: boolean;
   /** The engine, by id or `ADDRESS:PORT`, for want of which another could not serve. */
   readonly faultyEngine: string | undefined;
+  /** What the server says of itself. */
+  readonly word: ServerWord;
   /** Headers for the caller, without those of one connection or of the body's length. */
   readonly forwarded: HeaderPairs;
 }
@@ -133,16 +143,28 @@
   readonly memoryTokens: number;
   /** Unix time at which the life began that answered; undefined where it doesn't tell. */
   readonly bornMs?: Milliseconds | undefined;
+  /** What the engine says of itself. */
+  readonly word?: ServerWord | undefined;
 }
 
 /** An engine's answer to an order to hold memory. */
 export interface ReserveAnswer {
+  /** What the engine says of itself; undefined where no answer came. */
+  readonly word?: ServerWord | undefined;
   /** Whether the memory is held. */
   readonly isHeld: boolean;
   /** Unix time at which the life began that answered; undefined where it doesn't tell. */
   readonly bornMs?: Milliseconds | undefined;
 }
 
+/** An engine's answer to an order to free memory. */
+export interface ReleaseAnswer {
+  /** False where no answer came. */
+  readonly isAnswered: boolean;
+  /** What the engine says of itself; undefined where no answer came. */
+  readonly word?: ServerWord | undefined;
+}
+
 /** Engines' memory that is held for requests. Orders without an answer may be carried out later. */
 export interface EngineMemory {
   /** Holds memory for `holdMs` from now, or holds it that much longer. */
@@ -152,8 +174,8 @@
     tokens: number,
     holdMs: Milliseconds,
   ): Promise<ReserveAnswer>;
-  /** Frees it; false where no answer came. */
-  release(server: BackendServer, id: string): Promise<boolean>;
+  /** Frees it. */
+  release(server: BackendServer, id: string): Promise<ReleaseAnswer>;
   /** What the engine runs; undefined where it does not answer. Each question is priced. */
   readWork(server: BackendServer): Promise<EngineWork | undefined>;
 }
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -220,6 +220,9 @@
       {
         clock,
         readAnswer: (message) => wire.readAnswer(message),
+        onHead: ({ word }) => {
+          this.parts.notices.hear(server, word);
+        },
         onFrames: (frames, head) => this.#onFrames(frames, head),
       },
     );
--- a/packages/relay/src/store/server-list.ts
+++ b/packages/relay/src/store/server-list.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import { isSameLife } from '@poppypond/fleet';
+import { isSameLife, LeavingLives } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { Freshness } from '@poppypond/routing';
 import type { Log } from '@poppypond/telemetry';
@@ -44,6 +44,7 @@
   /** Lives that told us that they are gone, or whose address another has, by id. */
   readonly #gone = new Map<string, BackendServer>();
   readonly #lives = new ServerLives();
+  readonly #leaving = new LeavingLives();
   /** The last life of servers that are listed no more, by id, and since when. */
   readonly #lapsed = new Map<
     string,
@@ -181,6 +182,10 @@
       this.#put(present, 'its_entry', isFirst);
     }
     this.#forgetLapsed(nowMs);
+    this.#leaving.onListed(
+      [...this.#servers.values()].filter(({ id }) => listedIds.has(id)),
+      nowMs,
+    );
     for (const id of this.#gone.keys()) if (!listedIds.has(id)) this.#gone.delete(id);
     this.#byService.clear();
   }
@@ -200,6 +205,21 @@
     return true;
   }
 
+  /** The server itself has said at `saidAtMs` that it leaves; false where that is nothing new. */
+  onLeaving(server: BackendServer, saidAtMs: Milliseconds): boolean {
+    const known = this.#servers.get(server.id);
+    if (!known || !isSameLife(known, server) || !this.#leaving.add(known, saidAtMs)) return false;
+    this.#byService.clear();
+    return true;
+  }
+
+  /** What the list says of this life of a server; `unlisted` where it says nothing. */
+  stateOf(server: BackendServer): 'ready' | 'draining' | 'unlisted' {
+    const known = this.#servers.get(server.id);
+    if (!known || !isSameLife(known, server)) return 'unlisted';
+    return known.isDraining ? 'draining' : 'ready';
+  }
+
   #isGone(server: BackendServer): boolean {
     const gone = this.#gone.get(server.id);
     return gone !== undefined && isSameLife(gone, server);
--- a/packages/telemetry/src/measures.ts
+++ b/packages/telemetry/src/measures.ts
@@ -48,6 +48,11 @@
     help: 'Servers asked whether they are there after an answer broke off, by what was found.',
     labels: ['state'],
   },
+  poppypond_server_words_total: {
+    type: 'counter',
+    help: 'Words of servers that they leave or want rest, each once.',
+    labels: ['word'],
+  },
   poppypond_quarantine_changes_total: {
     type: 'counter',
     help: 'Requests that were found to end servers, tried again, or served after all.',
