Send servers nothing that have said in an answer that they leave, or want rest

Cause: what a server says of itself was not read; what is avoided was a preference that gives way (all come back where none is left, two in five are left out at most), and choices are made elsewhere or earlier than the sending. Class: a word that binds was either not taken or taken for a preference.

Now the word is kept by life (leaving, all hosts) or by host and rest; whoever chooses leaves such servers out, plans of other hosts too, and one gate decides right before the first byte, for calls, streams, their taking up, readers of parts, orders and questions. A rest ends by steps (1, 2, 4, ...). Where all rest, callers are refused at once with the moment of the first that is back, or wait for one that is back within half of their aim. relay-run.ts is parted: what follows an attempt, and the one answer.

--- a/packages/emulator/src/play-day.ts
+++ b/packages/emulator/src/play-day.ts
@@ -165,6 +165,7 @@
       limitAtMs: atMs + kind.limitMs,
       isRepeated: false,
       avoidedIds: [],
+      excludedIds: [],
     };
   }
 
--- /dev/null
+++ b/packages/fleet/src/leaving-lives.test.ts
@@ -0,0 +1,71 @@
+import { engineServer } from '@poppypond/mocks';
+import { describe, expect, it } from 'vitest';
+import type { BackendServer } from './backend-server.js';
+import { LeavingLives } from './leaving-lives.js';
+
+const SERVER: BackendServer = engineServer('i-1');
+const DRAINING: BackendServer = { ...SERVER, isDraining: true };
+
+function leavingSince(saidAtMs: number, server = SERVER): LeavingLives {
+  const lives = new LeavingLives();
+  lives.add(server, saidAtMs);
+  return lives;
+}
+
+describe('LeavingLives', () => {
+  it('takes each life in once, by its first word', () => {
+    const lives = leavingSince(100);
+    expect(lives.add(SERVER, 300)).toBe(false);
+    expect(lives.saidAtMs(SERVER)).toBe(100);
+    expect(lives.saidAtMs(engineServer('i-2'))).toBeUndefined();
+  });
+
+  it('goes by the word as long as entries say ready, however long', () => {
+    const lives = leavingSince(0);
+    for (let nowMs = 0; nowMs < 600_000; nowMs += 1000) lives.onListed([SERVER], nowMs);
+    expect(lives.saidAtMs(SERVER)).toBe(0);
+  });
+
+  it.each([
+    ['birth', { bornMs: 7 }],
+    ['port', { port: 9 }],
+    ['address', { address: '10.0.0.9' }],
+  ])('says nothing of another life by its %s', (_name, change) => {
+    const lives = leavingSince(0);
+    expect(lives.saidAtMs({ ...SERVER, ...change })).toBeUndefined();
+    expect(lives.add({ ...SERVER, ...change }, 50)).toBe(true);
+  });
+
+  it('takes a late entry that says ready for what it is, and one that stays for a new life', () => {
+    const lives = leavingSince(0);
+    lives.onListed([DRAINING], 1000);
+    lives.onListed([SERVER], 2000);
+    lives.onListed([DRAINING], 3000);
+    lives.onListed([SERVER], 4000);
+    expect(lives.saidAtMs(SERVER)).toBe(0);
+    lives.onListed([SERVER], 6700);
+    expect(lives.saidAtMs(SERVER)).toBeUndefined();
+  });
+
+  it('takes one that was not listed for long for a new life at once', () => {
+    const lives = leavingSince(0);
+    lives.onListed([], 1000);
+    lives.onListed([], 5000);
+    lives.onListed([SERVER], 5100);
+    expect(lives.saidAtMs(SERVER)).toBeUndefined();
+  });
+
+  it('keeps one that lapsed for a moment, as entries do while the store is away', () => {
+    const lives = leavingSince(0);
+    lives.onListed([], 1000);
+    lives.onListed([SERVER], 2500);
+    expect(lives.saidAtMs(SERVER)).toBe(0);
+  });
+
+  it('forgets what is listed no more', () => {
+    const lives = leavingSince(0);
+    lives.onListed([], 1000);
+    lives.onListed([], 62_000);
+    expect(lives.size).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/fleet/src/resting-servers.test.ts
@@ -0,0 +1,95 @@
+import { engineServer } from '@poppypond/mocks';
+import fastCheck from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { LONGEST_REST_MS, RestingServers } from './resting-servers.js';
+
+const SERVER = engineServer('i-1');
+const atOnce = () => 0;
+
+describe('RestingServers', () => {
+  it('lets nothing through for as long as any of its words asked for', () => {
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.array(
+          fastCheck.record({
+            afterMs: fastCheck.nat(5000),
+            forMs: fastCheck.integer({ min: 1, max: 20_000 }),
+          }),
+          { minLength: 1 },
+        ),
+        fastCheck.nat(30_000),
+        (words, lookMs) => {
+          const rests = new RestingServers(atOnce);
+          let nowMs = 0;
+          let untilMs = 0;
+          for (const { afterMs, forMs } of words) {
+            nowMs += afterMs;
+            rests.begin(SERVER, forMs, nowMs);
+            untilMs = Math.max(untilMs, nowMs + forMs);
+          }
+          const atMs = nowMs + lookMs;
+          expect(rests.mayTake(SERVER, atMs)).toBe(atMs >= untilMs);
+        },
+      ),
+    );
+  });
+
+  it('binds one life of one server', () => {
+    const rests = new RestingServers(atOnce);
+    rests.begin(SERVER, 3000, 0);
+    expect(rests.mayTake(engineServer('i-2'), 10)).toBe(true);
+    expect(rests.mayTake({ ...SERVER, bornMs: 5 }, 10)).toBe(true);
+    expect(rests.mayTake(SERVER, 10)).toBe(false);
+  });
+
+  it('returns by steps: twice as many at once with each that is answered', () => {
+    const rests = new RestingServers(atOnce);
+    rests.begin(SERVER, 3000, 0);
+    const sendAll = (round: number) => {
+      const sent: string[] = [];
+      while (sent.length < 100 && rests.mayTake(SERVER, 3000)) {
+        const id = `${String(round)}-${String(sent.length)}`;
+        rests.onSent(SERVER, id, 3000);
+        sent.push(id);
+      }
+      return sent;
+    };
+    const counts: number[] = [];
+    for (let round = 0; round < 4; round += 1) {
+      const sent = sendAll(round);
+      counts.push(sent.length);
+      for (const id of sent) rests.onAnswered(SERVER, id);
+    }
+    expect(counts).toEqual([1, 2, 8, 100]);
+  });
+
+  it('begins at one again after another rest, and lets attempts without an answer go', () => {
+    const rests = new RestingServers(atOnce);
+    rests.begin(SERVER, 1000, 0);
+    rests.onSent(SERVER, 'a', 1000);
+    expect(rests.mayTake(SERVER, 1000)).toBe(false);
+    rests.onOver(SERVER, 'a');
+    expect(rests.mayTake(SERVER, 1000)).toBe(true);
+    rests.onSent(SERVER, 'b', 1000);
+    rests.onAnswered(SERVER, 'b');
+    rests.begin(SERVER, 1000, 2000);
+    rests.onSent(SERVER, 'c', 3000);
+    expect(rests.mayTake(SERVER, 3000)).toBe(false);
+  });
+
+  it('lets two orders through while it rests, and tells each rest once', () => {
+    const rests = new RestingServers(atOnce);
+    expect(rests.begin(SERVER, 3000, 0).isNews).toBe(true);
+    expect(rests.begin(SERVER, 3000, 100).isNews).toBe(false);
+    expect([1, 2, 3].map(() => rests.tryOrder(SERVER, 200))).toEqual([true, true, false]);
+    expect(rests.tryOrder(SERVER, 3100)).toBe(true);
+  });
+
+  it('tries a server that asked for absurdly long after its longest rest, and forgets old ones', () => {
+    const rests = new RestingServers(atOnce);
+    rests.begin(SERVER, 1e12, 0);
+    expect(rests.leftMs(SERVER, 0)).toBe(LONGEST_REST_MS);
+    rests.begin(engineServer('i-2'), 100, LONGEST_REST_MS + 60_001);
+    expect(rests.size).toBe(1);
+  });
+});
--- a/packages/fleet/src/resting-servers.ts
+++ b/packages/fleet/src/resting-servers.ts
@@ -9,6 +9,8 @@
   readonly most: number;
   /** Requests sent after the rest that have no answer yet. */
   readonly unanswered: ReadonlySet<string>;
+  /** Orders that may be sent still while it rests. */
+  readonly ordersLeft: number;
 }
 
 /** What came of a word that a server wants rest. */
@@ -33,6 +35,10 @@
 const FIRST_MOST = 1;
 const MOST_GROWTH = 2;
 const NO_BOUND_FROM = 32;
+/** A server that was not needed for so long after its rest is taken as any other. */
+const FORGOTTEN_AFTER_MS: Milliseconds = 60_000;
+/** Sent to a server that rests: one order to hold on to memory that a request uses there, and one to free it. */
+const ORDERS_IN_REST = 2;
 
 /**
  * Servers that asked this host for rest, by a 503 with the time for which they want nothing more from it. It binds
@@ -51,13 +57,15 @@
 
   /** The server wants nothing for `forMs` from now. Of several words the one that lasts longest holds. */
   begin(server: BackendServer, forMs: Milliseconds, nowMs: Milliseconds): RestBegun {
+    this.#forgetLongOver(nowMs);
     const known = this.#find(server);
     const spreadMs = Math.min(forMs * RETURN_SPREAD_SHARE, LONGEST_RETURN_SPREAD_MS) * this.draw();
     const wantedMs = nowMs + Math.min(forMs, LONGEST_REST_MS) + spreadMs;
     const untilMs = Math.max(wantedMs, known?.untilMs ?? 0);
-    const unanswered = known?.unanswered ?? new Set();
-    this.#rests.set(server.id, { server, untilMs, most: FIRST_MOST, unanswered });
     const isResting = known !== undefined && known.untilMs > nowMs;
+    const unanswered = known?.unanswered ?? new Set();
+    const ordersLeft = isResting ? known.ordersLeft : ORDERS_IN_REST;
+    this.#rests.set(server.id, { server, untilMs, most: FIRST_MOST, unanswered, ordersLeft });
     return { untilMs, isNews: !isResting || untilMs - known.untilMs > NEWS_MS };
   }
 
@@ -79,6 +87,15 @@
     this.#rests.set(server.id, { ...rest, unanswered: new Set([...rest.unanswered, attemptId]) });
   }
 
+  /** Whether an order may be sent now; counts it where the server rests. */
+  tryOrder(server: BackendServer, nowMs: Milliseconds): boolean {
+    const rest = this.#find(server);
+    if (!rest || rest.untilMs <= nowMs) return true;
+    if (rest.ordersLeft === 0) return false;
+    this.#rests.set(server.id, { ...rest, ordersLeft: rest.ordersLeft - 1 });
+    return true;
+  }
+
   /** The request has an answer, which a new rest may follow. */
   onAnswered(server: BackendServer, attemptId: string): void {
     const rest = this.#take(server, attemptId);
@@ -94,10 +111,9 @@
     if (rest) this.#rests.set(server.id, rest);
   }
 
-  /** Forgets rests of servers that are not among those in `knownIds`. */
-  expire(isKnown: (serverId: string) => boolean, nowMs: Milliseconds): void {
+  #forgetLongOver(nowMs: Milliseconds): void {
     for (const [id, { untilMs }] of this.#rests) {
-      if (untilMs <= nowMs && !isKnown(id)) this.#rests.delete(id);
+      if (nowMs - untilMs > FORGOTTEN_AFTER_MS) this.#rests.delete(id);
     }
   }
 
--- a/packages/relay/src/backend/life-aware-memory.ts
+++ b/packages/relay/src/backend/life-aware-memory.ts
@@ -16,14 +16,32 @@
   onWord(asked: BackendServer, word: ServerWord): void;
 }
 
+/** Whether an engine may be sent an order or a question now, by what it said itself. */
+export interface OrderGate {
+  tryOrder(server: BackendServer): boolean;
+  /** How long it rests still; 0 where it does not. */
+  restLeftMs(server: BackendServer): Milliseconds;
+}
+
+/** Engines hold memory for no longer at once. */
+const LONGEST_HOLD_MS: Milliseconds = 10_000;
+
+function overRestMs(holdMs: Milliseconds, restMs: Milliseconds): Milliseconds {
+  return Math.max(holdMs, Math.min(LONGEST_HOLD_MS, Math.round(holdMs + restMs)));
+}
+
+/** An engine that rests is asked nothing; it answered a moment ago, and nothing more is known of it. */
+const NOT_ASKED: EngineWork = { running: 0, memoryTokens: 0 };
+
 /**
  * Engines' memory that passes on what engines tell of themselves: one that has started again answers as well as
- * before, while all that was held and ran there is gone.
+ * before, while all that was held and ran there is gone. Engines that rest are sent no more than their gate allows.
  */
 export class LifeAwareMemory implements EngineMemory {
   constructor(
     readonly memory: EngineMemory,
     readonly words: EngineWords,
+    readonly gate: OrderGate,
   ) {}
 
   async reserve(
@@ -32,18 +50,23 @@
     tokens: number,
     holdMs: Milliseconds,
   ): Promise<ReserveAnswer> {
-    const answer = await this.memory.reserve(server, id, tokens, holdMs);
+    if (!this.gate.tryOrder(server)) return { isHeld: false };
+    // What a request uses there is held over the rest by one order.
+    const restMs = this.gate.restLeftMs(server);
+    const answer = await this.memory.reserve(server, id, tokens, overRestMs(holdMs, restMs));
     this.#tell(server, answer);
     return answer;
   }
 
   async release(server: BackendServer, id: string): Promise<ReleaseAnswer> {
+    if (!this.gate.tryOrder(server)) return { isAnswered: false };
     const answer = await this.memory.release(server, id);
     this.#tell(server, answer);
     return answer;
   }
 
   async readWork(server: BackendServer): Promise<EngineWork | undefined> {
+    if (this.gate.restLeftMs(server) > 0) return NOT_ASKED;
     const work = await this.memory.readWork(server);
     if (work) this.#tell(server, work);
     return work;
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -12,6 +12,7 @@
 } from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
 import { LifeAwareMemory } from './backend/life-aware-memory.js';
+import { SendGate } from './notices/send-gate.js';
 import { ServerNotices } from './notices/server-notices.js';
 import { PauseWatch } from './pause-watch.js';
 import type { PeerAddress } from './peers/peer-list.js';
@@ -21,7 +22,7 @@
 import { EarlierWork } from './planning/earlier-work.js';
 import { Placing } from './planning/placing.js';
 import { Planner } from './planning/planner.js';
-import type { EngineMemory, PlatformPorts } from './ports.js';
+import type { EngineMemory, PlatformPorts, ServerWord } from './ports.js';
 import { SharedQuarantine } from './quarantine/shared-quarantine.js';
 import type { RelayParts } from './request/relay-parts.js';
 import type { RelaySettings } from './settings.js';
@@ -47,11 +48,14 @@
   readonly memory: EngineMemory;
   readonly knowledge: SharedKnowledge;
   readonly notices: ServerNotices;
+  readonly gate: SendGate;
   readonly keyTrust: KeyTrust;
   readonly quarantine: SharedQuarantine;
   readonly pauses: PauseWatch;
 }
 
+/** A server that leaves is sent nothing this long before it must be sent nothing, for the way to it. */
+const LAST_RESORT_MARGIN_MS: Milliseconds = 200;
 const draw = Math.random;
 
 /** A key counts for this much less than allowed, for the way between check and use. */
@@ -71,7 +75,7 @@
   });
   const inForce = new ConfigurationInForce();
   const freshness = new Freshness(clock);
-  const servers = new ServerList(clock, log);
+  const servers = new ServerList(clock, log, settings.leavingWithinMs - LAST_RESORT_MARGIN_MS);
   const fleet = new FleetView();
   servers.onNewLife(({ id }) => {
     fleet.forgetServer(id);
@@ -79,14 +83,16 @@
   const measures = new Measures();
   const rests = new RestingServers(draw);
   const notices = new ServerNotices({ clock, log, measures, host, servers, rests });
-  const memory = new LifeAwareMemory(ports.memory, {
-    onBirthTold: (asked, bornMs) => {
+  const gate = new SendGate({ clock, servers, rests, draw });
+  const words = {
+    onBirthTold: (asked: BackendServer, bornMs: Milliseconds) => {
       servers.onBirthTold(asked, bornMs);
     },
-    onWord: (asked, word) => {
+    onWord: (asked: BackendServer, word: ServerWord) => {
       notices.hear(asked, word);
     },
-  });
+  };
+  const memory = new LifeAwareMemory(ports.memory, words, gate);
   const knowledge = new SharedKnowledge({ clock, inForce, freshness, list: servers });
   const keyTrust = new KeyTrust(
     { clock, log, measures, inForce, freshness, knowledge },
@@ -115,6 +121,7 @@
     memory,
     knowledge,
     notices,
+    gate,
     keyTrust,
     quarantine,
     pauses: new PauseWatch(clock),
@@ -198,6 +205,7 @@
     quarantine,
     pauses,
     notices: base.notices,
+    gate: base.gate,
     fleet,
     servers,
     peers,
--- /dev/null
+++ b/packages/relay/src/notices/send-gate.ts
@@ -0,0 +1,134 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { BackendServer, RestingServers } from '@poppypond/fleet';
+import type { ServerList } from '../store/server-list.js';
+
+/** What the gate needs. */
+export interface SendGateParts {
+  readonly clock: Clock;
+  readonly servers: ServerList;
+  readonly rests: RestingServers;
+  /** Uniform random numbers in [0, 1). */
+  readonly draw: () => number;
+}
+
+/** Why a server may be sent nothing now. */
+export type SendBlock = 'leaves' | 'rests' | 'not_listed';
+
+/** Servers that one attempt is to use. */
+export interface AttemptServers {
+  readonly attemptId: string;
+  readonly server: BackendServer;
+  /** Engines that read parts of its prompt. */
+  readonly readers: readonly BackendServer[];
+}
+
+/**
+ * Callers that are refused while all servers rest come back over this time after the first rest: all at once would
+ * begin the next one. About as long as a server takes to be returned to by steps.
+ */
+const CALLERS_SPREAD_MS: Milliseconds = 500;
+/** A server that is returned to by steps takes the next request when one has its answer. */
+const NEXT_STEP_MS: Milliseconds = 20;
+
+/**
+ * Whether a server may be sent anything by this host, by what the server said itself. What is avoided is a preference
+ * and gives way where too many are; this does not. Whoever chooses asks it, and so does whoever sends, right before
+ * the first byte: choices are made elsewhere, or earlier.
+ */
+export class SendGate {
+  constructor(readonly parts: SendGateParts) {}
+
+  /** Servers of a service that may be sent a request now, in an order that all hosts agree on. */
+  usable(service: string): readonly BackendServer[] {
+    const { rests, servers } = this.parts;
+    const ready = servers.available(service);
+    if (rests.size === 0 && ready.length > 0) return ready;
+    const awake = this.#awake(ready);
+    return awake.length > 0 ? awake : this.#awake(servers.lastResort(service));
+  }
+
+  /** Ids of listed servers of a service that may be sent nothing now; for planners, which were told other things. */
+  excludedIds(service: string): readonly string[] {
+    const { rests, servers } = this.parts;
+    const leaving = servers.leaving(service);
+    if (rests.size === 0 && leaving.length === 0) return [];
+    const usable = new Set(this.usable(service));
+    return [...servers.available(service), ...leaving]
+      .filter((server) => !usable.has(server))
+      .map(({ id }) => id);
+  }
+
+  /**
+   * How long until a server of a service may be sent a request that all turn away now; 0 where one may, undefined
+   * where none is listed.
+   */
+  nextMs(service: string): Milliseconds | undefined {
+    if (this.usable(service).length > 0) return 0;
+    const { clock, rests, servers } = this.parts;
+    const nowMs = clock.monotonicMs();
+    const listed = servers.available(service);
+    if (listed.length === 0) return undefined;
+    return Math.max(NEXT_STEP_MS, Math.min(...listed.map((server) => rests.leftMs(server, nowMs))));
+  }
+
+  /** When a caller may come back that is refused for want of a server that may be sent its request. */
+  comeBackMs(nextMs: Milliseconds): Milliseconds {
+    return nextMs + this.parts.draw() * CALLERS_SPREAD_MS;
+  }
+
+  /**
+   * To be asked right before an attempt is sent, which counts as sent where it may be. Otherwise the id of a server
+   * that it would use and that may be sent nothing, and why.
+   */
+  tryTake(attempt: AttemptServers): { readonly id: string; readonly why: SendBlock } | undefined {
+    const { attemptId, server, readers } = attempt;
+    const { clock, rests } = this.parts;
+    for (const used of [server, ...readers]) {
+      const why = this.#blockOf(used, used === server);
+      if (why) return { id: used.id, why };
+    }
+    rests.onSent(server, attemptId, clock.monotonicMs());
+    return undefined;
+  }
+
+  /** The head of an answer has come that asks for no rest. */
+  onAnswered(server: BackendServer, attemptId: string): void {
+    this.parts.rests.onAnswered(server, attemptId);
+  }
+
+  /** An attempt is over. */
+  onOver(server: BackendServer, attemptId: string): void {
+    this.parts.rests.onOver(server, attemptId);
+  }
+
+  /** Whether an order or a question may go to an engine; the few that may while it rests are counted. */
+  tryOrder(server: BackendServer): boolean {
+    const { clock, rests } = this.parts;
+    return rests.tryOrder(server, clock.monotonicMs());
+  }
+
+  /** How long the server rests still; 0 where it does not. */
+  restLeftMs(server: BackendServer): Milliseconds {
+    const { clock, rests } = this.parts;
+    return rests.leftMs(server, clock.monotonicMs());
+  }
+
+  #awake(servers: readonly BackendServer[]): readonly BackendServer[] {
+    const { clock, rests } = this.parts;
+    const nowMs = clock.monotonicMs();
+    return servers.filter((server) => rests.mayTake(server, nowMs));
+  }
+
+  /** `takes`: whether it is sent the request itself, of which it is given one after the other after a rest. */
+  #blockOf(server: BackendServer, takes: boolean): SendBlock | undefined {
+    const { clock, rests, servers } = this.parts;
+    const nowMs = clock.monotonicMs();
+    const isResting = takes ? !rests.mayTake(server, nowMs) : rests.leftMs(server, nowMs) > 0;
+    if (isResting) return 'rests';
+    const { service } = server;
+    if (servers.isLeaving(server)) {
+      return this.usable(service).some(({ id }) => id === server.id) ? undefined : 'leaves';
+    }
+    return servers.available(service).some(({ id }) => id === server.id) ? undefined : 'not_listed';
+  }
+}
--- a/packages/relay/src/peers/peer-mesh.test.ts
+++ b/packages/relay/src/peers/peer-mesh.test.ts
@@ -284,6 +284,7 @@
       limitAtMs: 60_000,
       isRepeated: false,
       avoidedIds: [],
+      excludedIds: [],
     });
     await network.run(50);
     expect(asking?.answers).toMatchObject([
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -58,6 +58,8 @@
   leftMs: z.number(),
   isRepeated: z.boolean(),
   avoidedIds: z.array(z.string()),
+  /** A release before this one knows of none, and names them among those that are avoided. */
+  excludedIds: z.array(z.string()).default([]),
 });
 
 const ruleSchema = z.enum(PLACEMENT_RULES);
--- a/packages/relay/src/peers/work-on-the-wire.ts
+++ b/packages/relay/src/peers/work-on-the-wire.ts
@@ -57,6 +57,7 @@
     leftMs: Math.round(request.limitAtMs - nowMs),
     isRepeated,
     avoidedIds: [...request.avoidedIds],
+    excludedIds: [...request.excludedIds],
   };
 }
 
--- a/packages/relay/src/planning/placing.test.ts
+++ b/packages/relay/src/planning/placing.test.ts
@@ -26,6 +26,7 @@
   limitAtMs: 10_000,
   isRepeated: false,
   avoidedIds: [],
+  excludedIds: [],
 };
 const PLACE: PlanAnswer = {
   kind: 'place',
--- a/packages/relay/src/planning/plan-engines.ts
+++ b/packages/relay/src/planning/plan-engines.ts
@@ -31,6 +31,17 @@
   return left.length > 0 ? left : servers;
 }
 
+/** Servers that the asking host may send a request; those that leave, where no other is left. */
+function allowedServers(
+  servers: ServerList,
+  { service, excludedIds }: PlanRequest,
+): readonly BackendServer[] {
+  const excluded = new Set(excludedIds);
+  const mayTake = ({ id }: BackendServer) => !excluded.has(id);
+  const allowed = servers.available(service).filter(mayTake);
+  return allowed.length > 0 ? allowed : servers.lastResort(service).filter(mayTake);
+}
+
 /** Time from its coming after which a request's caller is taken to have left. */
 function patienceOf(request: PlanRequest): Milliseconds {
   const { aimMs, gapAimMs, arrivedAtMs, silentSinceMs, limitAtMs } = request;
@@ -60,7 +71,7 @@
   order: ServerOrder,
 ): PlanAnswer {
   const { fleet, nowMs, servers, lateRule } = inputs;
-  const usable = order(without(servers.available(request.service), request.avoidedIds));
+  const usable = order(without(allowedServers(servers, request), request.avoidedIds));
   const loads = usable.map((server) => fleet.load(server, figures, nowMs));
   const demand = {
     promptTokens: request.promptTokens,
--- a/packages/relay/src/planning/plan-request.ts
+++ b/packages/relay/src/planning/plan-request.ts
@@ -26,8 +26,10 @@
   readonly limitAtMs: Milliseconds;
   /** Whether a server may have run a part of it already. */
   readonly isRepeated: boolean;
-  /** Servers that failed the request, or that the host knows to leave. */
+  /** Servers that failed the request: they are chosen where no other is left. */
   readonly avoidedIds: readonly string[];
+  /** Servers that the host may send nothing, whatever others there are. */
+  readonly excludedIds: readonly string[];
 }
 
 /** Where a stream is to run, by the ids of servers. */
--- a/packages/relay/src/planning/planner.test.ts
+++ b/packages/relay/src/planning/planner.test.ts
@@ -33,6 +33,7 @@
     limitAtMs: 15_000,
     isRepeated: false,
     avoidedIds: [],
+    excludedIds: [],
     ...more,
   };
 }
--- a/packages/relay/src/planning/waiting-order.test.ts
+++ b/packages/relay/src/planning/waiting-order.test.ts
@@ -61,6 +61,7 @@
       limitAtMs: arrivedAtMs + 15_000,
       isRepeated: false,
       avoidedIds: [],
+      excludedIds: [],
     };
     let isOver = false;
     const onAnswer = (answer: PlanAnswer) => {
--- a/packages/relay/src/request/choice.ts
+++ b/packages/relay/src/request/choice.ts
@@ -53,6 +53,9 @@
   | { readonly kind: 'refused'; readonly why: string; readonly retryAfterMs?: Milliseconds }
   | { readonly kind: 'over' };
 
+/** `resting`: each server that is listed wants rest, the first for `nextMs` still. */
+export type ChosenAtOnce = Chosen | { readonly kind: 'resting'; readonly nextMs: Milliseconds };
+
 /** The engines that read parts, with the memory that is held there. */
 export function readersOf({ plan, readers, held }: Choice): readonly ReaderAddress[] {
   const sharing = new Set(plan?.stream.shares.map(({ engineId }) => engineId));
--- a/packages/relay/src/request/choose-engines.ts
+++ b/packages/relay/src/request/choose-engines.ts
@@ -4,13 +4,14 @@
 import type { Route } from '@poppypond/routing';
 import { HeldMemory } from '../backend/held-memory.js';
 import type { PlannedStream, PlanRequest } from '../planning/plan-request.js';
-import type { Choice, ChoiceInputs, Chosen, StreamPlan } from './choice.js';
+import type { Choice, ChoiceInputs, Chosen, ChosenAtOnce, StreamPlan } from './choice.js';
 
 /** Pause before a request is planned again whose plan could not be used. */
 const PLAN_AGAIN_MS: Milliseconds = 10;
 
 function toPlanRequest(inputs: ChoiceInputs, avoidedIds: Iterable<string>): PlanRequest {
   const { parts, caller, admitted, arrivedAtMs, silentSinceMs, limitAtMs, failedIds } = inputs;
+  const excludedIds = parts.gate.excludedIds(admitted.service);
   return {
     attemptId: randomId(),
     requestId: caller.requestId,
@@ -26,7 +27,9 @@
     silentSinceMs: silentSinceMs(),
     limitAtMs,
     isRepeated: failedIds.size > 0 || caller.lastEventId !== undefined,
-    avoidedIds: [...avoidedIds],
+    // Planners of releases that know of no exclusion avoid them at least.
+    avoidedIds: [...avoidedIds, ...excludedIds],
+    excludedIds,
   };
 }
 
@@ -35,11 +38,11 @@
   { parts, admitted }: ChoiceInputs,
   { writerId, readerIds }: PlannedStream,
 ): { readonly servers: readonly BackendServer[]; readonly unusableIds: readonly string[] } {
-  const available = parts.servers.available(admitted.service);
+  const usable = parts.gate.usable(admitted.service);
   const servers: BackendServer[] = [];
   const unusableIds: string[] = [];
   for (const id of [writerId, ...readerIds]) {
-    const server = available.find((candidate) => candidate.id === id);
+    const server = usable.find((candidate) => candidate.id === id);
     if (server) servers.push(server);
     else unusableIds.push(id);
   }
@@ -87,7 +90,7 @@
 }
 
 /** Has a stream planned until its plan can be used, and holds the memory that the plan needs. */
-export async function chooseEngines(inputs: ChoiceInputs): Promise<Chosen> {
+export async function chooseEngines(inputs: ChoiceInputs): Promise<ChosenAtOnce> {
   const { parts, admitted, failedIds, isOver } = inputs;
   const avoidedIds = new Set(failedIds);
   for (;;) {
@@ -104,9 +107,11 @@
     if (choice) return { kind: 'choice', choice };
     parts.peers.end(request.attemptId, admitted.service);
     for (const id of unusableIds) avoidedIds.add(id);
-    if (parts.servers.available(admitted.service).length === 0) {
+    const nextMs = parts.gate.nextMs(admitted.service);
+    if (nextMs === undefined) {
       return { kind: 'refused', why: 'no server of the service is listed' };
     }
+    if (nextMs > 0) return { kind: 'resting', nextMs };
     await delay(parts.clock, PLAN_AGAIN_MS);
   }
 }
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -3,7 +3,7 @@
 import { placeCall } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { without } from '../planning/plan-engines.js';
-import type { ChoiceInputs, Chosen } from './choice.js';
+import type { ChoiceInputs, Chosen, ChosenAtOnce } from './choice.js';
 import { chooseEngines } from './choose-engines.js';
 import type { RelayParts } from './relay-parts.js';
 
@@ -19,7 +19,7 @@
   failedIds: ReadonlySet<string>,
 ): BackendServer | undefined {
   const nowMs = parts.clock.monotonicMs();
-  const candidates = without(parts.servers.available(service), failedIds).map((server) => ({
+  const candidates = without(parts.gate.usable(service), failedIds).map((server) => ({
     server,
     outstanding: parts.fleet.writersOn(server.id),
     avoidedMs: parts.fleet.suspicions.leftMs(server.id, nowMs),
@@ -27,9 +27,9 @@
   return placeCall(candidates, parts.draw())?.server;
 }
 
-function choosePlain({ parts, admitted, failedIds }: ChoiceInputs): Chosen {
+function choosePlain({ parts, admitted, failedIds }: ChoiceInputs): ChosenAtOnce {
   const server = choosePlainServer(parts, admitted.service, failedIds);
-  if (!server) return { kind: 'refused', why: 'no server of the service is listed' };
+  if (!server) return noServer(parts.gate.nextMs(admitted.service));
   const attemptId = randomId();
   return {
     kind: 'choice',
@@ -37,6 +37,12 @@
   };
 }
 
+/** What comes of a service of which no server may be sent anything; `nextMs`: until one may. */
+function noServer(nextMs: Milliseconds | undefined): ChosenAtOnce {
+  if (nextMs === undefined) return { kind: 'refused', why: 'no server of the service is listed' };
+  return { kind: 'resting', nextMs };
+}
+
 /** A host that has just started may know the configuration some 20 ms before the servers. */
 async function waitForFirstList({ parts, isOver }: ChoiceInputs): Promise<void> {
   const untilMs = parts.clock.monotonicMs() + FIRST_LIST_PATIENCE_MS;
@@ -45,9 +51,31 @@
   }
 }
 
-/** Chooses a server, after a wait if need be. */
+async function chooseOnce(inputs: ChoiceInputs): Promise<ChosenAtOnce> {
+  const { gate } = inputs.parts;
+  const { service, figures } = inputs.admitted;
+  if (!figures) return choosePlain(inputs);
+  if (gate.usable(service).length === 0) return noServer(gate.nextMs(service));
+  return chooseEngines(inputs);
+}
+
+/** Of an aim, the part within which a server must be back whose rest a caller waits for; the rest is for its answer. */
+const WAITED_AIM_SHARE = 0.5;
+
+/** Chooses a server, after a wait if need be; a caller doesn't wait for a rest that takes much of its aim. */
 export async function choose(inputs: ChoiceInputs): Promise<Chosen> {
-  if (!inputs.parts.servers.isKnown) await waitForFirstList(inputs);
-  if (inputs.isOver()) return { kind: 'over' };
-  return inputs.admitted.figures ? chooseEngines(inputs) : choosePlain(inputs);
+  const { parts, admitted, arrivedAtMs, isOver } = inputs;
+  if (!parts.servers.isKnown) await waitForFirstList(inputs);
+  const waitsUntilMs = arrivedAtMs + admitted.route.aimMs * WAITED_AIM_SHARE;
+  for (;;) {
+    if (isOver()) return { kind: 'over' };
+    const chosen = await chooseOnce(inputs);
+    if (chosen.kind !== 'resting') return chosen;
+    const { nextMs } = chosen;
+    if (parts.clock.monotonicMs() + nextMs > waitsUntilMs) {
+      const retryAfterMs = parts.gate.comeBackMs(nextMs);
+      return { kind: 'refused', why: 'all servers of the service want rest', retryAfterMs };
+    }
+    await delay(parts.clock, nextMs);
+  }
 }
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -2,6 +2,7 @@
 import type { FleetView, RetryBudget } from '@poppypond/fleet';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { Log, Measures } from '@poppypond/telemetry';
+import type { SendGate } from '../notices/send-gate.js';
 import type { ServerNotices } from '../notices/server-notices.js';
 import type { PeerMesh } from '../peers/peer-mesh.js';
 import type { PauseWatch } from '../pause-watch.js';
@@ -25,6 +26,7 @@
   readonly pauses: PauseWatch;
   readonly quarantine: SharedQuarantine;
   readonly notices: ServerNotices;
+  readonly gate: SendGate;
   readonly fleet: FleetView;
   readonly servers: ServerList;
   readonly peers: PeerMesh;
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -1,7 +1,7 @@
-import { fault } from '@poppypond/core';
-import type { Fault, Milliseconds, ResultName } from '@poppypond/core';
+import { delay } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
 import { FollowedRequest, TOLD_READ_MS } from '@poppypond/fleet';
-import type { AttemptFailure, BackendServer } from '@poppypond/fleet';
+import type { BackendServer } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
 import type { EventFrame } from '../backend/event-frames.js';
 import { ServerAttempt } from '../backend/server-attempt.js';
@@ -14,15 +14,16 @@
 import type { Admitted } from './admit.js';
 import { AnswerEvents } from './answer-events.js';
 import { AttemptTally } from './attempt-tally.js';
+import { AttemptEnds } from './attempt-ends.js';
 import { useOf } from './attempt-use.js';
 import { AttemptWatch } from './attempt-watch.js';
 import type { CallerAnswer } from './caller-answer.js';
-import { findReader, readersOf } from './choice.js';
+import { readersOf } from './choice.js';
 import type { Choice } from './choice.js';
 import { choose } from './choose-server.js';
-import { firstPatienceMs } from './patience.js';
 import type { RelayParts } from './relay-parts.js';
 import { RequestRecord } from './request-record.js';
+import { RunAnswer } from './run-answer.js';
 
 /** What is known while one attempt runs. */
 interface RunningAttempt {
@@ -33,14 +34,8 @@
   hasEvents: boolean;
 }
 
-/** When to come back after a refusal for want of a server. */
-const REFUSED_RETRY_MS: Milliseconds = 250;
-const SERVER_ERROR_FROM = 500;
-/** Engines have no errors of an application; plain services do. */
-const INTERNAL_ERROR = 500;
-const MISDIRECTED = 421;
-/** Statuses that promise that nothing was run; only a server's own mark makes that true. */
-const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
+/** Pause before another server is chosen where the gate let none of the chosen ones through. */
+const CHOOSE_AGAIN_MS: Milliseconds = 10;
 
 /** The life of one admitted request: attempts, their order, and the one answer. */
 export class RelayRun {
@@ -53,6 +48,8 @@
   /** What is known of servers that ended under it, and how that is found out. */
   readonly #followed: FollowedRequest;
   readonly #ends: RunEnds;
+  readonly #runAnswer: RunAnswer;
+  readonly #attemptEnds: AttemptEnds;
   /** The last event that the caller was sent, or else the request's coming. */
   #lastEventAtMs: Milliseconds;
   /** When the last attempt began. */
@@ -90,6 +87,24 @@
     const content = contentOf(caller, admitted.workspace, body);
     this.#followed = new FollowedRequest(quarantine, content);
     this.#ends = new RunEnds({ clock, servers, onFound }, this.#followed);
+    this.#runAnswer = new RunAnswer({
+      answer,
+      record: this.#record,
+      tally: this.#tally,
+      events: this.#events,
+      isTimeUp: () => this.#isTimeUp,
+      comeBackMs: () => this.#comeBackMs(),
+    });
+    this.#attemptEnds = new AttemptEnds({
+      relay: parts,
+      answer,
+      runAnswer: this.#runAnswer,
+      record: this.#record,
+      tally: this.#tally,
+      followed: this.#followed,
+      ends: this.#ends,
+      limitMs: waitsMs,
+    });
     this.#watch = new AttemptWatch({
       clock,
       memory,
@@ -145,15 +160,35 @@
     for (;;) {
       if (this.#refuseQuarantined()) return;
       const chosen = await choose(inputs);
-      if (chosen.kind === 'over') return this.#finishOver();
-      if (chosen.kind === 'refused') return this.#giveUp(chosen.why, chosen.retryAfterMs);
+      if (chosen.kind === 'over') return this.#runAnswer.finishOver();
+      if (chosen.kind === 'refused') return this.#runAnswer.giveUp(chosen.why, chosen.retryAfterMs);
       // Word of servers that ended may have come while it waited for a place.
       if (this.#refuseQuarantined()) return this.#leave(chosen.choice);
+      if (this.#isHeldBack(chosen.choice)) {
+        await delay(parts.clock, CHOOSE_AGAIN_MS);
+        continue;
+      }
       const end = await this.#attempt(chosen.choice);
       if (await this.#finishWith(end, chosen.choice)) return;
     }
   }
 
+  /** Whether a server of the choice, which is left then, has said meanwhile that it wants nothing. */
+  #isHeldBack(choice: Choice): boolean {
+    const block = this.parts.gate.tryTake(choice);
+    if (!block) return false;
+    this.#record.heldBack(block.id, block.why);
+    this.#leave(choice);
+    return true;
+  }
+
+  /** When a caller may come back where no server of the service may be sent anything now. */
+  #comeBackMs(): Milliseconds | undefined {
+    const { gate } = this.parts;
+    const nextMs = gate.nextMs(this.admitted.service);
+    return nextMs ? gate.comeBackMs(nextMs) : undefined;
+  }
+
   /** Gives the place up that a choice took, unused. */
   #leave({ attemptId, held }: Choice): void {
     this.parts.peers.end(attemptId, this.#engineService);
@@ -168,7 +203,7 @@
     const held = this.#followed.heldBy();
     if (!held) return false;
     const ended = describeEnds(held.entry, this.parts.clock.monotonicMs());
-    this.#giveUp(`servers ended under it: ${ended}`, held.forMs, 'quarantined');
+    this.#runAnswer.giveUp(`servers ended under it: ${ended}`, held.forMs, 'quarantined');
     return true;
   }
 
@@ -194,12 +229,26 @@
     const end = await attempt.done;
     this.#current = undefined;
     this.#watch.end();
+    this.parts.gate.onOver(choice.server, id);
     this.parts.peers.end(id, this.#engineService);
     void choice.held?.release();
     this.#record.attemptEnded(end.kind);
     return end;
   }
 
+  /** Takes in the end of an attempt; true when the answer is over. */
+  #finishWith(end: AttemptEnd, choice: Choice): Promise<boolean> {
+    const silentSinceMs = Math.max(this.#attemptAtMs, this.#lastEventAtMs);
+    const silentMs = this.parts.clock.monotonicMs() - silentSinceMs;
+    const givenUp = {
+      isPassedOver: this.#isPassedOver,
+      lostBecause: this.#lostBecause,
+      silentMs,
+    };
+    if (end.kind === 'cancelled') this.#isPassedOver = false;
+    return this.#attemptEnds.finishWith(end, choice, givenUp);
+  }
+
   #open(choice: Choice, timeLeftMs: Milliseconds): ServerAttempt {
     const { clock, wire } = this.parts;
     const { caller, body } = this;
@@ -222,6 +271,7 @@
         readAnswer: (message) => wire.readAnswer(message),
         onHead: ({ word }) => {
           this.parts.notices.hear(server, word);
+          if (word.restMs === undefined) this.parts.gate.onAnswered(server, choice.attemptId);
         },
         onFrames: (frames, head) => this.#onFrames(frames, head),
       },
@@ -244,7 +294,7 @@
     const running = this.#current;
     if (!running || !this.#tally.tryPassOver(server.id)) return;
     void this.#ends.askAfter(running.id, server, why);
-    this.#suspect(server, why);
+    this.#attemptEnds.suspect(server, why);
     this.#isPassedOver = true;
     running.attempt.cancel();
   }
@@ -288,135 +338,4 @@
     const tookMs = clock.monotonicMs() - startedAtMs;
     this.#record.firstEvent(id, choice.server, tookMs, expectedFirstMs);
   }
-
-  /** Takes in the end of an attempt; true when the answer is over. */
-  async #finishWith(end: AttemptEnd, choice: Choice): Promise<boolean> {
-    if (end.kind === 'whole') return this.#finishWhole(end.head, end.body, choice);
-    if (end.kind === 'cancelled') return this.#finishCancelled(choice);
-    if (end.kind === 'events_done') {
-      this.#tally.onAnswered();
-      this.#followed.onServed();
-      this.#end('ok', this.#events.end(end.head));
-      return true;
-    }
-    this.#suspect(choice.server, end.detail);
-    // Before a retry: the next server would end too, and its end would not count after this one.
-    if (end.kind === 'broken') {
-      await this.#ends.askAfter(choice.attemptId, choice.server, end.detail);
-    }
-    const failure = end.kind === 'not_sent' ? 'not_sent' : 'unknown';
-    return this.#finishFailed(failure, choice, end.detail);
-  }
-
-  #finishCancelled({ attemptId, server, plan }: Choice): boolean {
-    this.#tally.onCancelled();
-    if (this.#isPassedOver) {
-      this.#isPassedOver = false;
-      return false;
-    }
-    // A server that has ended in silence is found by nothing else where its request may not be repeated.
-    const silentSinceMs = Math.max(this.#attemptAtMs, this.#lastEventAtMs);
-    const silentMs = this.parts.clock.monotonicMs() - silentSinceMs;
-    if (silentMs > firstPatienceMs(plan?.stream, this.#limitAtMs - this.arrivedAtMs)) {
-      void this.#ends.askAfter(attemptId, server, 'silent to the end');
-    }
-    if (this.#lostBecause !== undefined && !this.answer.isGone) this.#giveUp(this.#lostBecause);
-    else this.#finishOver();
-    return true;
-  }
-
-  #finishWhole(head: AnswerHead, body: Buffer, choice: Choice): boolean {
-    const detail = `status ${String(head.status)}`;
-    if (head.isNotRun) {
-      if (head.status === MISDIRECTED) return this.#finishMisdirected(choice, detail);
-      this.#blame(head.faultyEngine, choice);
-      return this.#finishFailed('not_run', choice, detail);
-    }
-    if (PROMISE_STATUSES.has(head.status)) return this.#finishFailed('unknown', choice, detail);
-    const isServerError = head.status >= SERVER_ERROR_FROM;
-    if (head.status === INTERNAL_ERROR && choice.plan) this.#suspect(choice.server, detail);
-    if (isServerError && this.#noteFailure('failed', choice, detail)) return false;
-    if (!isServerError) {
-      this.#tally.onAnswered();
-      this.#followed.onServed();
-    }
-    if (this.answer.isBegun) this.answer.breakOff();
-    else this.answer.sendWhole(head, body);
-    this.#end(isServerError ? 'backend_error' : 'ok', head.status);
-    return true;
-  }
-
-  /**
-   * Another server has the address, so the one that was meant is gone: whoever chooses among the
-   * servers of its service is told, as its entry may stay listed for seconds.
-   */
-  #finishMisdirected(choice: Choice, detail: string): boolean {
-    this.parts.peers.tellGone(choice.server);
-    return this.#finishFailed('misdirected', choice, detail);
-  }
-
-  /** Avoids the engine for want of which the chosen one could not serve. */
-  #blame(faultyEngine: string | undefined, choice: Choice): void {
-    const blamed = findReader(choice, faultyEngine);
-    if (!blamed) return;
-    this.#suspect(blamed, 'it failed a prompt that it helped to read');
-    void this.#ends.askAfter(choice.attemptId, blamed, 'it read a part');
-  }
-
-  #finishFailed(failure: AttemptFailure, choice: Choice, detail: string): boolean {
-    if (this.answer.isGone) {
-      this.#finishOver();
-      return true;
-    }
-    if (this.#noteFailure(failure, choice, detail)) return false;
-    this.#giveUp(detail);
-    return true;
-  }
-
-  /** Counts and logs a failed attempt; true where another follows. */
-  #noteFailure(failure: AttemptFailure, { server }: Choice, detail: string): boolean {
-    const again = this.#tally.onFailed(server.id, failure);
-    this.#record.attemptFailed(server, failure, detail, again);
-    return again;
-  }
-
-  #suspect(server: BackendServer, why: string): void {
-    const forMs = this.parts.peers.suspect(server.id, server.service);
-    this.#record.serverSuspect(server, why, forMs);
-  }
-
-  /** The caller has left, or the time is up. */
-  #finishOver(): void {
-    if (this.answer.isGone)
-      this.#end(this.#tally.mayHaveRun ? 'cancelled_running' : 'cancelled_waiting');
-    else this.#giveUp('the time limit passed');
-  }
-
-  /** Gives the final answer of a request that won't be served. */
-  #giveUp(
-    detail: string,
-    retryAfterMs = REFUSED_RETRY_MS,
-    refusal: 'no_backend' | 'quarantined' = 'no_backend',
-  ): void {
-    const reason = this.#reasonFor(detail, retryAfterMs, refusal);
-    if (this.answer.isBegun) this.answer.breakOff();
-    else this.answer.refuse(reason);
-    this.#end(reason.code, undefined, detail);
-  }
-
-  #reasonFor(detail: string, retryAfterMs: Milliseconds, refusal: ResultName): Fault {
-    if (!this.#tally.mayHaveRun) return fault(refusal, detail, { retryAfterMs });
-    return fault(this.#isTimeUp ? 'time_limit' : 'outcome_unknown', detail);
-  }
-
-  #end(code: ResultName, status?: number, why?: string): void {
-    this.#record.answered({
-      code,
-      status,
-      why,
-      attemptsSent: this.#tally.sent,
-      attemptsUndelivered: this.#tally.undelivered,
-      lastEventId: this.#events.lastId,
-    });
-  }
 }
--- a/packages/relay/src/request/request-record.ts
+++ b/packages/relay/src/request/request-record.ts
@@ -1,6 +1,7 @@
 import { promptSizeOf } from '@poppypond/core';
 import type { Milliseconds, ResultName } from '@poppypond/core';
 import type { AttemptFailure, BackendServer, RetryDecision } from '@poppypond/fleet';
+import type { SendBlock } from '../notices/send-gate.js';
 import type { CallerHead } from '../ports.js';
 import type { FoundServer } from '../quarantine/run-ends.js';
 import type { Admitted } from './admit.js';
@@ -116,6 +117,17 @@
     this.parts.log.warn('attempt_failed', { request, server: server.id, failure, why, again });
   }
 
+  /** A server that was chosen has said meanwhile that it wants nothing. */
+  heldBack(server: string, why: SendBlock): void {
+    const { log, servers } = this.parts;
+    log.info('send_held_back', {
+      request: this.caller.requestId,
+      server,
+      why,
+      list_age_ms: Math.round(servers.freshness.ageMs()),
+    });
+  }
+
   /** What was found of a server after an attempt that had no whole answer. */
   serverFound({ server, content, found, why, ends }: FoundServer): void {
     const request = this.caller.requestId;
--- a/packages/relay/src/store/server-list.ts
+++ b/packages/relay/src/store/server-list.ts
@@ -67,6 +67,8 @@
   constructor(
     readonly clock: Clock,
     readonly log: Log,
+    /** How long a server that says that it leaves may be sent requests that no other can take. */
+    readonly servesOnMs: Milliseconds = 0,
   ) {
     this.freshness = new Freshness(clock);
   }
@@ -136,6 +138,7 @@
     this.freshness.prove(provedAtMs);
     const isGraceOver = this.#keepsUnlisted && provedAtMs >= this.#graceUntilMs;
     if (isGraceOver || this.#lives.isWaiting) this.#take(this.#listed, this.#version);
+    else this.#compareLeaving();
   }
 
   /** `callback` is told of each server that starts again under its id, before anyone else is. */
@@ -182,10 +185,7 @@
       this.#put(present, 'its_entry', isFirst);
     }
     this.#forgetLapsed(nowMs);
-    this.#leaving.onListed(
-      [...this.#servers.values()].filter(({ id }) => listedIds.has(id)),
-      nowMs,
-    );
+    this.#compareLeaving();
     for (const id of this.#gone.keys()) if (!listedIds.has(id)) this.#gone.delete(id);
     this.#byService.clear();
   }
@@ -207,7 +207,8 @@
 
   /** The server itself has said at `saidAtMs` that it leaves; false where that is nothing new. */
   onLeaving(server: BackendServer, saidAtMs: Milliseconds): boolean {
-    const known = this.#servers.get(server.id);
+    // It may have lapsed while the store was away, and be listed again.
+    const known = this.#servers.get(server.id) ?? this.#lapsed.get(server.id)?.server;
     if (!known || !isSameLife(known, server) || !this.#leaving.add(known, saidAtMs)) return false;
     this.#byService.clear();
     return true;
@@ -220,6 +221,25 @@
     return known.isDraining ? 'draining' : 'ready';
   }
 
+  /** Whether this life of a server has said that it leaves. */
+  isLeaving(server: BackendServer): boolean {
+    return this.#leaving.saidAtMs(server) !== undefined;
+  }
+
+  /** Servers of a service that have said that they leave, and are listed as ready. */
+  leaving(service: string): readonly BackendServer[] {
+    if (this.#leaving.size === 0) return [];
+    return this.#listedReady(service).filter((server) => this.isLeaving(server));
+  }
+
+  /** Those of them that serve on for a while: where no other server can take a request, one of them may. */
+  lastResort(service: string): readonly BackendServer[] {
+    const sinceMs = this.clock.monotonicMs() - this.servesOnMs;
+    return this.leaving(service).filter(
+      (server) => (this.#leaving.saidAtMs(server) ?? Number.NEGATIVE_INFINITY) > sinceMs,
+    );
+  }
+
   #isGone(server: BackendServer): boolean {
     const gone = this.#gone.get(server.id);
     return gone !== undefined && isSameLife(gone, server);
@@ -229,12 +249,25 @@
   available(service: string): readonly BackendServer[] {
     const known = this.#byService.get(service);
     if (known) return known;
-    const servers = [...this.#servers.values()]
+    const servers = this.#listedReady(service).filter((server) => !this.isLeaving(server));
+    this.#byService.set(service, servers);
+    return servers;
+  }
+
+  #listedReady(service: string): readonly BackendServer[] {
+    return [...this.#servers.values()]
       .filter((server) => server.service === service && !server.isDraining)
       .filter((server) => !this.#isGone(server))
       .sort(byId);
-    this.#byService.set(service, servers);
-    return servers;
+  }
+
+  /** Takes into account that the list holds now for servers that said that they leave. */
+  #compareLeaving(): void {
+    if (this.#leaving.size === 0) return;
+    const listedIds = new Set(this.#listed.map(({ id }) => id));
+    const listed = [...this.#servers.values()].filter(({ id }) => listedIds.has(id));
+    this.#leaving.onListed(listed, this.clock.monotonicMs());
+    this.#byService.clear();
   }
 
   #put(server: BackendServer, toldBy: 'its_entry' | 'its_answer', isFirstList = false): void {
