Keep to the rest that servers ask for in the gateway too

The same cause in the older half: a 503's Retry-After was not read by calls of plain services, completions and groups. Its reading is one piece of code for both halves; stand-ins can ask for rest.

--- a/packages/backend/src/attempt.ts
+++ b/packages/backend/src/attempt.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '@poppypond/core';
 import { parseJson } from '@poppypond/core';
-import { openHttp } from '@poppypond/web';
+import { openHttp, readRetryAfter } from '@poppypond/web';
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
 import type { IncomingMessage } from 'node:http';
@@ -49,7 +49,12 @@
  */
 export type AttemptEnd =
   | { readonly kind: 'done'; readonly promptTokens: number }
-  | { readonly kind: 'refused'; readonly reason: string }
+  | {
+      readonly kind: 'refused';
+      readonly reason: string;
+      /** For how long the engine wants nothing more from this host; undefined where it doesn't ask for rest. */
+      readonly restMs?: Milliseconds | undefined;
+    }
   | { readonly kind: 'not_sent'; readonly detail: string }
   | { readonly kind: 'cut'; readonly detail: string }
   | { readonly kind: 'time_limit' }
@@ -67,6 +72,7 @@
 const refusedSchema = z.object({ refused: z.string() });
 
 const OK = 200;
+const UNAVAILABLE = 503;
 
 function headersOf(call: AttemptCall): Readonly<Record<string, string>> {
   return {
@@ -147,7 +153,9 @@
 /** A refusal counts only when it was read whole: then the engine has confirmed it. */
 async function readRefusal(response: IncomingMessage): Promise<AttemptEnd> {
   const refused = refusedSchema.safeParse(parseJson(await readText(response)));
-  if (refused.success) return { kind: 'refused', reason: refused.data.refused };
+  const { headers, statusCode } = response;
+  const restMs = statusCode === UNAVAILABLE ? readRetryAfter(headers, Date.now()) : undefined;
+  if (refused.success) return { kind: 'refused', reason: refused.data.refused, restMs };
   return { kind: 'cut', detail: `status ${String(response.statusCode)}` };
 }
 
--- /dev/null
+++ b/packages/backend/src/service-call.test.ts
@@ -0,0 +1,50 @@
+import { listen } from '@poppypond/web';
+import type { ListeningServer } from '@poppypond/web';
+import { afterEach, describe, expect, it } from 'vitest';
+import { callService } from './service-call.js';
+import type { ServiceEnd } from './service-call.js';
+
+let server: ListeningServer | undefined;
+
+afterEach(async () => {
+  await server?.close();
+});
+
+async function callOf(
+  status: number,
+  headers: Readonly<Record<string, string>>,
+): Promise<ServiceEnd> {
+  server = await listen(
+    (_request, response) => {
+      response.writeHead(status, headers);
+      response.end('{}');
+    },
+    '127.0.0.1',
+    0,
+  );
+  return callService({
+    method: 'GET',
+    url: server.url,
+    requestId: 'r',
+    contentType: 'text/plain',
+    body: Buffer.alloc(0),
+    timeoutMs: 2000,
+    signal: new AbortController().signal,
+    mayRepeat: true,
+  });
+}
+
+describe('callService', () => {
+  it('tells the rest that a service asks for with a 503, whether it has run the call or not', async () => {
+    const notRun = { 'x-not-run': '1', 'retry-after': '2.5' };
+    expect(await callOf(503, notRun)).toMatchObject({ kind: 'not_run', restMs: 2500 });
+    await server?.close();
+    const answered = await callOf(503, { 'retry-after': '1' });
+    expect(answered).toMatchObject({ kind: 'answered', restMs: 1000 });
+  });
+
+  it('takes no rest from other answers', async () => {
+    const answered = await callOf(200, { 'retry-after': '1' });
+    expect(answered).toMatchObject({ kind: 'answered', restMs: undefined });
+  });
+});
--- a/packages/backend/src/service-call.ts
+++ b/packages/backend/src/service-call.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@poppypond/core';
-import { callHttp } from '@poppypond/web';
+import { callHttp, readRetryAfter } from '@poppypond/web';
 
 /** A call to a plain service. */
 export interface ServiceCall {
@@ -14,19 +14,26 @@
   readonly mayRepeat: boolean;
 }
 
+/** What a service may say of itself with its answer. */
+interface ServiceWord {
+  /** For how long it wants nothing more from this host; undefined where it doesn't ask for rest. */
+  readonly restMs?: Milliseconds | undefined;
+}
+
 /** How a call to a plain service ended; the three outcomes are never blurred. */
 export type ServiceEnd =
-  | {
+  | ({
       readonly kind: 'answered';
       readonly status: number;
       readonly contentType: string;
       readonly body: string;
-    }
-  | { readonly kind: 'not_run'; readonly detail: string }
+    } & ServiceWord)
+  | ({ readonly kind: 'not_run'; readonly detail: string } & ServiceWord)
   | { readonly kind: 'unknown'; readonly detail: string };
 
 /** By this header a service confirms that it refused a call without running it. */
 const NOT_RUN_HEADER = 'x-not-run';
+const UNAVAILABLE = 503;
 
 /** Calls a plain service once. */
 export async function callService(call: ServiceCall): Promise<ServiceEnd> {
@@ -44,9 +51,10 @@
     return { kind: mayHaveArrived ? 'unknown' : 'not_run', detail };
   }
   const { status, headers, body } = reply.value;
+  const restMs = status === UNAVAILABLE ? readRetryAfter(headers, Date.now()) : undefined;
   if (headers[NOT_RUN_HEADER] !== undefined) {
-    return { kind: 'not_run', detail: `refused with status ${String(status)}` };
+    return { kind: 'not_run', detail: `refused with status ${String(status)}`, restMs };
   }
   const contentType = headers['content-type'] ?? 'application/octet-stream';
-  return { kind: 'answered', status, contentType, body };
+  return { kind: 'answered', status, contentType, body, restMs };
 }
--- a/packages/gateway/src/completions/completion-run.ts
+++ b/packages/gateway/src/completions/completion-run.ts
@@ -222,7 +222,8 @@
         this.#avoid.add(engine.name);
         return 'again';
       })
-      .with({ kind: 'refused', reason: P.string }, ({ reason }) => {
+      .with({ kind: 'refused', reason: P.string }, ({ reason, restMs }) => {
+        if (restMs !== undefined) health.onRest(restMs, this.context.clock.monotonicMs());
         this.#onEngineFailure(engine);
         return this.#tryAgain(engine.name, reason);
       })
--- a/packages/gateway/src/groups/group-run.ts
+++ b/packages/gateway/src/groups/group-run.ts
@@ -170,6 +170,9 @@
     run.ends.begin();
     const end = await run.watchAttempt(attempt);
     part.engine.load.onEnd(dispatch);
+    if (end.kind === 'refused' && end.restMs !== undefined) {
+      part.engine.health.onRest(end.restMs, context.clock.monotonicMs());
+    }
     if (end.kind === 'cut') await run.ends.onCut(part.engine.name, part.engineUrl);
     if (end.kind === 'time_limit') return fault('time_limit', '', { rule: request.rule });
     if (end.kind === 'cancelled') return fault('cancelled_running', '');
--- a/packages/gateway/src/services/dispatch-call.ts
+++ b/packages/gateway/src/services/dispatch-call.ts
@@ -9,6 +9,7 @@
 import type { DecisionRecorder } from '../explain/decision-recorder.js';
 import { SAFE_METHODS } from './resolve-call.js';
 import type { ResolvedCall } from './resolve-call.js';
+import type { ServiceReplica } from './service-directory.js';
 
 /** A whole answer of a replica. */
 export type AnsweredEnd = Extract<ServiceEnd, { readonly kind: 'answered' }>;
@@ -20,6 +21,21 @@
   return hasRun ? fault('outcome_unknown', held.detail) : held;
 }
 
+/** Takes in what the end of a call tells of its replica, and what the replica says of itself. */
+function noteHealth(
+  { health }: ServiceReplica,
+  end: ServiceEnd,
+  isAborted: boolean,
+  nowMs: Milliseconds,
+): void {
+  const restMs = end.kind === 'unknown' ? undefined : end.restMs;
+  if (restMs !== undefined) health.onRest(restMs, nowMs);
+  else if (end.kind === 'answered') health.onSuccess();
+  if (end.kind === 'answered') return;
+  if (isAborted) health.onNeutralEnd();
+  else health.onFailure(nowMs);
+}
+
 /** Calls replicas until one answers; only what was not run is tried again, or what is safe. */
 export async function dispatch(
   context: GatewayContext,
@@ -41,9 +57,9 @@
     const replica = context.services.choose(call.service, call.members, avoid);
     if (!replica) {
       const detail = avoid.size > 0 ? 'every replica refused' : '';
-      return Result.err(
-        fault('no_backend', detail, { rule: call.rule, retryAfterMs: RETRY_AFTER_MS }),
-      );
+      const restMs = context.services.restLeftMs(call.service, call.members);
+      const retryAfterMs = Math.max(RETRY_AFTER_MS, restMs ?? 0);
+      return Result.err(fault('no_backend', detail, { rule: call.rule, retryAfterMs }));
     }
     const { name, spec } = replica.server.object;
     recorder.record({ kind: 'place', choice: name, state: { outstanding: replica.outstanding } });
@@ -61,13 +77,11 @@
       mayRepeat: isSafe,
     });
     replica.outstanding -= 1;
+    noteHealth(replica, end, signal.aborted, context.clock.monotonicMs());
     if (end.kind === 'answered') {
-      replica.health.onSuccess();
       ends.onServed();
       return Result.ok(end);
     }
-    if (signal.aborted) replica.health.onNeutralEnd();
-    else replica.health.onFailure(context.clock.monotonicMs());
     if (end.kind === 'unknown') {
       hasRun = true;
       await ends.onCut(name, spec.url);
--- a/packages/gateway/src/services/service-directory.ts
+++ b/packages/gateway/src/services/service-directory.ts
@@ -72,6 +72,18 @@
     return [...few].sort((a, b) => a.outstanding - b.outstanding)[0];
   }
 
+  /** How long until the first replica of a service is back, of those that rest by their own word; undefined where none does. */
+  restLeftMs(service: string, members: ReadonlySet<string>): Milliseconds | undefined {
+    const now = this.clock.monotonicMs();
+    const rests = [...this.#replicas.values()]
+      .filter(
+        ({ server: { object } }) => object.spec.service === service && members.has(object.name),
+      )
+      .map(({ health }) => health.restLeftMs(now))
+      .filter((leftMs) => leftMs > 0);
+    return rests.length > 0 ? Math.min(...rests) : undefined;
+  }
+
   /** Asks a replica for its own word on whether it is leaving. */
   async #probe(replica: ServiceReplica): Promise<void> {
     const url = new URL('/healthz', replica.server.object.spec.url).toString();
--- a/packages/proof/src/scenarios/faults.ts
+++ b/packages/proof/src/scenarios/faults.ts
@@ -24,6 +24,7 @@
   cutStreams: 0,
   loseAnswers: 0,
   refuseCalls: 0,
+  restSeconds: 0,
   repeatFrames: 0,
   leaving: false,
 };
--- a/packages/standin/src/engine/engine.ts
+++ b/packages/standin/src/engine/engine.ts
@@ -16,6 +16,7 @@
 import { EngineFeeds } from './feeds.js';
 import { FrameWriter } from './frame-writer.js';
 
+const UNAVAILABLE = 503;
 /** One attempt that ran, for the ground truth. */
 export interface EngineRun {
   readonly requestId: string;
@@ -96,7 +97,7 @@
       Math.max(call.dispatch, this.seenDispatches.get(call.owner) ?? 0),
     );
     const refusal = this.#refusal(call);
-    if (refusal) return refuse(response, ...refusal);
+    if (refusal) return refuse(response, ...refusal, this.faults.restSeconds);
     const imported = await this.#import(call);
     if (!imported) return refuse(response, 409, 'import_failed');
     const admitted = { call, response, imported };
@@ -245,8 +246,10 @@
   }
 }
 
-function refuse(response: ServerResponse, status: number, reason: string): void {
+function refuse(response: ServerResponse, status: number, reason: string, restSeconds = 0): void {
   if (response.headersSent || response.destroyed) return;
-  response.writeHead(status, { 'content-type': 'application/json' });
+  const isResting = status === UNAVAILABLE && restSeconds > 0;
+  const rest = isResting ? { 'retry-after': String(restSeconds) } : {};
+  response.writeHead(status, { 'content-type': 'application/json', ...rest });
   response.end(JSON.stringify({ refused: reason }));
 }
--- a/packages/standin/src/engine/faults.ts
+++ b/packages/standin/src/engine/faults.ts
@@ -14,6 +14,8 @@
   loseAnswers: z.int().nonnegative(),
   /** Refuses the next calls with status 503. */
   refuseCalls: z.int().nonnegative(),
+  /** Asks for this rest with each call that it refuses so; 0: for none. */
+  restSeconds: z.number().nonnegative(),
   /** Drops every n-th cache event; 0 drops none. */
   dropCacheEventEvery: z.int().nonnegative(),
   cacheEventDelayMs: z.number().nonnegative(),
@@ -39,6 +41,7 @@
     cutAfterTokens: 0,
     loseAnswers: 0,
     refuseCalls: 0,
+    restSeconds: 0,
     dropCacheEventEvery: 0,
     cacheEventDelayMs: 0,
     leaving: false,
--- a/packages/standin/src/service/app.ts
+++ b/packages/standin/src/service/app.ts
@@ -13,6 +13,8 @@
   loseAnswers: z.int().nonnegative().optional(),
   /** Refuses the next calls with status 503 and doesn't run them. */
   refuseCalls: z.int().nonnegative().optional(),
+  /** Asks for this rest with each call that it refuses; 0: for none. */
+  restSeconds: z.number().nonnegative().optional(),
   slowMs: z.number().nonnegative().optional(),
   leaving: z.boolean().optional(),
 });
@@ -29,7 +31,7 @@
 /** A plain service: a register that records each call it runs. */
 export class PlainService {
   readonly runs: ServiceRun[] = [];
-  readonly faults = { loseAnswers: 0, refuseCalls: 0, slowMs: 0, leaving: false };
+  readonly faults = { loseAnswers: 0, refuseCalls: 0, restSeconds: 0, slowMs: 0, leaving: false };
 
   constructor(readonly clock: Clock) {}
 
@@ -61,7 +63,9 @@
   }
 
   #refuse(response: ServerResponse, refused: string): void {
-    sendJson(response, 503, { refused }, { 'x-not-run': '1' });
+    const { restSeconds } = this.faults;
+    const rest = restSeconds > 0 ? { 'retry-after': String(restSeconds) } : {};
+    sendJson(response, 503, { refused }, { 'x-not-run': '1', ...rest });
   }
 }
 
