Give a request that was turned away to a server that turns none away lately

Hypothesis: a caller whose first and second attempt are turned away by two servers is refused although most have room; the second attempt should go to a server that has turned nobody of this host away for 3 s, nor is returned to after a rest.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -17,4 +17,5 @@
 export * from './retry-decision.js';
 export * from './share-memory.js';
 export * from './stream-plan.js';
+export * from './turned-away.js';
 export { Suspicions } from './suspicions.js';
--- a/packages/fleet/src/resting-servers.ts
+++ b/packages/fleet/src/resting-servers.ts
@@ -80,6 +80,11 @@
     return rest === undefined || (rest.untilMs <= nowMs && rest.unanswered.size < rest.most);
   }
 
+  /** Whether it rests, or is returned to by steps and has not answered well enough yet. */
+  isDoubtful(server: BackendServer): boolean {
+    return this.#find(server) !== undefined;
+  }
+
   /** A request is sent now; to be asked of `mayTake` before. */
   onSent(server: BackendServer, attemptId: string, nowMs: Milliseconds): void {
     const rest = this.#find(server);
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -1,6 +1,6 @@
 import { newOwner, SystemClock } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
-import { FleetView, Quarantine, RestingServers, RetryBudget } from '@poppypond/fleet';
+import { FleetView, Quarantine, RestingServers, RetryBudget, TurnedAway } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import {
@@ -207,6 +207,7 @@
     pauses,
     notices: base.notices,
     gate: base.gate,
+    turnedAway: new TurnedAway(),
     fleet,
     servers,
     peers,
--- a/packages/relay/src/notices/send-gate.ts
+++ b/packages/relay/src/notices/send-gate.ts
@@ -47,6 +47,11 @@
     return awake.length > 0 ? awake : this.#awake(servers.lastResort(service));
   }
 
+  /** Whether a server may rest, or want rest again as it is returned to. */
+  isDoubtful(server: BackendServer): boolean {
+    return this.parts.rests.isDoubtful(server);
+  }
+
   /** Ids of listed servers of a service that may be sent nothing now; for planners, which were told other things. */
   excludedIds(service: string): readonly string[] {
     const { rests, servers } = this.parts;
--- a/packages/relay/src/request/attempt-ends.ts
+++ b/packages/relay/src/request/attempt-ends.ts
@@ -31,7 +31,7 @@
 
 /** What the ends of attempts are weighed with. */
 export interface AttemptEndsParts {
-  readonly relay: Pick<RelayParts, 'peers' | 'gate'>;
+  readonly relay: Pick<RelayParts, 'clock' | 'peers' | 'turnedAway'>;
   readonly answer: CallerAnswer;
   readonly runAnswer: RunAnswer;
   readonly record: RequestRecord;
@@ -93,7 +93,8 @@
     const detail = `status ${String(head.status)}`;
     if (head.isNotRun) {
       if (head.status === MISDIRECTED) return this.#finishMisdirected(choice, detail);
-      this.#blame(head.faultyEngine, choice);
+      const isForAnother = this.#blame(head.faultyEngine, choice);
+      if (!isForAnother) this.#noteTurnedAway(choice.server);
       return this.#finishFailed('not_run', choice, detail);
     }
     if (PROMISE_STATUSES.has(head.status)) return this.#finishFailed('unknown', choice, detail);
@@ -114,12 +115,18 @@
     return this.#finishFailed('misdirected', choice, detail);
   }
 
-  /** Avoids the engine for want of which the chosen one could not serve. */
-  #blame(faultyEngine: string | undefined, choice: Choice): void {
+  #noteTurnedAway({ id }: BackendServer): void {
+    const { clock, turnedAway } = this.parts.relay;
+    turnedAway.note(id, clock.monotonicMs());
+  }
+
+  /** Avoids the engine for want of which the chosen one could not serve; false where it is none but that one. */
+  #blame(faultyEngine: string | undefined, choice: Choice): boolean {
     const blamed = findReader(choice, faultyEngine);
-    if (!blamed) return;
+    if (!blamed) return false;
     this.suspect(blamed, 'it failed a prompt that it helped to read');
     void this.parts.ends.askAfter(choice.attemptId, blamed, 'it read a part');
+    return true;
   }
 
   #finishFailed(failure: AttemptFailure, choice: Choice, detail: string): boolean {
--- a/packages/relay/src/request/choice.ts
+++ b/packages/relay/src/request/choice.ts
@@ -56,6 +56,19 @@
 /** `resting`: each server that is listed wants rest, the first for `nextMs` still. */
 export type ChosenAtOnce = Chosen | { readonly kind: 'resting'; readonly nextMs: Milliseconds };
 
+/**
+ * Servers that come last for a request: those that failed it, and for one that was turned away before those that turn
+ * requests away lately, where there are others.
+ */
+export function lastChoices({ parts, admitted, failedIds }: ChoiceInputs): ReadonlySet<string> {
+  if (failedIds.size === 0) return failedIds;
+  const { clock, gate, turnedAway } = parts;
+  const usable = gate.usable(admitted.service);
+  const doubtful = usable.filter((server) => gate.isDoubtful(server)).map(({ id }) => id);
+  const all = new Set([...failedIds, ...doubtful, ...turnedAway.lately(clock.monotonicMs())]);
+  return usable.every(({ id }) => all.has(id)) ? failedIds : all;
+}
+
 /** The engines that read parts, with the memory that is held there. */
 export function readersOf({ plan, readers, held }: Choice): readonly ReaderAddress[] {
   const sharing = new Set(plan?.stream.shares.map(({ engineId }) => engineId));
--- a/packages/relay/src/request/choose-engines.ts
+++ b/packages/relay/src/request/choose-engines.ts
@@ -4,6 +4,7 @@
 import type { Route } from '@poppypond/routing';
 import { HeldMemory } from '../backend/held-memory.js';
 import type { PlannedStream, PlanRequest } from '../planning/plan-request.js';
+import { lastChoices } from './choice.js';
 import type { Choice, ChoiceInputs, Chosen, ChosenAtOnce, StreamPlan } from './choice.js';
 
 /** Pause before a request is planned again whose plan could not be used. */
@@ -91,8 +92,8 @@
 
 /** Has a stream planned until its plan can be used, and holds the memory that the plan needs. */
 export async function chooseEngines(inputs: ChoiceInputs): Promise<ChosenAtOnce> {
-  const { parts, admitted, failedIds, isOver } = inputs;
-  const avoidedIds = new Set(failedIds);
+  const { parts, admitted, isOver } = inputs;
+  const avoidedIds = new Set(lastChoices(inputs));
   for (;;) {
     const request = toPlanRequest(inputs, avoidedIds);
     const placed = await parts.placing.place(request, isOver);
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -3,9 +3,9 @@
 import { placeCall } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { without } from '../planning/plan-engines.js';
+import { lastChoices } from './choice.js';
 import type { ChoiceInputs, Chosen, ChosenAtOnce } from './choice.js';
 import { chooseEngines } from './choose-engines.js';
-import type { RelayParts } from './relay-parts.js';
 
 /** A list that is longer in coming is not foreseen, so the request is refused. */
 const FIRST_LIST_PATIENCE_MS: Milliseconds = 250;
@@ -13,13 +13,11 @@
 const LOOK_AGAIN_MS: Milliseconds = 5;
 
 /** Picks a server of a plain service; those that failed this request come last. */
-function choosePlainServer(
-  parts: RelayParts,
-  service: string,
-  failedIds: ReadonlySet<string>,
-): BackendServer | undefined {
+function choosePlainServer(inputs: ChoiceInputs): BackendServer | undefined {
+  const { parts, admitted } = inputs;
   const nowMs = parts.clock.monotonicMs();
-  const candidates = without(parts.gate.usable(service), failedIds).map((server) => ({
+  const usable = without(parts.gate.usable(admitted.service), lastChoices(inputs));
+  const candidates = usable.map((server) => ({
     server,
     outstanding: parts.fleet.writersOn(server.id),
     avoidedMs: parts.fleet.suspicions.leftMs(server.id, nowMs),
@@ -27,8 +25,9 @@
   return placeCall(candidates, parts.draw())?.server;
 }
 
-function choosePlain({ parts, admitted, failedIds }: ChoiceInputs): ChosenAtOnce {
-  const server = choosePlainServer(parts, admitted.service, failedIds);
+function choosePlain(inputs: ChoiceInputs): ChosenAtOnce {
+  const { parts, admitted } = inputs;
+  const server = choosePlainServer(inputs);
   if (!server) return noServer(parts.gate.nextMs(admitted.service));
   const attemptId = randomId();
   return {
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@poppypond/core';
-import type { FleetView, RetryBudget } from '@poppypond/fleet';
+import type { FleetView, RetryBudget, TurnedAway } from '@poppypond/fleet';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { Log, Measures } from '@poppypond/telemetry';
 import type { SendGate } from '../notices/send-gate.js';
@@ -27,6 +27,7 @@
   readonly quarantine: SharedQuarantine;
   readonly notices: ServerNotices;
   readonly gate: SendGate;
+  readonly turnedAway: TurnedAway;
   readonly fleet: FleetView;
   readonly servers: ServerList;
   readonly peers: PeerMesh;
