--- a/packages/cli/src/losses.test.ts
+++ b/packages/cli/src/losses.test.ts
@@ -39,6 +39,10 @@
     expect(lossCause({ placed: undefined, end: { event: 'answered', code: 'quarantined' } })).toBe(
       'held_back_as_servers_ended',
     );
+    const resting = 'event=answered code=no_backend why="all servers of the service want rest"';
+    expect(lossCause({ placed: undefined, end: readLine(resting) })).toBe(
+      'refused_as_servers_rest',
+    );
   });
 });
 
--- a/packages/cli/src/why.ts
+++ b/packages/cli/src/why.ts
@@ -11,29 +11,51 @@
   return `${time}  ${host}  ${event}  ${details.join(' ')}`;
 }
 
+/** Of the state of a host, the last line of each counts. */
+const STATE_EVENTS: ReadonlySet<string> = new Set([
+  'configuration_in_force',
+  'dependency_lost',
+  'dependency_regained',
+  'started',
+]);
+/** What servers said of themselves, the last line of each server counts. */
+const WORD_EVENTS: ReadonlySet<string> = new Set(['server_leaving', 'server_rests']);
+
+function milliseconds(line: LogLine): number {
+  return Date.parse(line['time'] ?? '');
+}
+
+/** Whether what `line` tells held still as `later` was written; a rest is over after its time. */
+function holdsAt(line: LogLine, later: LogLine): boolean {
+  if (line['event'] !== 'server_rests') return true;
+  return milliseconds(line) + Number(line['for_ms']) >= milliseconds(later);
+}
+
+/** What the hosts of a request had in force, or had been told by servers, as `first` was written. */
+function backgroundOf(lines: readonly LogLine[], first: LogLine, hosts: ReadonlySet<unknown>) {
+  const before = lines
+    .filter((line) => hosts.has(line['host']) && byTime(line, first) <= 0)
+    .filter(({ event = '' }) => STATE_EVENTS.has(event) || WORD_EVENTS.has(event))
+    .sort(byTime);
+  const latest = new Map(
+    before.map((line) => {
+      const { host = '', event = '' } = line;
+      return [`${host} ${event} ${WORD_EVENTS.has(event) ? (line['server'] ?? '') : ''}`, line];
+    }),
+  );
+  return [...latest.values()].filter((line) => holdsAt(line, first));
+}
+
 /**
- * What logs say of one request, oldest first: its own lines, and what its hosts had in force or
- * lost last before them.
+ * What logs say of one request, oldest first: its own lines, and what its hosts had in force, lost last or had
+ * been told by servers before them.
  */
 export function storyOf(lines: readonly LogLine[], request: string): readonly string[] {
   const own = lines.filter((line) => line['request'] === request).sort(byTime);
   const first = own[0];
   if (!first) return [];
   const hosts = new Set(own.map((line) => line['host']));
-  const background = [
-    'configuration_in_force',
-    'dependency_lost',
-    'dependency_regained',
-    'started',
-  ];
-  const before = lines
-    .filter((line) => hosts.has(line['host']) && background.includes(line['event'] ?? ''))
-    .filter((line) => byTime(line, first) <= 0)
-    .sort(byTime);
-  const latest = new Map(
-    before.map((line) => [`${line['host'] ?? ''} ${line['event'] ?? ''}`, line]),
-  );
-  return [...latest.values(), ...own].sort(byTime).map(story);
+  return [...backgroundOf(lines, first, hosts), ...own].sort(byTime).map(story);
 }
 
 /** `poppypond why`: tells the story of one request from the hosts' logs. */
