Hold memory over a rest by one order; count a turned away request as no answer after a rest; tell the end of each rest

Found by reading: while an engine rests, each reservation took both orders for holding on, so none was left to free the memory; a 503 without a rest let twice as many requests go to a server that is returned to; where a rest was prolonged by a moment its end was not logged.

--- a/packages/fleet/src/resting-servers.ts
+++ b/packages/fleet/src/resting-servers.ts
@@ -27,7 +27,7 @@
  */
 export const LONGEST_REST_MS: Milliseconds = 600_000;
 /** A word that prolongs a rest by less is no news: many answers that say the same come over some milliseconds. */
-const NEWS_MS: Milliseconds = 500;
+export const REST_NEWS_MS: Milliseconds = 500;
 /** Hosts that were asked for the same rest come back within this share of it, and not all at its end. */
 const RETURN_SPREAD_SHARE = 0.1;
 const LONGEST_RETURN_SPREAD_MS: Milliseconds = 500;
@@ -66,7 +66,7 @@
     const unanswered = known?.unanswered ?? new Set();
     const ordersLeft = isResting ? known.ordersLeft : ORDERS_IN_REST;
     this.#rests.set(server.id, { server, untilMs, most: FIRST_MOST, unanswered, ordersLeft });
-    return { untilMs, isNews: !isResting || untilMs - known.untilMs > NEWS_MS };
+    return { untilMs, isNews: !isResting || untilMs - known.untilMs > REST_NEWS_MS };
   }
 
   /** How long the server rests still; 0 where it does not. */
--- a/packages/relay/src/backend/held-memory.test.ts
+++ b/packages/relay/src/backend/held-memory.test.ts
@@ -5,7 +5,7 @@
 import { HeldMemory } from './held-memory.js';
 
 /** Memory held for a writer that lives or is silent as the test says. */
-async function heldForWriter() {
+async function heldForWriter(heldForMs?: number) {
   const clock = new ManualClock();
   let isAlive = true;
   let lost = 0;
@@ -13,7 +13,7 @@
   const memory: EngineMemory = {
     reserve: () => {
       reservedAtMs.push(clock.monotonicMs());
-      return Promise.resolve({ isHeld: true });
+      return Promise.resolve({ isHeld: true, ...(heldForMs === undefined ? {} : { heldForMs }) });
     },
     release: () => Promise.resolve({ isAnswered: true }),
     readWork: () => Promise.resolve(isAlive ? { running: 1, memoryTokens: 1 } : undefined),
@@ -44,6 +44,14 @@
     expect((reservedAtMs.at(-1) ?? 0) - diedAtMs).toBeLessThanOrEqual(700);
   });
 
+  it('is held by one order for as long as that lasts longer than was asked for', async () => {
+    const { clock, reservedAtMs } = await heldForWriter(5200);
+    for (let passedMs = 0; passedMs < 3000; passedMs += 100) await clock.advance(100);
+    expect(reservedAtMs).toHaveLength(1);
+    for (let passedMs = 0; passedMs < 700; passedMs += 100) await clock.advance(100);
+    expect(reservedAtMs).toHaveLength(2);
+  });
+
   it('is held on again at once where the writer was only silent for a moment', async () => {
     const { clock, reservedAtMs, setAlive } = await heldForWriter();
     await clock.advance(700);
--- a/packages/relay/src/backend/held-memory.ts
+++ b/packages/relay/src/backend/held-memory.ts
@@ -40,6 +40,8 @@
 export class HeldMemory {
   #cancel: CancelTimer = () => undefined;
   #isReleased = false;
+  /** Until when memory is held on each engine at least, by id, on this process's clock. */
+  readonly #heldUntilMs = new Map<string, Milliseconds>();
   /** Whether the writer answered the last question for its state. */
   #isWriterHeard = true;
 
@@ -103,7 +105,12 @@
   }
 
   async #reserveOne({ server, tokens }: MemoryNeed): Promise<boolean> {
-    const { isHeld } = await this.parts.memory.reserve(server, this.id, tokens, HOLD_MS);
+    const { clock, memory } = this.parts;
+    // Where an engine rests, one order holds the memory until it may be sent the next.
+    const nowMs = clock.monotonicMs();
+    if ((this.#heldUntilMs.get(server.id) ?? 0) > nowMs + HOLD_MS) return true;
+    const { isHeld, heldForMs = HOLD_MS } = await memory.reserve(server, this.id, tokens, HOLD_MS);
+    if (isHeld) this.#heldUntilMs.set(server.id, nowMs + heldForMs);
     return isHeld;
   }
 
--- a/packages/relay/src/backend/life-aware-memory.ts
+++ b/packages/relay/src/backend/life-aware-memory.ts
@@ -53,9 +53,10 @@
     if (!this.gate.tryOrder(server)) return { isHeld: false };
     // What a request uses there is held over the rest by one order.
     const restMs = this.gate.restLeftMs(server);
-    const answer = await this.memory.reserve(server, id, tokens, overRestMs(holdMs, restMs));
+    const heldForMs = overRestMs(holdMs, restMs);
+    const answer = await this.memory.reserve(server, id, tokens, heldForMs);
     this.#tell(server, answer);
-    return answer;
+    return { ...answer, heldForMs };
   }
 
   async release(server: BackendServer, id: string): Promise<ReleaseAnswer> {
--- a/packages/relay/src/notices/send-gate.ts
+++ b/packages/relay/src/notices/send-gate.ts
@@ -96,7 +96,7 @@
     return undefined;
   }
 
-  /** The head of an answer has come that asks for no rest. */
+  /** The head of an answer has come: the server took the request, and asks for no rest. */
   onAnswered(server: BackendServer, attemptId: string): void {
     this.parts.rests.onAnswered(server, attemptId);
   }
--- a/packages/relay/src/notices/server-notices.ts
+++ b/packages/relay/src/notices/server-notices.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
+import { REST_NEWS_MS } from '@poppypond/fleet';
 import type { BackendServer, RestingServers } from '@poppypond/fleet';
 import type { Log, Measures } from '@poppypond/telemetry';
 import type { ServerWord } from '../ports.js';
@@ -71,9 +72,18 @@
       for_ms: Math.round(forMs),
       resting: rests.size,
     });
-    clock.after(forMs, () => {
-      if (rests.leftMs(server, clock.monotonicMs()) > 0) return;
-      log.info('server_rest_over', { server: server.id, after_ms: Math.round(forMs) });
+    this.#logWhenOver(server, nowMs, forMs);
+  }
+
+  /** Waits on where the rest was prolonged by less than is told. */
+  #logWhenOver(server: BackendServer, sinceMs: Milliseconds, waitMs: Milliseconds): void {
+    const { clock, log, rests } = this.parts;
+    clock.after(waitMs, () => {
+      const nowMs = clock.monotonicMs();
+      const leftMs = rests.leftMs(server, nowMs);
+      const afterMs = Math.round(nowMs - sinceMs);
+      if (leftMs === 0) log.info('server_rest_over', { server: server.id, after_ms: afterMs });
+      else if (leftMs <= REST_NEWS_MS) this.#logWhenOver(server, sinceMs, leftMs);
     });
   }
 }
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -153,6 +153,8 @@
   readonly word?: ServerWord | undefined;
   /** Whether the memory is held. */
   readonly isHeld: boolean;
+  /** For how long, where that is longer than was asked for. */
+  readonly heldForMs?: Milliseconds;
   /** Unix time at which the life began that answered; undefined where it doesn't tell. */
   readonly bornMs?: Milliseconds | undefined;
 }
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -269,9 +269,10 @@
       {
         clock,
         readAnswer: (message) => wire.readAnswer(message),
-        onHead: ({ word }) => {
+        onHead: ({ word, isNotRun }) => {
           this.parts.notices.hear(server, word);
-          if (word.restMs === undefined) this.parts.gate.onAnswered(server, choice.attemptId);
+          if (word.restMs === undefined && !isNotRun)
+            this.parts.gate.onAnswered(server, choice.attemptId);
         },
         onFrames: (frames, head) => this.#onFrames(frames, head),
       },
