--- a/packages/gateway/src/completions/completion-run.ts
+++ b/packages/gateway/src/completions/completion-run.ts
@@ -1,6 +1,6 @@
 import type { AttemptEnd } from '@poppypond/backend';
 import { fault, outcomeOf, ownerText } from '@poppypond/core';
-import type { Fault } from '@poppypond/core';
+import type { Fault, Milliseconds } from '@poppypond/core';
 import { requestCost } from '@poppypond/policy';
 import type { Charge, PlacementJob } from '@poppypond/policy';
 import { match, P } from 'ts-pattern';
@@ -8,6 +8,7 @@
 import type { DecisionRecorder } from '../explain/decision-recorder.js';
 import type { RequestEnds } from '../quarantine/host-quarantine.js';
 import type { Answer } from './answer.js';
+import { CompletionRecord } from './completion-record.js';
 import type { AdmittedRequest } from './completion-request.js';
 import type { PlacedEngine, RunContext } from './run-context.js';
 
@@ -16,6 +17,7 @@
 
 /** The engine refused for want of memory: nothing is wrong with it, and it wasn't run. */
 const NO_MEMORY = 'no_memory';
+const RETRY_AFTER_MS: Milliseconds = 1000;
 
 /**
  * One admitted request: waits, is placed, streams, is retried, and ends exactly once,
@@ -35,6 +37,7 @@
   readonly #abort = new AbortController();
   /** What is known of servers that ended under it. */
   readonly ends: RequestEnds;
+  readonly #record: CompletionRecord;
 
   constructor(
     readonly context: Context,
@@ -43,6 +46,7 @@
     readonly recorder: DecisionRecorder,
   ) {
     this.#nextToken = request.headers.resume?.offset ?? 0;
+    this.#record = new CompletionRecord(context, request, recorder);
     const head = [request.caller.workspace, request.body.model];
     this.ends = context.quarantine.follow({ head, body: request.bytes });
   }
@@ -130,7 +134,7 @@
         signal: this.signal,
       });
       if (placed.isErr) return placed.error;
-      this.#recordPlaced(placed.value);
+      this.#record.placed(placed.value, this.remainingMs);
       this.ends.begin();
       const end = await this.#runAttempt(placed.value);
       const { name, url } = placed.value.engine;
@@ -191,11 +195,7 @@
   /** Passes a token to the caller; tokens it has, or that come after the end, are dropped. */
   onToken(index: number, text: string): void {
     if (this.#isEnded || index !== this.#nextToken) return;
-    const { arrivedAtMs, lane } = this.request;
-    if (index === (this.request.headers.resume?.offset ?? 0)) {
-      const elapsedMs = this.context.clock.monotonicMs() - arrivedAtMs;
-      this.context.metrics.timing('requests.first_token', elapsedMs, { lane });
-    }
+    if (index === (this.request.headers.resume?.offset ?? 0)) this.#record.firstToken();
     this.#nextToken += 1;
     this.answer.token(index, text);
   }
@@ -235,53 +235,26 @@
   }
 
   #onEngineFailure({ health, name }: PlacedEngine): void {
-    if (!health.onFailure(this.context.clock.monotonicMs())) return;
-    this.context.log.warn('backend_set_aside', { server: name });
-    this.context.metrics.count('backend.set_aside', 1, { server: name });
+    if (health.onFailure(this.context.clock.monotonicMs())) this.#record.setAside(name);
   }
 
   #tryAgain(engine: string, why: string): Next {
     this.#avoid.add(engine);
-    const state = { engine, why, token: this.#nextToken };
-    if (!this.context.retries.tryTake()) {
-      this.recorder.record({ kind: 'retry', choice: 'none', state });
-      return fault('retries_spent', why, { ...this.#ruleField(), retryAfterMs: RETRY_AFTER_MS });
-    }
-    this.recorder.record({ kind: 'retry', choice: 'again', state });
-    this.context.metrics.count('attempts.retried', 1);
-    return 'again';
+    const again = this.context.retries.tryTake();
+    this.#record.retry({ engine, why, token: this.#nextToken }, again);
+    if (again) return 'again';
+    return fault('retries_spent', why, { ...this.#ruleField(), retryAfterMs: RETRY_AFTER_MS });
   }
 
   /** Notes that a part of a group failed. */
   recordGroupFailure(engine: string, end: AttemptEnd): void {
-    const why = 'detail' in end ? end.detail : end.kind;
-    this.recorder.record({ kind: 'retry', choice: end.kind, state: { engine, why } });
-    this.context.metrics.count('attempts.retried', 1);
+    this.#record.groupFailure(engine, end);
   }
 
   #ruleField(): { readonly rule: string } {
     return { rule: this.request.rule };
   }
 
-  #recordPlaced(placed: Placed): void {
-    this.recorder.record({
-      kind: 'place',
-      choice: placed.engine.name,
-      state: {
-        lane: this.request.lane,
-        cutOffTokens: this.context.lanes.cutOffText,
-        promptTokens: this.request.promptTokens,
-        cachedTokens: placed.cachedTokens,
-        priority: this.request.priority,
-        waitedMs: Math.round(placed.waitedMs),
-        predictedStartMs: Math.round(placed.predictedStartMs),
-        remainingMs: Math.round(this.remainingMs),
-        reportAgeMs: Math.round(this.context.clock.monotonicMs() - placed.engine.load.reportAtMs),
-      },
-      passedOver: placed.passedOver.map((passed) => ({ ...passed })),
-    });
-  }
-
   #finish(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
@@ -290,7 +263,7 @@
       promptTokens: this.#actualPromptTokens ?? promptTokens,
       outputTokens: body.maxTokens,
     });
-    this.#recordEnd('ok');
+    this.#recordEnd('ok', '');
   }
 
   /** Ends with a fault. Once an engine has run any part, it is never called not run. */
@@ -305,14 +278,8 @@
     this.#recordEnd(end.code, end.detail);
   }
 
-  #recordEnd(code: string, detail = ''): void {
-    this.context.metrics.count('requests.done', 1, { code });
-    const elapsedMs = Math.round(this.context.clock.monotonicMs() - this.request.arrivedAtMs);
-    this.recorder.record({
-      kind: 'finish',
-      choice: code,
-      state: { attempts: this.#attempt, tokens: this.#nextToken, elapsedMs, detail },
-    });
+  #recordEnd(code: string, detail: string): void {
+    this.#record.ended(code, detail, { attempts: this.#attempt, tokens: this.#nextToken });
   }
 
   #settle(charge: Charge): void {
@@ -326,5 +293,3 @@
     context.correction.observe(request.className, estimatedTokens, this.#actualPromptTokens);
   }
 }
-
-const RETRY_AFTER_MS = 1000;
