Hold a server's word that it leaves as long as its life where births are told, and against writes that are taken late

Found by reading: an entry that lapsed and came back as ready after 3.6 s counted as another life although its birth was the same; a write whose answer was lost may be done 6 s later. Now only another birth ends the word, and where births are missing 10 s.

--- a/packages/fleet/src/leaving-lives.test.ts
+++ b/packages/fleet/src/leaving-lives.test.ts
@@ -42,26 +42,40 @@
     lives.onListed([SERVER], 2000);
     lives.onListed([DRAINING], 3000);
     lives.onListed([SERVER], 4000);
+    lives.onListed([SERVER], 12_900);
     expect(lives.saidAtMs(SERVER)).toBe(0);
-    lives.onListed([SERVER], 6700);
+    lives.onListed([SERVER], 13_100);
     expect(lives.saidAtMs(SERVER)).toBeUndefined();
   });
 
   it('takes one that was not listed for long for a new life at once', () => {
     const lives = leavingSince(0);
     lives.onListed([], 1000);
-    lives.onListed([], 5000);
-    lives.onListed([SERVER], 5100);
+    lives.onListed([], 11_000);
+    lives.onListed([SERVER], 11_100);
     expect(lives.saidAtMs(SERVER)).toBeUndefined();
   });
 
-  it('keeps one that lapsed for a moment, as entries do while the store is away', () => {
+  it('keeps one that lapsed and is back by a write that was taken up to 6 s late', () => {
     const lives = leavingSince(0);
     lives.onListed([], 1000);
-    lives.onListed([SERVER], 2500);
+    lives.onListed([SERVER], 7000);
+    lives.onListed([], 10_600);
     expect(lives.saidAtMs(SERVER)).toBe(0);
   });
 
+  it('holds as long as the life where births are told, whatever the list said meanwhile', () => {
+    const born = { ...SERVER, bornMs: 5 };
+    const lives = leavingSince(0, born);
+    lives.onListed([], 1000);
+    lives.onListed([born], 30_000);
+    lives.onListed([{ ...born, isDraining: true }], 31_000);
+    lives.onListed([born], 50_000);
+    expect(lives.saidAtMs(born)).toBe(0);
+    lives.onListed([{ ...born, bornMs: 6 }], 51_000);
+    expect(lives.size).toBe(0);
+  });
+
   it('forgets what is listed no more', () => {
     const lives = leavingSince(0);
     lives.onListed([], 1000);
--- a/packages/fleet/src/leaving-lives.ts
+++ b/packages/fleet/src/leaving-lives.ts
@@ -12,10 +12,10 @@
 }
 
 /**
- * A server writes about every 1.2 s, and its entry goes after three writes that did not come. A "ready" that
- * was written before it left, and taken late, is over by then.
+ * A "ready" that was written before the server left may be taken late: a write whose answer was lost was seen to be
+ * done up to 6 s later, and an entry goes after three writes, 1.2 s apart, that did not come.
  */
-const LATE_WRITE_MS: Milliseconds = 3600;
+const LATE_WRITE_MS: Milliseconds = 10_000;
 /** A life that is not listed for so long is over: servers serve on for some seconds after their entries go. */
 const UNLISTED_KNOWN_MS: Milliseconds = 60_000;
 
@@ -44,8 +44,8 @@
   }
 
   /**
-   * Takes in a list that holds now. Where servers don't tell their births, one that is ready again well after it was
-   * listed as draining or not at all has started again; where they do, another birth is another life by itself.
+   * Takes in a list that holds now. Where servers tell their births, only another birth is another life; where they
+   * don't, one that is ready again well after it was listed as draining or not at all has started again.
    */
   onListed(listed: readonly BackendServer[], nowMs: Milliseconds): void {
     if (this.#lives.size === 0) return;
@@ -60,13 +60,12 @@
     nowMs: Milliseconds,
   ): void {
     const { confirmedAtMs = nowMs, unlistedSinceMs = nowMs } = life;
+    const sinceMs = nowMs - Math.min(confirmedAtMs, unlistedSinceMs);
     if (listed === undefined) {
       if (nowMs - unlistedSinceMs > UNLISTED_KNOWN_MS) this.#lives.delete(id);
       else this.#lives.set(id, { ...life, confirmedAtMs: nowMs, unlistedSinceMs });
     } else if (!isSameLife(life.server, listed)) this.#lives.delete(id);
     else if (listed.isDraining) this.#lives.set(id, { ...life, confirmedAtMs: nowMs });
-    else if (nowMs - Math.min(confirmedAtMs, unlistedSinceMs) > LATE_WRITE_MS) {
-      this.#lives.delete(id);
-    }
+    else if (listed.bornMs === undefined && sinceMs > LATE_WRITE_MS) this.#lives.delete(id);
   }
 }
