--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -1,6 +1,6 @@
 import { seededRandom } from '@poppypond/load';
 import { countSetting, defineCommand, yesNoSetting } from '@poppypond/settings';
-import { drawDay, drawDayOfTurns, drawDeployment } from './draw-deployment.js';
+import { drawDay, drawDayOfTurns, drawDeployment, drawWords } from './draw-deployment.js';
 import type { DayResult } from './outcome.js';
 import { summarizeDay } from './outcome.js';
 import { PlayedDay } from './play-day.js';
@@ -21,14 +21,17 @@
     days: countSetting.default(20).describe('days to play, each with the next seed'),
     large: yesNoSetting.default(false).describe('60 engines in place of 18'),
     turns: yesNoSetting.default(false).describe('short and long prompts come by turns'),
+    words: yesNoSetting.default(false).describe('some engines want rest, some say that they leave'),
     calm: yesNoSetting.default(false).describe('days without bursts and kills'),
   },
-  main: ({ seed, days, large, turns, calm }) => {
+  main: ({ seed, days, large, turns, words, calm }) => {
     for (let next = seed; next < seed + days; next += 1) {
       const draw = seededRandom(next);
       const deployment = drawDeployment(`drawn-${String(next)}`, large, draw);
       const drawn = turns ? drawDayOfTurns(draw) : drawDay(deployment, draw);
-      const day = calm ? { ...drawn, bursts: [], restartsAtMs: [] } : drawn;
+      const said = words ? drawWords(deployment, draw) : [];
+      const usual = calm ? { bursts: [], restartsAtMs: [] } : {};
+      const day = { ...drawn, ...usual, words: said };
       const outcomes = new PlayedDay(deployment, day, next).run();
       process.stdout.write(`${lineOf(next, summarizeDay(outcomes))}\n`);
     }
--- a/packages/emulator/src/deployment.ts
+++ b/packages/emulator/src/deployment.ts
@@ -43,12 +43,26 @@
   readonly factor: number;
 }
 
+/** For a while an engine turns away what it is sent and asks for rest, or says in its answers that it leaves. */
+export interface EngineWord {
+  readonly engineId: string;
+  readonly fromMs: Milliseconds;
+  readonly toMs: Milliseconds;
+  readonly says: 'rests' | 'leaves';
+}
+
+/** The name of an engine; engines are filled in the order of their names. */
+export function engineIdOf(index: number): string {
+  return `engine-${String(index).padStart(3, '0')}`;
+}
+
 /** What happens on a day beside the usual. */
 export interface DayPlan {
   readonly lengthMs: Milliseconds;
   readonly bursts: readonly Burst[];
   /** All hosts are killed at these instants, and start again knowing nothing. */
   readonly restartsAtMs: readonly Milliseconds[];
+  readonly words: readonly EngineWord[];
 }
 
 /** What a request is worth at most, in answers of its kind's mean length. */
--- a/packages/emulator/src/draw-deployment.ts
+++ b/packages/emulator/src/draw-deployment.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { EngineFigures } from '@poppypond/routing';
-import type { Burst, DayPlan, Deployment, RequestKind } from './deployment.js';
+import { engineIdOf } from './deployment.js';
+import type { Burst, DayPlan, Deployment, EngineWord, RequestKind } from './deployment.js';
 
 /** Uniform numbers in [0, 1). */
 type Draw = () => number;
@@ -144,11 +145,35 @@
 export function drawDayOfTurns(draw: Draw): DayPlan {
   const bursts = drawTurns(draw);
   const killAtMs = TURNS_A_DAY * (TURN_MS + BETWEEN_TURNS_MS) + BETWEEN_TURNS_MS;
-  return { lengthMs: DAY_MS, bursts, restartsAtMs: [killAtMs] };
+  return { lengthMs: DAY_MS, bursts, restartsAtMs: [killAtMs], words: [] };
 }
 
 /** A day with bursts of some kinds or all, and one moment at which all hosts are killed. */
 export function drawDay(deployment: Deployment, draw: Draw): DayPlan {
   const bursts = Array.from({ length: BURSTS_A_DAY }, () => drawBurst(deployment, draw));
-  return { lengthMs: DAY_MS, bursts, restartsAtMs: [between(draw, 0.5, 0.8) * DAY_MS] };
+  const killAtMs = between(draw, 0.5, 0.8) * DAY_MS;
+  return { lengthMs: DAY_MS, bursts, restartsAtMs: [killAtMs], words: [] };
+}
+
+/** Shares of the engines that ask for rest and that leave, each once a day. */
+const RESTING_SHARE = 0.25;
+const LEAVING_SHARE = 0.1;
+
+/** What engines say of themselves on a day: some want rest for 3 to 9 s, some leave for good. */
+export function drawWords({ engines }: Deployment, draw: Draw): readonly EngineWord[] {
+  const restsFromMs = between(draw, 0.1, 0.4) * DAY_MS;
+  const restsToMs = restsFromMs + between(draw, 3000, 9000);
+  return Array.from({ length: engines }, (_unused, index): readonly EngineWord[] => {
+    const engineId = engineIdOf(index);
+    const drawn = draw();
+    if (drawn < RESTING_SHARE) {
+      return [{ engineId, fromMs: restsFromMs, toMs: restsToMs, says: 'rests' }];
+    }
+    if (drawn > 1 - LEAVING_SHARE) {
+      return [
+        { engineId, fromMs: draw() * DAY_MS, toMs: Number.POSITIVE_INFINITY, says: 'leaves' },
+      ];
+    }
+    return [];
+  }).flat();
 }
--- /dev/null
+++ b/packages/emulator/src/engine-words.ts
@@ -0,0 +1,60 @@
+import type { Milliseconds } from '@poppypond/core';
+import { RestingServers } from '@poppypond/fleet';
+import type { BackendServer } from '@poppypond/fleet';
+import type { ServerList } from '@poppypond/relay/planning';
+import type { EngineWord } from './deployment.js';
+import type { VirtualClock } from './virtual-clock.js';
+
+/** What an engine asks for that turns requests away. */
+const REST_MS: Milliseconds = 3000;
+
+/** What engines say of themselves on a day, and what the host makes of it. */
+export class EngineWords {
+  readonly #rests: RestingServers;
+  readonly #servers = new Map<string, BackendServer>();
+
+  constructor(
+    readonly clock: VirtualClock,
+    readonly list: ServerList,
+    listed: readonly BackendServer[],
+    readonly words: readonly EngineWord[],
+    draw: () => number,
+  ) {
+    this.#rests = new RestingServers(draw);
+    for (const server of listed) this.#servers.set(server.id, server);
+  }
+
+  /** An attempt reaches an engine; true where that turns it away and asks for rest. */
+  isTurnedAway(id: string, attemptId: string): boolean {
+    const server = this.#servers.get(id);
+    if (!server) return false;
+    const nowMs = this.clock.monotonicMs();
+    this.#rests.onSent(server, attemptId, nowMs);
+    if (!this.#says(id, 'rests')) return false;
+    this.#rests.begin(server, REST_MS, nowMs);
+    this.#rests.onOver(server, attemptId);
+    return true;
+  }
+
+  /** An engine has answered an attempt with events. */
+  onEvents(id: string, attemptId: string): void {
+    const server = this.#servers.get(id);
+    if (!server) return;
+    this.#rests.onAnswered(server, attemptId);
+    if (this.#says(id, 'leaves')) this.list.onLeaving(server, this.clock.monotonicMs());
+  }
+
+  /** Engines that may be sent nothing now. */
+  excludedIds(): readonly string[] {
+    const nowMs = this.clock.monotonicMs();
+    const resting = [...this.#servers.values()].filter((one) => !this.#rests.mayTake(one, nowMs));
+    return resting.map(({ id }) => id);
+  }
+
+  #says(id: string, what: EngineWord['says']): boolean {
+    const nowMs = this.clock.monotonicMs();
+    return this.words.some(({ engineId, fromMs, toMs, says }) => {
+      return engineId === id && says === what && nowMs >= fromMs && nowMs < toMs;
+    });
+  }
+}
--- a/packages/emulator/src/play-day.test.ts
+++ b/packages/emulator/src/play-day.test.ts
@@ -1,8 +1,8 @@
-import { FleetView, LateAsTimely, LateWhenIdle } from '@poppypond/fleet';
+import { FleetView, LateAsTimely, LateWhenIdle, RestingServers } from '@poppypond/fleet';
 import type { LatePromptRule } from '@poppypond/fleet';
 import { seededRandom } from '@poppypond/load';
 import { afterEach, describe, expect, it, vi } from 'vitest';
-import { drawDay, drawDayOfTurns, drawDeployment } from './draw-deployment.js';
+import { drawDay, drawDayOfTurns, drawDeployment, drawWords } from './draw-deployment.js';
 import { summarizeDay } from './outcome.js';
 import { PlayedDay } from './play-day.js';
 
@@ -34,6 +34,18 @@
   return earned / results.reduce((sum, result) => sum + result.owed, 0);
 }
 
+/** Calm days on which a quarter of the engines want rest and some leave; share of the requests that are refused. */
+function refusedShareWithWords(seeds: readonly number[]): number {
+  const outcomes = seeds.flatMap((seed) => {
+    const draw = seededRandom(seed);
+    const deployment = drawDeployment('drawn', false, draw);
+    const words = drawWords(deployment, draw);
+    const day = { ...drawDay(deployment, draw), bursts: [], restartsAtMs: [], words };
+    return new PlayedDay(deployment, day, seed).run();
+  });
+  return outcomes.filter(({ kind }) => kind === 'refused').length / outcomes.length;
+}
+
 afterEach(() => {
   vi.restoreAllMocks();
 });
@@ -55,6 +67,16 @@
     expect(shareOf(seeds)).toBeLessThan(sound - 0.05);
   });
 
+  it('finds a planted bad policy worse: a host that does not keep to the rest that engines ask for', () => {
+    const seeds = [21, 22, 23, 24];
+    const kept = refusedShareWithWords(seeds);
+    vi.spyOn(RestingServers.prototype, 'begin').mockImplementation(() => {
+      return { untilMs: 0, isNews: false };
+    });
+    expect(kept).toBeLessThan(0.01);
+    expect(kept).toBeLessThan(refusedShareWithWords(seeds) / 3);
+  });
+
   it('earns more on overloaded days where late giant prompts leave engines to timely ones', () => {
     const seeds = [11, 12, 13, 14];
     const all = shareOfOverload(seeds, new LateAsTimely());
--- a/packages/emulator/src/play-day.ts
+++ b/packages/emulator/src/play-day.ts
@@ -6,8 +6,10 @@
 import type { PlannedStream, PlanRequest } from '@poppypond/relay/planning';
 import { ConfigurationInForce } from '@poppypond/routing';
 import { silentLog } from '@poppypond/telemetry';
+import { engineIdOf } from './deployment.js';
 import type { DayPlan, Deployment } from './deployment.js';
 import { EmulatedEngine } from './emulated-engine.js';
+import { EngineWords } from './engine-words.js';
 import type { Outcome, OutcomeKind } from './outcome.js';
 import { drawArrivals } from './traffic.js';
 import type { Arrival } from './traffic.js';
@@ -23,6 +25,8 @@
 const RESTART_MS: Milliseconds = 600;
 /** Time after the last arrival in which what is open may still end. */
 const CLOSING_MS: Milliseconds = 16_000;
+/** Engines that one request may be sent to. */
+const MOST_ATTEMPTS = 2;
 
 /** One request while it is served. */
 interface Open {
@@ -33,6 +37,8 @@
   lastEventAtMs: Milliseconds;
   hasLatePause: boolean;
   engineIds: readonly string[];
+  /** Engines that turned it away. */
+  readonly turnedAwayBy: Set<string>;
   cancelSilence: CancelTimer;
 }
 
@@ -45,6 +51,7 @@
   readonly #draw: () => number;
   readonly #inForce = new ConfigurationInForce();
   readonly #servers: ServerList;
+  readonly #words: EngineWords;
   #fleet = new FleetView();
   #planner: Planner;
   #life = 0;
@@ -58,7 +65,8 @@
   ) {
     this.#draw = seededRandom(seed);
     this.#servers = new ServerList(this.#clock, silentLog);
-    this.#configure();
+    const listed = this.#configure();
+    this.#words = new EngineWords(this.#clock, this.#servers, listed, day.words, this.#draw);
     this.#planner = this.#makePlanner();
   }
 
@@ -79,7 +87,7 @@
     return this.#outcomes;
   }
 
-  #configure(): void {
+  #configure(): readonly BackendServer[] {
     const { engines, figures } = this.deployment;
     this.#inForce.apply({
       version: 1,
@@ -90,12 +98,13 @@
     });
     const listed: BackendServer[] = [];
     for (let index = 0; index < engines; index += 1) {
-      const id = `engine-${String(index).padStart(3, '0')}`;
+      const id = engineIdOf(index);
       const place = { service: SERVICE, address: id, port: 1, availabilityZone: ZONE };
       listed.push({ id, ...place, slots: figures.slots, isDraining: false });
       this.#engines.set(id, new EmulatedEngine(this.#clock, figures));
     }
     this.#servers.replace(listed, 0, 1);
+    return listed;
   }
 
   #makePlanner(): Planner {
@@ -117,6 +126,7 @@
       lastEventAtMs: this.#clock.monotonicMs(),
       hasLatePause: false,
       engineIds: [],
+      turnedAwayBy: new Set(),
       cancelSilence: () => undefined,
     };
     this.#open.set(arrival.requestId, open);
@@ -138,7 +148,7 @@
 
   /** Hosts ask again and again while a request waits. */
   #submit(open: Open, life: number): void {
-    this.#planner.submit(this.#requestFor(open.arrival), (answer) => {
+    this.#planner.submit(this.#requestFor(open), (answer) => {
       if (this.#isStale(open, life)) return;
       if (answer.kind === 'place') this.#place(open, answer.stream);
       if (answer.kind === 'refuse') this.#end(open, 'refused');
@@ -148,7 +158,8 @@
     });
   }
 
-  #requestFor({ requestId, kind, atMs, promptTokens, events }: Arrival): PlanRequest {
+  #requestFor({ arrival, turnedAwayBy }: Open): PlanRequest {
+    const { requestId, kind, atMs, promptTokens, events } = arrival;
     return {
       attemptId: requestId,
       requestId,
@@ -163,9 +174,9 @@
       arrivedAtMs: atMs,
       silentSinceMs: atMs,
       limitAtMs: atMs + kind.limitMs,
-      isRepeated: false,
-      avoidedIds: [],
-      excludedIds: [],
+      isRepeated: turnedAwayBy.size > 0,
+      avoidedIds: [...turnedAwayBy],
+      excludedIds: this.#words.excludedIds(),
     };
   }
 
@@ -187,6 +198,10 @@
     };
     this.#clock.after(2 * HOP_MS, () => {
       if (this.#isStale(open, life)) return;
+      if (this.#words.isTurnedAway(writerId, requestId)) {
+        this.#tryAgain(open, writerId);
+        return;
+      }
       for (const id of ids) {
         this.#engines.get(id)?.read({
           streamId: requestId,
@@ -199,6 +214,18 @@
     });
   }
 
+  /** An engine has turned a request away, which goes to another where it may. */
+  #tryAgain(open: Open, engineId: string): void {
+    open.turnedAwayBy.add(engineId);
+    if (open.turnedAwayBy.size >= MOST_ATTEMPTS) {
+      this.#end(open, 'refused');
+      return;
+    }
+    this.#planner.withdraw(open.arrival.requestId);
+    open.engineIds = [];
+    this.#ask(open);
+  }
+
   #write(open: Open, writerId: string, life: number): void {
     const { requestId, promptTokens, events } = open.arrival;
     this.#engines.get(writerId)?.write({
@@ -207,7 +234,9 @@
       events,
       onEvent: (isLast) => {
         this.#clock.after(HOP_MS, () => {
-          if (!this.#isStale(open, life)) this.#onEvent(open, isLast);
+          if (this.#isStale(open, life)) return;
+          this.#words.onEvents(writerId, requestId);
+          this.#onEvent(open, isLast);
         });
       },
     });
