State what exchanges between hosts need once; say in two comments only what is known

Read once more: five files of exchanges repeated the same four fields (clock, peers, send, selfFields), now ExchangeParts; types only. Two comments held what no run had shown: that half of all restarts take less than a minute, and that a late write was seen. No behaviour and no test is changed.

--- a/packages/fleet/src/leaving-lives.ts
+++ b/packages/fleet/src/leaving-lives.ts
@@ -12,8 +12,8 @@
 }
 
 /**
- * A "ready" that was written before the server left may be taken late: a write whose answer was lost was seen to be
- * done up to 6 s later, and an entry goes after three writes, 1.2 s apart, that did not come.
+ * A "ready" that was written before the server left may be taken late: a write whose answer was lost may be
+ * done 6 s later, and an entry goes after three writes, 1.2 s apart, that did not come.
  */
 const LATE_WRITE_MS: Milliseconds = 10_000;
 /** A life that is not listed for so long is over: servers serve on for some seconds after their entries go. */
--- a/packages/fleet/src/resting-servers.ts
+++ b/packages/fleet/src/resting-servers.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * A server that asks for longer is sent one request after this. Half of all drains and restarts take less than a
- * minute; a number that is meant for somebody else, or the fault of a clock, must not cost a server for a day.
+ * A server that asks for longer is sent one request after this: a number in another unit, or the fault of a clock, must
+ * not cost a server for a day.
  */
 export const LONGEST_REST_MS: Milliseconds = 600_000;
 /** A word that prolongs a rest by less is no news: many answers that say the same come over some milliseconds. */
--- a/packages/relay/src/peers/attempt-news.ts
+++ b/packages/relay/src/peers/attempt-news.ts
@@ -1,29 +1,22 @@
-import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
 import type { AttemptUse, BackendServer, FleetView } from '@poppypond/fleet';
 import type { PlanRequest } from '../planning/plan-request.js';
 import type { Planner } from '../planning/planner.js';
+import type { ExchangeParts } from './exchange-parts.js';
 import { toWireServer } from './list-on-the-wire.js';
-import type { Peer, PeerList } from './peer-list.js';
 import type { PeerMessage, WireAsk } from './peer-messages.js';
-import type { SelfFields } from './self-fields.js';
 import type { SharedKnowledge } from './shared-knowledge.js';
 import { fromWireAsk, toWireAnswer, toWireAsk, toWireUse } from './work-on-the-wire.js';
 
 /** What the exchange needs. */
-export interface AttemptNewsParts {
-  readonly clock: Clock;
+export interface AttemptNewsParts extends ExchangeParts {
   /** Names this host. */
   readonly host: string;
   readonly fleet: FleetView;
   readonly planner: Planner;
   readonly knowledge: SharedKnowledge;
-  readonly peers: PeerList;
   /** Services of engines that this host may have to plan for or ask for plans. */
   readonly engineServices: () => readonly string[];
-  /** Sends one message to each of `peers`; any of them may be lost. */
-  readonly send: (peers: readonly Peer[], message: PeerMessage) => void;
-  /** Names this host in messages. */
-  readonly selfFields: () => SelfFields;
 }
 
 /** Asks other hosts for plans, plans for them, and tells those who plan what runs and which servers fail. */
--- a/packages/relay/src/peers/beats.ts
+++ b/packages/relay/src/peers/beats.ts
@@ -1,9 +1,10 @@
-import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
 import type { FleetView } from '@poppypond/fleet';
 import type { Planner } from '../planning/planner.js';
+import type { ExchangeParts } from './exchange-parts.js';
 import { datedWordOf, makeBeat } from './heartbeat.js';
-import type { Peer, PeerAddress, PeerList } from './peer-list.js';
-import type { Beat, PeerMessage } from './peer-messages.js';
+import type { PeerAddress } from './peer-list.js';
+import type { Beat } from './peer-messages.js';
 import type { QuarantineNews } from './quarantine-news.js';
 import type { SharedKnowledge } from './shared-knowledge.js';
 import { fromWireUse } from './work-on-the-wire.js';
@@ -12,20 +13,16 @@
 const GREETED_AT_ONCE = 4;
 
 /** What heartbeats need. */
-export interface BeatsParts {
-  readonly clock: Clock;
+export interface BeatsParts extends ExchangeParts {
   readonly self: PeerAddress & { readonly incarnation: string };
   readonly fleet: FleetView;
   readonly planner: Planner;
   readonly knowledge: SharedKnowledge;
   readonly quarantineNews: QuarantineNews;
-  readonly peers: PeerList;
   /** How many services of engines there are. */
   readonly engineServiceCount: () => number;
   /** Whether a host has to know what this one runs. */
   readonly isPlanner: (host: string) => boolean;
-  /** Sends one message to each of `peers`; any of them may be lost. */
-  readonly send: (peers: readonly Peer[], message: PeerMessage) => void;
 }
 
 /** Exchanges heartbeats with the few hosts that have to know of this one, and it of them. */
--- a/packages/relay/src/peers/leaving-news.ts
+++ b/packages/relay/src/peers/leaving-news.ts
@@ -1,21 +1,15 @@
-import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
 import type { ServerNotices } from '../notices/server-notices.js';
+import type { ExchangeParts } from './exchange-parts.js';
 import { fromWireServer, toWireServer } from './list-on-the-wire.js';
-import type { Peer, PeerList } from './peer-list.js';
-import type { PeerMessage, ToldLeaving } from './peer-messages.js';
-import type { SelfFields } from './self-fields.js';
+import type { Peer } from './peer-list.js';
+import type { ToldLeaving } from './peer-messages.js';
 import { ZoneSpread } from './zone-spread.js';
 
 /** What the exchange needs. */
-export interface LeavingNewsParts {
-  readonly clock: Clock;
+export interface LeavingNewsParts extends ExchangeParts {
   readonly notices: ServerNotices;
-  readonly peers: PeerList;
-  /** Sends one message to each of `peers`; any of them may be lost. */
-  readonly send: (peers: readonly Peer[], message: PeerMessage) => void;
-  /** Names this host in messages. */
-  readonly selfFields: () => SelfFields;
 }
 
 interface LeavingTold {
--- a/packages/relay/src/peers/news.ts
+++ b/packages/relay/src/peers/news.ts
@@ -1,27 +1,21 @@
-import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
 import type { Log } from '@poppypond/telemetry';
 import { changeOfList, changedList } from '../store/list-change.js';
 import type { ListChange } from '../store/list-change.js';
+import type { ExchangeParts } from './exchange-parts.js';
 import { fromWireServer, packList, toWireServer, unpackList } from './list-on-the-wire.js';
 import { packBytes, unpackBytes } from './packed-bytes.js';
-import type { Peer, PeerList } from './peer-list.js';
+import type { Peer } from './peer-list.js';
 import type { PeerMessage, Told, Want, WireListChange } from './peer-messages.js';
 import { PieceCollector, splitPieces } from './pieces.js';
-import type { SelfFields } from './self-fields.js';
 import type { PeerWord, SharedKnowledge } from './shared-knowledge.js';
 
 /** What the exchange of news needs. */
-export interface NewsParts {
-  readonly clock: Clock;
+export interface NewsParts extends ExchangeParts {
   readonly log: Log;
   readonly knowledge: SharedKnowledge;
-  readonly peers: PeerList;
-  /** Sends one message to each of `peers`; any of them may be lost. */
-  readonly send: (peers: readonly Peer[], message: PeerMessage) => void;
   /** Called when something that `host` has told was taken in. */
   readonly onTaken: (host: string) => void;
-  /** Names this host in messages. */
-  readonly selfFields: () => SelfFields;
 }
 
 type Subject = Told['subject'];
--- a/packages/relay/src/peers/quarantine-news.ts
+++ b/packages/relay/src/peers/quarantine-news.ts
@@ -1,21 +1,15 @@
-import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Milliseconds } from '@poppypond/core';
 import type { QuarantineEntry } from '@poppypond/fleet';
 import type { SharedQuarantine } from '../quarantine/shared-quarantine.js';
-import type { Peer, PeerList } from './peer-list.js';
-import type { Beat, PeerMessage, ToldQuarantine, WireQuarantine } from './peer-messages.js';
+import type { ExchangeParts } from './exchange-parts.js';
+import type { Peer } from './peer-list.js';
+import type { Beat, ToldQuarantine, WireQuarantine } from './peer-messages.js';
 import { fromWireQuarantine, toWireQuarantine } from './quarantine-on-the-wire.js';
-import type { SelfFields } from './self-fields.js';
 import { ZoneSpread } from './zone-spread.js';
 
 /** What the exchange needs. */
-export interface QuarantineNewsParts {
-  readonly clock: Clock;
+export interface QuarantineNewsParts extends ExchangeParts {
   readonly quarantine: SharedQuarantine;
-  readonly peers: PeerList;
-  /** Sends one message to each of `peers`; any of them may be lost. */
-  readonly send: (peers: readonly Peer[], message: PeerMessage) => void;
-  /** Names this host in messages. */
-  readonly selfFields: () => SelfFields;
 }
 
 /** Pause between messages: of sixteen entries, 2.3 KB, so 23 KB a second at the most. */
