Log the limits that servers name for all hosts together

What users could see of a server that names a limit: nothing. Hosts now read the word from answers of all kinds, and log when it is named, changed and over, by whom it was told and how old the list was; what can't be read is logged once. Nothing is sent otherwise than before.

--- a/packages/cli/src/why.ts
+++ b/packages/cli/src/why.ts
@@ -19,7 +19,11 @@
   'started',
 ]);
 /** What servers said of themselves, the last line of each server counts. */
-const WORD_EVENTS: ReadonlySet<string> = new Set(['server_leaving', 'server_rests']);
+const WORD_EVENTS: ReadonlySet<string> = new Set([
+  'server_leaving',
+  'server_rests',
+  'server_limit',
+]);
 
 function milliseconds(line: LogLine): number {
   return Date.parse(line['time'] ?? '');
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -15,6 +15,7 @@
 export * from './resting-servers.js';
 export * from './retry-budget.js';
 export * from './retry-decision.js';
+export * from './server-limits.js';
 export * from './share-memory.js';
 export * from './stream-plan.js';
 export * from './turned-away.js';
--- /dev/null
+++ b/packages/fleet/src/server-limits.ts
@@ -0,0 +1,122 @@
+import type { Milliseconds } from '@poppypond/core';
+import { isSameLife } from './backend-server.js';
+import type { BackendServer } from './backend-server.js';
+
+/** What an answer says of the requests a second that its server takes from all hosts together. */
+export type LimitWord =
+  | { readonly kind: 'named'; readonly perSecond: number }
+  | { readonly kind: 'none' }
+  | { readonly kind: 'unreadable'; readonly text: string };
+
+/** What one life of a server said of a limit last. */
+export interface ServerLimit {
+  readonly server: BackendServer;
+  /** Requests a second from all hosts together; the last that it named where the limit is over. */
+  readonly perSecond: number;
+  readonly isOver: boolean;
+  /** When it said so last, or first that the limit is over, on this process's clock. */
+  readonly saidAtMs: Milliseconds;
+}
+
+/** What came of a word: undefined where it tells nothing new. */
+export type LimitChange = 'named' | 'changed' | 'over' | undefined;
+
+/**
+ * One that names none at all is sent a request this often all the same, as nobody would hear that its limit is over;
+ * and what it names that is less than this is taken for this.
+ */
+const LEAST_PER_SECOND = 0.05;
+/** After a limit the rate begins at this at least, and doubles until it is no limit any more. */
+const RETURN_PER_SECOND = 1;
+const RETURN_DOUBLING_MS: Milliseconds = 300;
+const RETURN_MS: Milliseconds = 3000;
+/** A limit that is over is told for so long to hosts that may have missed the word. */
+const OVER_TOLD_MS: Milliseconds = 30_000;
+/** A word that no answer has renewed for so long is of a server that is gone, or that nobody needs. */
+const NAMED_KNOWN_MS: Milliseconds = 600_000;
+
+/**
+ * Limits that servers name for all hosts together. They bind whoever sends, whoever heard them: what one host sees of
+ * what a server gets says nothing of the sum. Of two words of one life the newer holds.
+ */
+export class ServerLimits {
+  readonly #limits = new Map<string, ServerLimit>();
+
+  /** Servers that name a limit, or did lately. */
+  get size(): number {
+    return this.#limits.size;
+  }
+
+  /**
+   * Takes in what an answer says, to a request of this host or another. `askedAtMs`: when that was sent; an answer
+   * without the word may be older than one with it that came before.
+   */
+  hear(
+    server: BackendServer,
+    word: LimitWord,
+    askedAtMs: Milliseconds,
+    saidAtMs: Milliseconds,
+  ): LimitChange {
+    const known = this.find(server);
+    if (word.kind === 'named') return this.#name(server, word.perSecond, saidAtMs);
+    if (word.kind === 'unreadable' || !known || known.isOver) return undefined;
+    return askedAtMs > known.saidAtMs ? this.#end(known, saidAtMs) : undefined;
+  }
+
+  /** Takes in what another host knows. */
+  hearTold(told: ServerLimit): LimitChange {
+    const { server, perSecond, isOver, saidAtMs } = told;
+    const known = this.find(server);
+    if (!isOver) return this.#name(server, perSecond, saidAtMs);
+    if (!known || known.isOver || known.saidAtMs >= saidAtMs) return undefined;
+    return this.#end(known, saidAtMs);
+  }
+
+  /** What this life of a server said last; undefined where it has named no limit. */
+  find(server: BackendServer): ServerLimit | undefined {
+    const known = this.#limits.get(server.id);
+    return known && isSameLife(known.server, server) ? known : undefined;
+  }
+
+  /** The requests a second that a server may be sent by all hosts; undefined where there is no limit. */
+  rateOf(server: BackendServer, nowMs: Milliseconds): number | undefined {
+    const known = this.find(server);
+    if (!known) return undefined;
+    if (!known.isOver) return Math.max(LEAST_PER_SECOND, known.perSecond);
+    const sinceMs = nowMs - known.saidAtMs;
+    if (sinceMs >= RETURN_MS) return undefined;
+    return Math.max(RETURN_PER_SECOND, known.perSecond) * 2 ** (sinceMs / RETURN_DOUBLING_MS);
+  }
+
+  /** Whether a server may be sent no more than a rate now. */
+  isLimited(server: BackendServer, nowMs: Milliseconds): boolean {
+    return this.rateOf(server, nowMs) !== undefined;
+  }
+
+  /** All that is known, those that are over included; what is over for long is forgotten. */
+  all(nowMs: Milliseconds): readonly ServerLimit[] {
+    for (const [id, { isOver, saidAtMs }] of this.#limits) {
+      const knownForMs = isOver ? OVER_TOLD_MS : NAMED_KNOWN_MS;
+      if (nowMs - saidAtMs > knownForMs) this.#limits.delete(id);
+    }
+    return [...this.#limits.values()];
+  }
+
+  /** Forgets a server that has started again or is gone. */
+  forget(serverId: string): void {
+    this.#limits.delete(serverId);
+  }
+
+  #name(server: BackendServer, perSecond: number, saidAtMs: Milliseconds): LimitChange {
+    const known = this.find(server);
+    if (known && known.saidAtMs > saidAtMs) return undefined;
+    this.#limits.set(server.id, { server, perSecond, isOver: false, saidAtMs });
+    if (!known || known.isOver) return 'named';
+    return known.perSecond === perSecond ? undefined : 'changed';
+  }
+
+  #end(known: ServerLimit, saidAtMs: Milliseconds): LimitChange {
+    this.#limits.set(known.server.id, { ...known, isOver: true, saidAtMs });
+    return 'over';
+  }
+}
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -1,6 +1,13 @@
 import { newOwner, SystemClock } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
-import { FleetView, Quarantine, RestingServers, RetryBudget, TurnedAway } from '@poppypond/fleet';
+import {
+  FleetView,
+  Quarantine,
+  RestingServers,
+  RetryBudget,
+  ServerLimits,
+  TurnedAway,
+} from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import {
@@ -77,12 +84,14 @@
   const freshness = new Freshness(clock);
   const servers = new ServerList(clock, log, settings.leavingWithinMs - LAST_RESORT_MARGIN_MS);
   const fleet = new FleetView();
+  const limits = new ServerLimits();
   servers.onNewLife(({ id }) => {
     fleet.forgetServer(id);
+    limits.forget(id);
   });
   const measures = new Measures();
   const rests = new RestingServers(draw);
-  const notices = new ServerNotices({ clock, log, measures, host, servers, rests });
+  const notices = new ServerNotices({ clock, log, measures, host, servers, rests, limits });
   const gate = new SendGate({ clock, servers, rests, draw });
   const words = {
     onBirthTold: (asked: BackendServer, bornMs: Milliseconds) => {
--- a/packages/relay/src/notices/send-gate.test.ts
+++ b/packages/relay/src/notices/send-gate.test.ts
@@ -1,4 +1,4 @@
-import { RestingServers } from '@poppypond/fleet';
+import { RestingServers, ServerLimits } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { engineServer, ManualClock } from '@poppypond/mocks';
 import { Measures, silentLog } from '@poppypond/telemetry';
@@ -26,7 +26,7 @@
   servers.replace(SERVERS, 0, 1);
   const rests = new RestingServers(draw);
   const measures = new Measures();
-  const shared = { clock, servers, rests };
+  const shared = { clock, servers, rests, limits: new ServerLimits() };
   const notices = new ServerNotices({ ...shared, log: silentLog, measures, host: 'host-1' });
   return { clock, servers, notices, gate: new SendGate({ ...shared, draw }) };
 }
--- a/packages/relay/src/notices/server-notices.ts
+++ b/packages/relay/src/notices/server-notices.ts
@@ -1,6 +1,13 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
 import { REST_NEWS_MS } from '@poppypond/fleet';
-import type { BackendServer, RestingServers } from '@poppypond/fleet';
+import type {
+  BackendServer,
+  LimitChange,
+  LimitWord,
+  RestingServers,
+  ServerLimit,
+  ServerLimits,
+} from '@poppypond/fleet';
 import type { Log, Measures } from '@poppypond/telemetry';
 import type { ServerWord } from '../ports.js';
 import type { ServerList } from '../store/server-list.js';
@@ -14,14 +21,23 @@
   readonly host: string;
   readonly servers: ServerList;
   readonly rests: RestingServers;
+  readonly limits: ServerLimits;
 }
 
+/** Servers whose unreadable words are remembered, so that each is logged once. */
+const MOST_UNREADABLE = 256;
+const SHOWN_TEXT_LENGTH = 40;
+
 /**
  * What servers say of themselves in their answers of all kinds. That a server leaves binds all hosts and holds as
- * long as its life; that it wants rest binds this host until the rest is over. Each is logged once.
+ * long as its life; that it wants rest binds this host until the rest is over; a limit binds all hosts together for as
+ * long as answers name it. Each is logged once, and each change of a limit.
  */
 export class ServerNotices {
   #onLeaving: (server: BackendServer, saidAtMs: Milliseconds) => void = () => undefined;
+  #onLimit: (limit: ServerLimit) => void = () => undefined;
+  /** Words of limits that could not be read, the last of each server. */
+  readonly #unreadable = new Map<string, string>();
 
   constructor(readonly parts: ServerNoticesParts) {}
 
@@ -30,10 +46,26 @@
     this.#onLeaving = callback;
   }
 
-  /** Takes in what the server that was asked as `server` has said in an answer. */
-  hear(server: BackendServer, { isLeaving, restMs }: ServerWord): void {
+  /** `callback` is told of each change of a limit that this host hears of itself. */
+  onLimit(callback: (limit: ServerLimit) => void): void {
+    this.#onLimit = callback;
+  }
+
+  /** Takes in what the server that was asked as `server` has said in an answer; `askedAtMs`: when it was asked. */
+  hear(
+    server: BackendServer,
+    { isLeaving, restMs, limit }: ServerWord,
+    askedAtMs: Milliseconds = this.parts.clock.monotonicMs(),
+  ): void {
     if (isLeaving) this.#hearItself(server);
     if (restMs !== undefined) this.#hearRest(server, restMs);
+    if (limit) this.#hearLimit(server, limit, askedAtMs);
+  }
+
+  /** A host has told what a server said of a limit; false where that is nothing new. */
+  hearLimitTold(told: ServerLimit, toldBy: string): boolean {
+    const before = this.parts.limits.find(told.server);
+    return this.#noteLimit(told.server, this.parts.limits.hearTold(told), before, toldBy);
   }
 
   /** The server told `toldBy` at `saidAtMs`, on this process's clock, that it leaves; false where that was known. */
@@ -58,6 +90,49 @@
     if (this.hearLeaving(server, nowMs, this.parts.host)) this.#onLeaving(server, nowMs);
   }
 
+  #hearLimit(server: BackendServer, word: LimitWord, askedAtMs: Milliseconds): void {
+    const { clock, host, limits } = this.parts;
+    if (word.kind === 'unreadable') {
+      this.#noteUnreadable(server, word.text);
+      return;
+    }
+    const before = limits.find(server);
+    const change = limits.hear(server, word, askedAtMs, clock.monotonicMs());
+    if (!this.#noteLimit(server, change, before, host)) return;
+    const now = limits.find(server);
+    if (now) this.#onLimit(now);
+  }
+
+  #noteLimit(
+    server: BackendServer,
+    change: LimitChange,
+    before: ServerLimit | undefined,
+    toldBy: string,
+  ): boolean {
+    if (change === undefined) return false;
+    const { limits, log, measures, servers } = this.parts;
+    measures.count('poppypond_server_words_total', { word: `limit_${change}` });
+    log.warn('server_limit', {
+      server: server.id,
+      service: server.service,
+      change,
+      per_second: limits.find(server)?.perSecond,
+      before_per_second: before && !before.isOver ? before.perSecond : undefined,
+      born_ms: server.bornMs,
+      told_by: toldBy,
+      list_age_ms: Math.round(servers.freshness.ageMs()),
+    });
+    return true;
+  }
+
+  #noteUnreadable(server: BackendServer, text: string): void {
+    if (this.#unreadable.get(server.id) === text) return;
+    if (this.#unreadable.size >= MOST_UNREADABLE) this.#unreadable.clear();
+    this.#unreadable.set(server.id, text);
+    const shown = text.slice(0, SHOWN_TEXT_LENGTH);
+    this.parts.log.warn('server_limit_unreadable', { server: server.id, text: shown });
+  }
+
   #hearRest(server: BackendServer, restMs: Milliseconds): void {
     const { clock, log, measures, rests } = this.parts;
     const nowMs = clock.monotonicMs();
--- a/packages/relay/src/peers/mocks/mesh-network.ts
+++ b/packages/relay/src/peers/mocks/mesh-network.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import { FleetView, Quarantine, RestingServers } from '@poppypond/fleet';
+import { FleetView, Quarantine, RestingServers, ServerLimits } from '@poppypond/fleet';
 import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { RoutingConfiguration } from '@poppypond/routing';
@@ -96,7 +96,8 @@
     const knowledge = new SharedKnowledge({ clock, inForce, freshness, list });
     const own = { clock, log: silentLog, measures: new Measures(), host: addressOf(port).host };
     const rests = new RestingServers(draw);
-    const notices = new ServerNotices({ ...own, servers: list, rests });
+    const limits = new ServerLimits();
+    const notices = new ServerNotices({ ...own, servers: list, rests, limits });
     const quarantine = new SharedQuarantine({
       ...own,
       quarantine: new Quarantine(),
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@poppypond/core';
-import type { BackendServer } from '@poppypond/fleet';
+import type { BackendServer, LimitWord } from '@poppypond/fleet';
 import type { RoutingConfiguration } from '@poppypond/routing';
 import type { IncomingMessage } from 'node:http';
 import type { Result } from 'true-myth';
@@ -55,6 +55,8 @@
   readonly isLeaving: boolean;
   /** For how long it wants nothing from this host; undefined where it doesn't ask for rest. */
   readonly restMs: Milliseconds | undefined;
+  /** What it says of a limit for all hosts together; undefined where the answer can't tell. */
+  readonly limit?: LimitWord | undefined;
 }
 
 /** The head of a backend server's answer. */
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -264,13 +264,14 @@
     });
     const { method, path, requestId } = caller;
     const wantsEvents = this.#route.kind === 'stream';
+    const askedAtMs = clock.monotonicMs();
     return new ServerAttempt(
       { server, method, path, headers, body, requestId, wantsEvents },
       {
         clock,
         readAnswer: (message) => wire.readAnswer(message),
         onHead: ({ word, isNotRun }) => {
-          this.parts.notices.hear(server, word);
+          this.parts.notices.hear(server, word, askedAtMs);
           if (word.restMs === undefined && !isNotRun)
             this.parts.gate.onAnswered(server, choice.attemptId);
         },
