--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from './fleet-view.js';
 export * from './followed-request.js';
 export * from './late-prompts.js';
+export * from './limit-ledger.js';
 export * from './leaving-lives.js';
 export * from './place-call.js';
 export * from './place-stream.js';
--- /dev/null
+++ b/packages/fleet/src/limit-ledger.ts
@@ -0,0 +1,107 @@
+import type { Milliseconds } from '@poppypond/core';
+import { isSameLife } from './backend-server.js';
+import type { BackendServer } from './backend-server.js';
+import type { ServerLimits } from './server-limits.js';
+
+/**
+ * As what a host gives out places of limits: as the first in rank, in place of one that is silent, or for itself as
+ * it hears nobody who could.
+ */
+export type LimitRole = 'first' | 'stand_in' | 'alone';
+
+/** What a host may give out of each limit. */
+export interface LimitPart {
+  readonly role: LimitRole;
+  /** Share of the limit; those of all hosts that may give at a time are planned to add up to 1. */
+  readonly share: number;
+}
+
+interface Bucket {
+  readonly server: BackendServer;
+  /** Places that may be given; under 0 where some were used that could not be asked for. */
+  places: number;
+  atMs: Milliseconds;
+  /** When places were given lately, for those who want to know what was used. */
+  given: Milliseconds[];
+}
+
+const MS_PER_SECOND = 1000;
+/** One place is saved up, and what comes in for so long, so that a place that is taken a little late is not lost. */
+const SAVED_MS: Milliseconds = 250;
+/** A host that gives for others only now and then begins with nothing each time. */
+const FORGOTTEN_AFTER_MS: Milliseconds = 3000;
+const COUNTED_MS: Milliseconds = 4000;
+
+/**
+ * Counts the requests that servers with a limit get from all hosts, at the one host that gives out the places for them.
+ * Shares that each host would keep for itself don't do: of two a second, 330 hosts have one in three minutes each, and
+ * sixty that each save up one send sixty at once. Begins with nothing, as what was given before is not known.
+ */
+export class LimitLedger {
+  readonly #buckets = new Map<string, Bucket>();
+
+  constructor(readonly limits: ServerLimits) {}
+
+  /** Requests that may be sent to a server now; infinite where it names no limit. */
+  placesOf(server: BackendServer, part: LimitPart, nowMs: Milliseconds): number {
+    const rate = this.#rate(server, part, nowMs);
+    if (rate === undefined) return Number.POSITIVE_INFINITY;
+    return Math.max(0, Math.floor(this.#filled(server, part, rate, nowMs).places));
+  }
+
+  /** Gives a place, or counts one that was used without being asked for. */
+  give(server: BackendServer, part: LimitPart, nowMs: Milliseconds): void {
+    const rate = this.#rate(server, part, nowMs);
+    if (rate === undefined) return;
+    const bucket = this.#filled(server, part, rate, nowMs);
+    bucket.places -= 1;
+    bucket.given = [...bucket.given.filter((atMs) => nowMs - atMs < COUNTED_MS), nowMs];
+  }
+
+  /** How long until a place is there; infinite where none is to come. */
+  nextMs(server: BackendServer, part: LimitPart, nowMs: Milliseconds): Milliseconds {
+    const rate = this.#rate(server, part, nowMs);
+    if (rate === undefined) return 0;
+    const missing = 1 - this.#filled(server, part, rate, nowMs).places;
+    return missing <= 0 ? 0 : (missing / rate) * MS_PER_SECOND;
+  }
+
+  /** The places a second that this host gives for a server; undefined where it names no limit. */
+  rateOf(server: BackendServer, part: LimitPart, nowMs: Milliseconds): number | undefined {
+    return this.#rate(server, part, nowMs);
+  }
+
+  /** Places of a server that were given in the last 4 s. */
+  givenLately(server: BackendServer, { role }: LimitPart, nowMs: Milliseconds): number {
+    const given = this.#buckets.get(`${role} ${server.id}`)?.given ?? [];
+    return given.filter((atMs) => nowMs - atMs < COUNTED_MS).length;
+  }
+
+  #rate(server: BackendServer, { share }: LimitPart, nowMs: Milliseconds): number | undefined {
+    const rate = this.limits.rateOf(server, nowMs);
+    return rate === undefined ? undefined : rate * share;
+  }
+
+  #filled(server: BackendServer, { role }: LimitPart, rate: number, nowMs: Milliseconds): Bucket {
+    const key = `${role} ${server.id}`;
+    const known = this.#buckets.get(key);
+    const isKept =
+      known !== undefined &&
+      isSameLife(known.server, server) &&
+      (role === 'first' || nowMs - known.atMs < FORGOTTEN_AFTER_MS);
+    if (!isKept) return this.#begin(key, server, nowMs);
+    const most = 1 + (rate * SAVED_MS) / MS_PER_SECOND;
+    known.places = Math.min(most, known.places + (rate * (nowMs - known.atMs)) / MS_PER_SECOND);
+    known.atMs = nowMs;
+    return known;
+  }
+
+  #begin(key: string, server: BackendServer, nowMs: Milliseconds): Bucket {
+    for (const [other, { server: counted }] of this.#buckets) {
+      if (!this.limits.find(counted)) this.#buckets.delete(other);
+    }
+    const bucket = { server, places: 0, atMs: nowMs, given: [] };
+    this.#buckets.set(key, bucket);
+    return bucket;
+  }
+}
--- a/packages/fleet/src/server-limits.ts
+++ b/packages/fleet/src/server-limits.ts
@@ -16,8 +16,13 @@
   readonly isOver: boolean;
   /** When it said so last, or first that the limit is over, on this process's clock. */
   readonly saidAtMs: Milliseconds;
+  /** Since when this process knows it as it is. */
+  readonly changedAtMs: Milliseconds;
 }
 
+/** A limit as another host knows it. */
+export type ToldLimit = Omit<ServerLimit, 'changedAtMs'>;
+
 /** What came of a word: undefined where it tells nothing new. */
 export type LimitChange = 'named' | 'changed' | 'over' | undefined;
 
@@ -58,18 +63,18 @@
     saidAtMs: Milliseconds,
   ): LimitChange {
     const known = this.find(server);
-    if (word.kind === 'named') return this.#name(server, word.perSecond, saidAtMs);
+    if (word.kind === 'named') return this.#name(server, word.perSecond, saidAtMs, saidAtMs);
     if (word.kind === 'unreadable' || !known || known.isOver) return undefined;
-    return askedAtMs > known.saidAtMs ? this.#end(known, saidAtMs) : undefined;
+    return askedAtMs > known.saidAtMs ? this.#end(known, saidAtMs, saidAtMs) : undefined;
   }
 
   /** Takes in what another host knows. */
-  hearTold(told: ServerLimit): LimitChange {
+  hearTold(told: ToldLimit, nowMs: Milliseconds): LimitChange {
     const { server, perSecond, isOver, saidAtMs } = told;
     const known = this.find(server);
-    if (!isOver) return this.#name(server, perSecond, saidAtMs);
+    if (!isOver) return this.#name(server, perSecond, saidAtMs, nowMs);
     if (!known || known.isOver || known.saidAtMs >= saidAtMs) return undefined;
-    return this.#end(known, saidAtMs);
+    return this.#end(known, saidAtMs, nowMs);
   }
 
   /** What this life of a server said last; undefined where it has named no limit. */
@@ -78,6 +83,11 @@
     return known && isSameLife(known.server, server) ? known : undefined;
   }
 
+  /** What the last life of a server that named one said last. */
+  ofId(serverId: string): ServerLimit | undefined {
+    return this.#limits.get(serverId);
+  }
+
   /** The requests a second that a server may be sent by all hosts; undefined where there is no limit. */
   rateOf(server: BackendServer, nowMs: Milliseconds): number | undefined {
     const known = this.find(server);
@@ -107,16 +117,23 @@
     this.#limits.delete(serverId);
   }
 
-  #name(server: BackendServer, perSecond: number, saidAtMs: Milliseconds): LimitChange {
+  #name(
+    server: BackendServer,
+    perSecond: number,
+    saidAtMs: Milliseconds,
+    nowMs: Milliseconds,
+  ): LimitChange {
     const known = this.find(server);
     if (known && known.saidAtMs > saidAtMs) return undefined;
-    this.#limits.set(server.id, { server, perSecond, isOver: false, saidAtMs });
-    if (!known || known.isOver) return 'named';
-    return known.perSecond === perSecond ? undefined : 'changed';
+    const isSame = known !== undefined && !known.isOver && known.perSecond === perSecond;
+    const changedAtMs = isSame ? known.changedAtMs : nowMs;
+    this.#limits.set(server.id, { server, perSecond, isOver: false, saidAtMs, changedAtMs });
+    if (isSame) return undefined;
+    return known && !known.isOver ? 'changed' : 'named';
   }
 
-  #end(known: ServerLimit, saidAtMs: Milliseconds): LimitChange {
-    this.#limits.set(known.server.id, { ...known, isOver: true, saidAtMs });
+  #end(known: ServerLimit, saidAtMs: Milliseconds, nowMs: Milliseconds): LimitChange {
+    this.#limits.set(known.server.id, { ...known, isOver: true, saidAtMs, changedAtMs: nowMs });
     return 'over';
   }
 }
--- a/packages/relay/src/backend/life-aware-memory.test.ts
+++ b/packages/relay/src/backend/life-aware-memory.test.ts
@@ -30,6 +30,8 @@
     onWord: ({ id }: { readonly id: string }) => heard.push(`${id} speaks`),
   };
   const gate = {
+    isLimited: () => false,
+    tryQuestion: () => Promise.resolve(restMs === 0),
     tryOrder: () => {
       left -= 1;
       return left >= 0;
--- a/packages/relay/src/backend/life-aware-memory.ts
+++ b/packages/relay/src/backend/life-aware-memory.ts
@@ -19,6 +19,9 @@
 /** Whether an engine may be sent an order or a question now, by what it said itself. */
 export interface OrderGate {
   tryOrder(server: BackendServer): boolean;
+  tryQuestion(server: BackendServer): Promise<boolean>;
+  /** Whether it names a limit of what it is sent. */
+  isLimited(server: BackendServer): boolean;
   /** How long it rests still; 0 where it does not. */
   restLeftMs(server: BackendServer): Milliseconds;
 }
@@ -26,11 +29,14 @@
 /** Engines hold memory for no longer at once. */
 const LONGEST_HOLD_MS: Milliseconds = 10_000;
 
+/** Memory at engines that name a limit is held by fewer orders, and free again soon where its host dies. */
+const LIMITED_HOLD_MS: Milliseconds = 3500;
+
 function overRestMs(holdMs: Milliseconds, restMs: Milliseconds): Milliseconds {
   return Math.max(holdMs, Math.min(LONGEST_HOLD_MS, Math.round(holdMs + restMs)));
 }
 
-/** An engine that rests is asked nothing; it answered a moment ago, and nothing more is known of it. */
+/** An engine that rests, or names a limit that is used up, is asked nothing; it answered a moment ago, and nothing more is known of it. */
 const NOT_ASKED: EngineWork = { running: 0, memoryTokens: 0 };
 
 /**
@@ -53,7 +59,8 @@
     if (!this.gate.tryOrder(server)) return { isHeld: false };
     // What a request uses there is held over the rest by one order.
     const restMs = this.gate.restLeftMs(server);
-    const heldForMs = overRestMs(holdMs, restMs);
+    const wantedMs = this.gate.isLimited(server) ? Math.max(holdMs, LIMITED_HOLD_MS) : holdMs;
+    const heldForMs = overRestMs(wantedMs, restMs);
     const answer = await this.memory.reserve(server, id, tokens, heldForMs);
     this.#tell(server, answer);
     return { ...answer, heldForMs };
@@ -67,7 +74,7 @@
   }
 
   async readWork(server: BackendServer): Promise<EngineWork | undefined> {
-    if (this.gate.restLeftMs(server) > 0) return NOT_ASKED;
+    if (!(await this.gate.tryQuestion(server))) return NOT_ASKED;
     const work = await this.memory.readWork(server);
     if (work) this.#tell(server, work);
     return work;
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -19,6 +19,7 @@
 } from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
 import { LifeAwareMemory } from './backend/life-aware-memory.js';
+import { Permits } from './notices/permits.js';
 import { SendGate } from './notices/send-gate.js';
 import { ServerNotices } from './notices/server-notices.js';
 import { PauseWatch } from './pause-watch.js';
@@ -92,7 +93,7 @@
   const measures = new Measures();
   const rests = new RestingServers(draw);
   const notices = new ServerNotices({ clock, log, measures, host, servers, rests, limits });
-  const gate = new SendGate({ clock, servers, rests, draw });
+  const gate = new SendGate({ clock, servers, rests, limits, draw });
   const words = {
     onBirthTold: (asked: BackendServer, bornMs: Milliseconds) => {
       servers.onBirthTold(asked, bornMs);
@@ -171,8 +172,17 @@
   const onPlanner = (service: string) => {
     earlierWork.learn(service);
   };
-  const planner = new Planner({ clock, inForce, servers, fleet, draw, onPlanner });
-  const peers = new PeerMesh({
+  const planner: Planner = new Planner({
+    clock,
+    inForce,
+    servers,
+    fleet,
+    draw,
+    onPlanner,
+    limits: notices.parts.limits,
+    partOf: (service, isAlone) => peers.limitPart(service, isAlone),
+  });
+  const peers: PeerMesh = new PeerMesh({
     clock,
     log,
     sender,
@@ -197,6 +207,8 @@
 export function composeParts(base: RelayBase, peers: PeerMesh, placing: Placing): RelayParts {
   const { clock, log, measures, inForce, freshness, keyTrust, quarantine } = base;
   const { fleet, servers, settings, pauses } = base;
+  const permits = new Permits({ clock, host: settings.host, placing, draw });
+  base.gate.askAt(permits);
   const retryFigures = {
     ratio: settings.retryRatio,
     windowMs: settings.retryWindowSeconds * MS_PER_SECOND,
@@ -216,6 +228,7 @@
     pauses,
     notices: base.notices,
     gate: base.gate,
+    permits,
     turnedAway: new TurnedAway(),
     fleet,
     servers,
--- /dev/null
+++ b/packages/relay/src/notices/permits.ts
@@ -0,0 +1,104 @@
+import { randomId } from '@poppypond/core';
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { BackendServer } from '@poppypond/fleet';
+import type { Placed } from '../planning/placing.js';
+import type { PlanRequest } from '../planning/plan-request.js';
+
+/** Places of servers' limits that an attempt was given. */
+export interface SendPermit {
+  readonly serverIds: readonly string[];
+  /** Until when it may be used, on this process's clock: later ones are given to others by then. */
+  readonly untilMs: Milliseconds;
+}
+
+/** How permits are asked for. */
+export interface PermitPlacing {
+  place(request: PlanRequest, isOver: () => boolean): Promise<Placed>;
+  /** Tells of a request without waiting for an answer. */
+  tell(request: PlanRequest): void;
+}
+
+/** What asking for permits needs. */
+export interface PermitsParts {
+  readonly clock: Clock;
+  readonly host: string;
+  readonly placing: PermitPlacing;
+  /** Uniform random numbers in [0, 1). */
+  readonly draw: () => number;
+}
+
+/** A permit that is not used for so long is void: a host that stood still uses it no more. */
+const PERMIT_MS: Milliseconds = 1000;
+/** A server without a place is asked for again after this at least: hosts must not all ask for the next one. */
+const SHORTEST_CLOSED_MS: Milliseconds = 50;
+const LONGEST_CLOSED_MS: Milliseconds = 2000;
+/** An order or a question waits for so long at most for the answer of whoever gives out places. */
+const ASK_LIMIT_MS: Milliseconds = 200;
+
+/** A permit for what a plan has given, from now. */
+export function permitFrom(serverIds: readonly string[], nowMs: Milliseconds): SendPermit {
+  return { serverIds, untilMs: nowMs + PERMIT_MS };
+}
+
+/** Asks the host that gives out places of limits for what is not planned: calls, orders and questions. */
+export class Permits {
+  readonly #closedUntilMs = new Map<string, Milliseconds>();
+
+  constructor(readonly parts: PermitsParts) {}
+
+  /** Whether a place of a server may be there, as far as is known. */
+  mayBeOpen({ id }: BackendServer): boolean {
+    return (this.#closedUntilMs.get(id) ?? 0) <= this.parts.clock.monotonicMs();
+  }
+
+  /** Asks for one place of a server that is there now; undefined where there is none. */
+  async tryTake(server: BackendServer): Promise<SendPermit | undefined> {
+    if (!this.mayBeOpen(server)) return undefined;
+    const { clock, placing } = this.parts;
+    const request = this.#requestFor(server, false);
+    const isOver = () => clock.monotonicMs() >= request.limitAtMs;
+    const placed = await placing.place(request, isOver);
+    if (placed.kind === 'place') {
+      return permitFrom(placed.stream.permittedIds, clock.monotonicMs());
+    }
+    this.#close(server, placed.kind === 'refuse' ? placed.retryAfterMs : undefined);
+    return undefined;
+  }
+
+  /** Has one place of a server counted that is used without being asked for. */
+  noteUsed(server: BackendServer): void {
+    this.parts.placing.tell(this.#requestFor(server, true));
+  }
+
+  #close({ id }: BackendServer, nextMs: Milliseconds = LONGEST_CLOSED_MS): void {
+    const { clock, draw } = this.parts;
+    const forMs = Math.max(SHORTEST_CLOSED_MS, nextMs) * (1 + draw());
+    const nowMs = clock.monotonicMs();
+    for (const [other, untilMs] of this.#closedUntilMs) {
+      if (untilMs <= nowMs) this.#closedUntilMs.delete(other);
+    }
+    this.#closedUntilMs.set(id, nowMs + Math.min(LONGEST_CLOSED_MS, forMs));
+  }
+
+  #requestFor({ id, service }: BackendServer, isSent: boolean): PlanRequest {
+    const { clock, host } = this.parts;
+    const nowMs = clock.monotonicMs();
+    const attemptId = randomId();
+    const none = { promptTokens: 0, answerTokens: 0, aimMs: 0, gapAimMs: 0, isRepeated: false };
+    return {
+      attemptId,
+      requestId: attemptId,
+      host,
+      service,
+      workspace: '',
+      priority: 0,
+      ...none,
+      arrivedAtMs: nowMs,
+      silentSinceMs: nowMs,
+      limitAtMs: nowMs + ASK_LIMIT_MS,
+      avoidedIds: [],
+      excludedIds: [],
+      permit: { serverIds: [id], isSent },
+    };
+  }
+}
--- a/packages/relay/src/notices/send-gate.test.ts
+++ b/packages/relay/src/notices/send-gate.test.ts
@@ -5,6 +5,7 @@
 import { describe, expect, it } from 'vitest';
 import type { ServerWord } from '../ports.js';
 import { ServerList } from '../store/server-list.js';
+import { permitFrom } from './permits.js';
 import { SendGate } from './send-gate.js';
 import { ServerNotices } from './server-notices.js';
 
@@ -96,6 +97,39 @@
     expect(gate.nextMs(SERVICE)).toBeUndefined();
   });
 
+  it('lets nothing to a server that names a limit without a place that was given, and is still good', async () => {
+    const { clock, gate, notices } = gateOfHost();
+    const limit = { kind: 'named', perSecond: 2 } as const;
+    hear(notices, ONE, { isLeaving: false, restMs: undefined, limit });
+    expect(take(gate, ONE)).toBe('limited');
+    expect(take(gate, TWO, ONE ? [ONE] : [])).toBe('limited');
+    expect(take(gate, TWO)).toBeUndefined();
+    const permit = permitFrom(['i-1'], clock.monotonicMs());
+    const attempt = { attemptId: 'a', readers: [], permit };
+    expect(ONE && gate.tryTake({ ...attempt, server: ONE })).toBeUndefined();
+    await clock.advance(1500);
+    expect(ONE && gate.tryTake({ ...attempt, server: ONE })?.why).toBe('limited');
+  });
+
+  it('asks a server that names a limit nothing without a place, and has its orders counted', async () => {
+    const { gate, notices } = gateOfHost();
+    const used: string[] = [];
+    let places = 1;
+    gate.askAt({
+      tryTake: ({ id }) => {
+        places -= 1;
+        return Promise.resolve(places >= 0 ? permitFrom([id], 0) : undefined);
+      },
+      noteUsed: ({ id }) => used.push(id),
+    });
+    const limit = { kind: 'named', perSecond: 2 } as const;
+    hear(notices, ONE, { isLeaving: false, restMs: undefined, limit });
+    expect(ONE && (await gate.tryQuestion(ONE))).toBe(true);
+    expect(ONE && (await gate.tryQuestion(ONE))).toBe(false);
+    expect(ONE && gate.tryOrder(ONE)).toBe(true);
+    expect(used).toEqual(['i-1']);
+  });
+
   it('lets nothing to a server that was chosen before it was found to leave by the list', () => {
     const { gate, servers } = gateOfHost();
     servers.replace([...SERVERS.slice(1), { ...engineServer('i-1'), isDraining: true }], 0, 2);
--- a/packages/relay/src/notices/send-gate.ts
+++ b/packages/relay/src/notices/send-gate.ts
@@ -1,18 +1,20 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { BackendServer, RestingServers } from '@poppypond/fleet';
+import type { BackendServer, RestingServers, ServerLimits } from '@poppypond/fleet';
 import type { ServerList } from '../store/server-list.js';
+import type { SendPermit } from './permits.js';
 
 /** What the gate needs. */
 export interface SendGateParts {
   readonly clock: Clock;
   readonly servers: ServerList;
   readonly rests: RestingServers;
+  readonly limits: ServerLimits;
   /** Uniform random numbers in [0, 1). */
   readonly draw: () => number;
 }
 
 /** Why a server may be sent nothing now. */
-export type SendBlock = 'leaves' | 'rests' | 'not_listed';
+export type SendBlock = 'leaves' | 'rests' | 'not_listed' | 'limited';
 
 /** Servers that one attempt is to use. */
 export interface AttemptServers {
@@ -20,8 +22,21 @@
   readonly server: BackendServer;
   /** Engines that read parts of its prompt. */
   readonly readers: readonly BackendServer[];
+  /** Places that it was given of those that name limits. */
+  readonly permit?: SendPermit | undefined;
 }
 
+/** How places of limits are asked for. */
+export interface PermitSource {
+  tryTake(server: BackendServer): Promise<SendPermit | undefined>;
+  noteUsed(server: BackendServer): void;
+}
+
+const NO_PERMITS: PermitSource = {
+  tryTake: () => Promise.resolve(undefined),
+  noteUsed: () => undefined,
+};
+
 /**
  * Callers that are refused while all servers rest come back over this time after the first rest: all at once would
  * begin the next one. About as long as a server takes to be returned to by steps.
@@ -36,6 +51,8 @@
  * the first byte: choices are made elsewhere, or earlier.
  */
 export class SendGate {
+  #permits: PermitSource = NO_PERMITS;
+
   constructor(readonly parts: SendGateParts) {}
 
   /** Servers of a service that may be sent a request now, in an order that all hosts agree on. */
@@ -86,10 +103,10 @@
    * that it would use and that may be sent nothing, and why.
    */
   tryTake(attempt: AttemptServers): { readonly id: string; readonly why: SendBlock } | undefined {
-    const { attemptId, server, readers } = attempt;
+    const { attemptId, server, readers, permit } = attempt;
     const { clock, rests } = this.parts;
     for (const used of [server, ...readers]) {
-      const why = this.#blockOf(used, used === server);
+      const why = this.#blockOf(used, used === server) ?? this.#limitBlock(used, permit);
       if (why) return { id: used.id, why };
     }
     rests.onSent(server, attemptId, clock.monotonicMs());
@@ -106,10 +123,37 @@
     this.parts.rests.onOver(server, attemptId);
   }
 
-  /** Whether an order or a question may go to an engine; the few that may while it rests are counted. */
+  /** Places of limits are asked for at `permits`. */
+  askAt(permits: PermitSource): void {
+    this.#permits = permits;
+  }
+
+  /** Whether any server names a limit for all hosts together, or did lately. */
+  get knowsLimits(): boolean {
+    return this.parts.limits.size > 0;
+  }
+
+  /** Whether a server names a limit for all hosts together, or did lately. */
+  isLimited(server: BackendServer): boolean {
+    const { clock, limits } = this.parts;
+    return limits.isLimited(server, clock.monotonicMs());
+  }
+
+  /**
+   * Whether an order may go to an engine; the few that may while it rests are counted. One that names a limit gets
+   * them all the same, counted: what a request uses there would be cut, or stay held.
+   */
   tryOrder(server: BackendServer): boolean {
     const { clock, rests } = this.parts;
-    return rests.tryOrder(server, clock.monotonicMs());
+    if (!rests.tryOrder(server, clock.monotonicMs())) return false;
+    if (this.isLimited(server)) this.#permits.noteUsed(server);
+    return true;
+  }
+
+  /** Whether a question may go to an engine. */
+  async tryQuestion(server: BackendServer): Promise<boolean> {
+    if (this.restLeftMs(server) > 0) return false;
+    return !this.isLimited(server) || (await this.#permits.tryTake(server)) !== undefined;
   }
 
   /** How long the server rests still; 0 where it does not. */
@@ -124,6 +168,13 @@
     return servers.filter((server) => rests.mayTake(server, nowMs));
   }
 
+  /** What a server gets from all hosts is counted where places are given, so nothing goes there without one. */
+  #limitBlock(server: BackendServer, permit: SendPermit | undefined): SendBlock | undefined {
+    if (!this.isLimited(server)) return undefined;
+    const isValid = permit !== undefined && permit.untilMs > this.parts.clock.monotonicMs();
+    return isValid && permit.serverIds.includes(server.id) ? undefined : 'limited';
+  }
+
   /** `takes`: whether it is sent the request itself, of which it is given one after the other after a rest. */
   #blockOf(server: BackendServer, takes: boolean): SendBlock | undefined {
     const { clock, rests, servers } = this.parts;
--- a/packages/relay/src/notices/server-notices.ts
+++ b/packages/relay/src/notices/server-notices.ts
@@ -7,6 +7,7 @@
   RestingServers,
   ServerLimit,
   ServerLimits,
+  ToldLimit,
 } from '@poppypond/fleet';
 import type { Log, Measures } from '@poppypond/telemetry';
 import type { ServerWord } from '../ports.js';
@@ -63,9 +64,11 @@
   }
 
   /** A host has told what a server said of a limit; false where that is nothing new. */
-  hearLimitTold(told: ServerLimit, toldBy: string): boolean {
-    const before = this.parts.limits.find(told.server);
-    return this.#noteLimit(told.server, this.parts.limits.hearTold(told), before, toldBy);
+  hearLimitTold(told: ToldLimit, toldBy: string): boolean {
+    const { clock, limits } = this.parts;
+    const before = limits.find(told.server);
+    const change = limits.hearTold(told, clock.monotonicMs());
+    return this.#noteLimit(told.server, change, before, toldBy);
   }
 
   /** The server told `toldBy` at `saidAtMs`, on this process's clock, that it leaves; false where that was known. */
--- a/packages/relay/src/peers/attempt-news.ts
+++ b/packages/relay/src/peers/attempt-news.ts
@@ -3,6 +3,7 @@
 import type { PlanRequest } from '../planning/plan-request.js';
 import type { Planner } from '../planning/planner.js';
 import type { ExchangeParts } from './exchange-parts.js';
+import type { LimitNews } from './limit-news.js';
 import { toWireServer } from './list-on-the-wire.js';
 import type { PeerMessage, WireAsk } from './peer-messages.js';
 import type { SharedKnowledge } from './shared-knowledge.js';
@@ -15,6 +16,7 @@
   readonly fleet: FleetView;
   readonly planner: Planner;
   readonly knowledge: SharedKnowledge;
+  readonly limitNews: LimitNews;
   /** Services of engines that this host may have to plan for or ask for plans. */
   readonly engineServices: () => readonly string[];
 }
@@ -36,7 +38,9 @@
 
   /** Asks `planner`; the answers come as messages, or are lost. */
   askPlan(planner: string, request: PlanRequest): void {
-    const ask = toWireAsk(request, this.parts.clock.monotonicMs());
+    const { clock, limitNews } = this.parts;
+    const limits = limitNews.forAsk(request.service);
+    const ask = { ...toWireAsk(request, clock.monotonicMs()), limits };
     this.#sendTo(planner, { kind: 'ask', ...this.parts.selfFields(), ask });
   }
 
@@ -47,8 +51,9 @@
 
   /** Plans for `host`; it is told each answer. */
   onAsk(ask: WireAsk, host: string): void {
-    const { clock, planner, selfFields } = this.parts;
-    const { attempt } = ask;
+    const { clock, limitNews, planner, selfFields } = this.parts;
+    const { attempt, limits } = ask;
+    limitNews.hear(limits, host);
     planner.submit(fromWireAsk(ask, host, clock.monotonicMs()), (answer) => {
       const wire = toWireAnswer(answer);
       this.#sendTo(host, { kind: 'plan', ...selfFields(), attempt, answer: wire });
--- a/packages/relay/src/peers/beats.ts
+++ b/packages/relay/src/peers/beats.ts
@@ -3,6 +3,7 @@
 import type { Planner } from '../planning/planner.js';
 import type { ExchangeParts } from './exchange-parts.js';
 import { datedWordOf, makeBeat } from './heartbeat.js';
+import type { LimitNews } from './limit-news.js';
 import type { PeerAddress } from './peer-list.js';
 import type { Beat } from './peer-messages.js';
 import type { QuarantineNews } from './quarantine-news.js';
@@ -19,6 +20,7 @@
   readonly planner: Planner;
   readonly knowledge: SharedKnowledge;
   readonly quarantineNews: QuarantineNews;
+  readonly limitNews: LimitNews;
   /** How many services of engines there are. */
   readonly engineServiceCount: () => number;
   /** Whether a host has to know what this one runs. */
@@ -42,7 +44,8 @@
 
   /** Sends one heartbeat. `isQuestion`: whether one is to come back at once. */
   send(host: string, isQuestion: boolean): void {
-    const { clock, fleet, isPlanner, knowledge, peers, planner, quarantineNews, self } = this.parts;
+    const { clock, fleet, isPlanner, knowledge, peers, planner, self } = this.parts;
+    const { limitNews, quarantineNews } = this.parts;
     const peer = peers.find(host);
     if (!peer) return;
     const told = {
@@ -51,6 +54,7 @@
       memberCount: peers.size + 1,
       isQuestion,
       quarantine: quarantineNews.forBeat(),
+      limits: limitNews.forBeat(),
       nowMs: clock.monotonicMs(),
     };
     this.parts.send([peer], makeBeat({ self, fleet, knowledge, ...told }, peer));
@@ -58,12 +62,13 @@
 
   /** Takes in what a heartbeat tells, and answers where it asks. */
   onBeat(beat: Beat): void {
-    const { fleet, knowledge, peers, quarantineNews, self } = this.parts;
+    const { fleet, knowledge, limitNews, peers, quarantineNews, self } = this.parts;
     const nowMs: Milliseconds = this.parts.clock.monotonicMs();
     const uses = beat.uses?.map((use) => fromWireUse(use, beat.host, nowMs));
     if (uses) fleet.replaceHost(beat.host, uses, nowMs);
     peers.noteMembers(beat.host, beat.memberCount);
     quarantineNews.onBeat(beat);
+    limitNews.onBeat(beat);
     if (beat.isQuestion) this.send(beat.host, false);
     const word = datedWordOf(beat, self.incarnation);
     if (word) knowledge.hearDated(word);
--- a/packages/relay/src/peers/heartbeat.ts
+++ b/packages/relay/src/peers/heartbeat.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { FleetView } from '@poppypond/fleet';
 import type { Peer, PeerAddress } from './peer-list.js';
-import type { Beat, WireQuarantine } from './peer-messages.js';
+import type { Beat, WireLimit, WireQuarantine } from './peer-messages.js';
 import type { DatedWord, SharedKnowledge } from './shared-knowledge.js';
 import { toWireUse } from './work-on-the-wire.js';
 
@@ -19,6 +19,8 @@
   readonly isQuestion: boolean;
   /** Requests under which servers ended. */
   readonly quarantine: WireQuarantine[];
+  /** Limits that servers name. */
+  readonly limits: WireLimit[];
   /** The sender's monotonic clock. */
   readonly nowMs: Milliseconds;
 }
@@ -35,7 +37,7 @@
 /** The heartbeat of this host for `peer`. */
 export function makeBeat(inputs: BeatInputs, peer: Peer): Beat {
   const { self, fleet, knowledge, isPlanner, nowMs } = inputs;
-  const { canPlan, memberCount, isQuestion, quarantine } = inputs;
+  const { canPlan, memberCount, isQuestion, quarantine, limits } = inputs;
   const { host, incarnation, port, availabilityZone, capacity } = self;
   return {
     kind: 'beat',
@@ -55,6 +57,7 @@
     canPlan,
     uses: isPlanner ? fleet.attemptsOf(host).map((use) => toWireUse(use, nowMs)) : null,
     quarantine,
+    limits,
   };
 }
 
--- /dev/null
+++ b/packages/relay/src/peers/limit-on-the-wire.ts
@@ -0,0 +1,18 @@
+import type { Milliseconds } from '@poppypond/core';
+import type { ServerLimit, ToldLimit } from '@poppypond/fleet';
+import { fromWireServer, toWireServer } from './list-on-the-wire.js';
+import type { WireLimit } from './peer-messages.js';
+
+/** A limit as it is told to peers, as of `nowMs`. */
+export function toWireLimit(limit: ServerLimit, nowMs: Milliseconds): WireLimit {
+  const { server, perSecond, isOver, saidAtMs } = limit;
+  return [toWireServer(server), perSecond, isOver, Math.max(0, Math.round(nowMs - saidAtMs))];
+}
+
+/** A limit that a peer has told; the way of the message makes its instant a little late. */
+export function fromWireLimit(
+  [server, perSecond, isOver, agoMs]: WireLimit,
+  nowMs: Milliseconds,
+): ToldLimit {
+  return { server: fromWireServer(server), perSecond, isOver, saidAtMs: nowMs - agoMs };
+}
--- a/packages/relay/src/peers/mocks/mesh-network.ts
+++ b/packages/relay/src/peers/mocks/mesh-network.ts
@@ -1,10 +1,12 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
 import { FleetView, Quarantine, RestingServers, ServerLimits } from '@poppypond/fleet';
+import type { BackendServer } from '@poppypond/fleet';
 import { ENGINE_FIGURES, ENGINE_SERVICE, engineServer, ManualClock } from '@poppypond/mocks';
 import { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { RoutingConfiguration } from '@poppypond/routing';
 import { Measures, silentLog } from '@poppypond/telemetry';
 import { ServerNotices } from '../../notices/server-notices.js';
+import { Placing } from '../../planning/placing.js';
 import type { PlanAnswer } from '../../planning/plan-request.js';
 import { Planner } from '../../planning/planner.js';
 import { SharedQuarantine } from '../../quarantine/shared-quarantine.js';
@@ -65,6 +67,9 @@
   readonly knowledge: SharedKnowledge;
   readonly quarantine: SharedQuarantine;
   readonly notices: ServerNotices;
+  readonly limits: ServerLimits;
+  readonly placing: Placing;
+  readonly clock: Clock;
   readonly startedAtMs: Milliseconds;
   /** Answers of planners. */
   readonly answers: HeardAnswer[];
@@ -75,10 +80,12 @@
   readonly clock = new ManualClock();
   readonly sent: Sent[] = [];
   readonly hosts = new Map<number, Host>();
+  /** What each host's store lists from its start. */
+  servers: readonly BackendServer[] = [ENGINE];
   /** Hosts are spread over this many availability zones by turns. */
   zones = 1;
   /** Whether a message never arrives. */
-  lost: (message: PeerMessage) => boolean = () => false;
+  lost: (message: PeerMessage, to: string) => boolean = () => false;
   /** Hosts that others have found to be gone for good. */
   readonly gone: string[] = [];
   #lives = 0;
@@ -103,7 +110,16 @@
       quarantine: new Quarantine(),
     });
     const answers: HeardAnswer[] = [];
-    const mesh = new PeerMesh({
+    const planner: Planner = new Planner({
+      clock,
+      inForce,
+      servers: list,
+      fleet,
+      draw,
+      limits,
+      partOf: (service, isAlone) => mesh.limitPart(service, isAlone),
+    });
+    const mesh: PeerMesh = new PeerMesh({
       clock,
       log: silentLog,
       sender: {
@@ -113,10 +129,11 @@
       },
       self: { ...this.addressOf(port), incarnation: `life-${String(this.#lives)}` },
       fleet,
-      planner: new Planner({ clock, inForce, servers: list, fleet, draw }),
+      planner,
       engineServices: () => [ENGINE_SERVICE],
       onPlan: (attemptId, answer) => {
         answers.push({ attemptId, answer });
+        placing.hear(attemptId, answer);
       },
       knowledge,
       quarantine,
@@ -124,9 +141,11 @@
       beatPeriodMs: 500,
       onGone: (gone) => this.gone.push(gone),
     });
-    if (knowsServers) list.replace([ENGINE], 0, 1);
-    const beliefs = { inForce, freshness, list, knowledge, quarantine, notices };
-    const host = { mesh, fleet, ...beliefs, startedAtMs, answers };
+    const { host: name } = addressOf(port);
+    const placing = new Placing({ clock, log: silentLog, host: name, peers: mesh, planner });
+    if (knowsServers) list.replace(this.servers, 0, 1);
+    const beliefs = { inForce, freshness, list, knowledge, quarantine, notices, limits };
+    const host = { mesh, fleet, placing, clock, ...beliefs, startedAtMs, answers };
     this.hosts.set(port, host);
     mesh.start();
     if (isListed) mesh.learn(known.map((other) => this.addressOf(other)));
@@ -141,13 +160,14 @@
   deliver(index: number): void {
     const [sent] = this.sent.splice(index, 1);
     const message = sent && decodeMessage(encodeMessage(sent.message));
-    if (sent && message && !this.lost(message)) this.hosts.get(sent.to)?.mesh.receive(message, 'a');
+    if (sent && message && !this.lost(message, addressOf(sent.to).host))
+      this.hosts.get(sent.to)?.mesh.receive(message, 'a');
   }
 
   /** Lets time pass with every message delivered at once. */
-  async run(forMs: Milliseconds): Promise<void> {
-    for (let passedMs = 0; passedMs < forMs; passedMs += 50) {
-      await this.clock.advance(50);
+  async run(forMs: Milliseconds, stepMs: Milliseconds = 50): Promise<void> {
+    for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
+      await this.clock.advance(stepMs);
       while (this.sent.length > 0) this.deliver(0);
     }
   }
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
-import type { AttemptUse, BackendServer, FleetView } from '@poppypond/fleet';
+import type { AttemptUse, BackendServer, FleetView, LimitPart } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
 import { match } from 'ts-pattern';
 import type { PlannerPeers } from '../planning/placing.js';
@@ -11,6 +11,7 @@
 import { Beats } from './beats.js';
 import { DepartedHosts } from './departed-hosts.js';
 import { LeavingNews } from './leaving-news.js';
+import { LimitNews } from './limit-news.js';
 import { fromWireServer } from './list-on-the-wire.js';
 import { News } from './news.js';
 import { PeerList } from './peer-list.js';
@@ -47,6 +48,13 @@
   readonly onGone: (host: string) => void;
 }
 
+/**
+ * Of a limit, given out in place of a first host that is silent, and by all that hear nobody together: whether it is
+ * gone, or gives still, is not known. With the whole that it may give that is one and a half times the limit.
+ */
+const STAND_IN_SHARE = 0.3;
+const ALONE_SHARE = 0.2;
+
 /**
  * Speaks with the few hosts that read the store and plan for all, and is one of them where its
  * rank says so. Messages may be lost: each heartbeat holds the sender's whole state, so that a
@@ -57,6 +65,7 @@
   readonly #news: News;
   readonly #quarantineNews: QuarantineNews;
   readonly #leavingNews: LeavingNews;
+  readonly #limitNews: LimitNews;
   readonly #attempts: AttemptNews;
   readonly #beats: Beats;
   /** Hosts that were heard and not known before; others are told of them with the next heartbeat. */
@@ -85,7 +94,8 @@
     this.#news = new News({ ...shared, log, knowledge, onTaken });
     this.#quarantineNews = new QuarantineNews({ ...shared, quarantine });
     this.#leavingNews = new LeavingNews({ ...shared, notices });
-    const work = { fleet, planner, knowledge };
+    this.#limitNews = new LimitNews({ ...shared, notices, limits: notices.parts.limits });
+    const work = { fleet, planner, knowledge, limitNews: this.#limitNews };
     this.#attempts = new AttemptNews({ ...shared, ...work, host: self.host, engineServices });
     this.#beats = new Beats({
       ...shared,
@@ -153,6 +163,19 @@
     return this.#isListRead ? this.#peers.memberCount : Number.POSITIVE_INFINITY;
   }
 
+  /**
+   * What this host may give out of the limits of servers of a service. The first in rank gives for the part of the listed
+   * hosts that it hears, so that halves that are cut apart, which each have a first, keep the sum.
+   */
+  limitPart(service: string, isAlone: boolean): LimitPart {
+    const hosts = this.hostCount;
+    if (isAlone) return { role: 'alone', share: ALONE_SHARE / hosts };
+    const heardShare = (this.#peers.aliveCount + 1) / hosts;
+    const isFirst = this.plannersOf(service)[0] === this.parts.self.host;
+    if (isFirst) return { role: 'first', share: heardShare };
+    return { role: 'stand_in', share: STAND_IN_SHARE * heardShare };
+  }
+
   /** Peers heard from lately. */
   get aliveCount(): number {
     return this.#peers.aliveCount;
@@ -253,6 +276,9 @@
       .with({ kind: 'leaving' }, (told) => {
         this.#leavingNews.onTold(told);
       })
+      .with({ kind: 'limits' }, (told) => {
+        this.#limitNews.onTold(told);
+      })
       .with({ kind: 'leave' }, ({ host }) => {
         this.#departed.onLeft(host);
         this.#forget(host, 'left');
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -40,6 +40,26 @@
   z.array(serverEndSchema).max(MOST_ENDS_TOLD).describe('last ends'),
 ]);
 
+const LAST_PORT = 65_535;
+/** A backend server as it is told to peers. */
+const serverSchema = z.tuple([
+  z.string().min(1).describe('id'),
+  z.string().min(1).describe('service'),
+  z.string().min(1).describe('address'),
+  z.int().min(1).max(LAST_PORT).describe('port'),
+  z.string().describe('availability zone'),
+  z.int().positive().describe('slots'),
+  z.boolean().describe('is draining'),
+  z.int().nullable().describe('Unix time of its birth'),
+]);
+/** What a server said last of the requests a second that it takes from all hosts. */
+const limitSchema = z.tuple([
+  serverSchema,
+  z.number().min(0).describe('requests a second'),
+  z.boolean().describe('is over'),
+  z.number().min(0).describe('said ago'),
+]);
+
 /** What a host asks of a planner: durations in place of instants of the sender's clock. */
 const askSchema = z.object({
   attempt: z.string(),
@@ -60,6 +80,12 @@
   avoidedIds: z.array(z.string()),
   /** A release before this one knows of none, and names them among those that are avoided. */
   excludedIds: z.array(z.string()).default([]),
+  /** How long it may wait for a place where all servers name limits. */
+  waitsForLimitMs: z.number().optional(),
+  content: z.string().optional(),
+  permit: z.object({ serverIds: z.array(z.string()), isSent: z.boolean() }).optional(),
+  /** Limits of servers of the service, as the host knows them. */
+  limits: z.array(limitSchema).default([]),
 });
 
 const ruleSchema = z.enum(PLACEMENT_RULES);
@@ -77,10 +103,17 @@
       expectedFirstMs: z.number(),
       writersBefore: z.number(),
       readingBeforeMs: z.number(),
+      /** A release before this one knows of no limits. */
+      permittedIds: z.array(z.string()).default([]),
     }),
   }),
   z.object({ kind: z.literal('wait'), rule: ruleSchema }),
-  z.object({ kind: z.literal('refuse'), rule: ruleSchema }),
+  z.object({
+    kind: z.literal('refuse'),
+    rule: ruleSchema,
+    retryAfterMs: z.number().optional(),
+    detail: z.string().optional(),
+  }),
 ]);
 
 /** Sent every half second and as an answer to a new peer; holds all that the sender runs. */
@@ -112,6 +145,8 @@
   uses: z.array(useSchema).nullable(),
   /** Some of the requests that the sender knows to have ended servers; a release before this says nothing of it. */
   quarantine: z.array(quarantineSchema).default([]),
+  /** Some of the limits that servers name; a release before this says nothing of it. */
+  limits: z.array(limitSchema).default([]),
 });
 
 /** Sent to planners when an attempt begins. */
@@ -148,18 +183,6 @@
   server: z.string(),
   forMs: z.number(),
 });
-const LAST_PORT = 65_535;
-/** A backend server as it is told to peers. */
-const serverSchema = z.tuple([
-  z.string().min(1).describe('id'),
-  z.string().min(1).describe('service'),
-  z.string().min(1).describe('address'),
-  z.int().min(1).max(LAST_PORT).describe('port'),
-  z.string().describe('availability zone'),
-  z.int().positive().describe('slots'),
-  z.boolean().describe('is draining'),
-  z.int().nullable().describe('Unix time of its birth'),
-]);
 /** Backend servers as they are told to peers; one that can't be used does not spoil the others. */
 export const serversSchema = z.array(z.unknown()).transform((rows) =>
   rows.flatMap((row) => {
@@ -242,6 +265,14 @@
   /** Whether the receiver passes on what is news to it within its availability zone. */
   passOn: z.boolean(),
 });
+/** Sent when servers name limits, change them or name them no more. */
+const limitsMessageSchema = z.object({
+  kind: z.literal('limits'),
+  ...hostFields,
+  limits: z.array(limitSchema),
+  /** Whether the receiver passes on what is news to it within its availability zone. */
+  passOn: z.boolean(),
+});
 /** Sent on a planned stop. */
 const leaveSchema = z.object({ kind: z.literal('leave'), ...hostFields });
 
@@ -260,6 +291,7 @@
   membersSchema,
   quarantineMessageSchema,
   leavingSchema,
+  limitsMessageSchema,
   leaveSchema,
 ]);
 
@@ -283,6 +315,10 @@
 export type ToldQuarantine = z.infer<typeof quarantineMessageSchema>;
 /** What a host tells of a server that leaves. */
 export type ToldLeaving = z.infer<typeof leavingSchema>;
+/** What a server said of a limit, on its way. */
+export type WireLimit = z.infer<typeof limitSchema>;
+/** What a host tells of limits at once. */
+export type ToldLimits = z.infer<typeof limitsMessageSchema>;
 /** A planner's answer on its way. */
 export type WireAnswer = z.infer<typeof answerSchema>;
 /** A question to a planner on its way. */
--- a/packages/relay/src/peers/quarantine-news.ts
+++ b/packages/relay/src/peers/quarantine-news.ts
@@ -1,6 +1,6 @@
-import type { Milliseconds } from '@poppypond/core';
 import type { QuarantineEntry } from '@poppypond/fleet';
 import type { SharedQuarantine } from '../quarantine/shared-quarantine.js';
+import { BatchedSpread } from './batched-spread.js';
 import type { ExchangeParts } from './exchange-parts.js';
 import type { Peer } from './peer-list.js';
 import type { Beat, ToldQuarantine, WireQuarantine } from './peer-messages.js';
@@ -12,11 +12,6 @@
   readonly quarantine: SharedQuarantine;
 }
 
-/** Pause between messages: of sixteen entries, 2.3 KB, so 23 KB a second at the most. */
-const TELL_PERIOD_MS: Milliseconds = 100;
-const MOST_TOLD_AT_ONCE = 16;
-/** What is not told at once for want of room goes with the heartbeats. */
-const MOST_TO_TELL = 128;
 /** Entries in a heartbeat, of 140 bytes each; none while no server ends under a request. */
 const MOST_IN_BEAT = 8;
 
@@ -26,17 +21,18 @@
  */
 export class QuarantineNews {
   readonly #spread: ZoneSpread<readonly QuarantineEntry[]>;
-  readonly #toTell = new Set<string>();
-  #toldAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
-  #isPlanned = false;
+  readonly #batch: BatchedSpread<QuarantineEntry>;
   #turn = 0;
 
   constructor(readonly parts: QuarantineNewsParts) {
-    this.#spread = new ZoneSpread(parts.peers, (peers, entries, passOn) => {
-      this.#send(peers, entries, passOn);
+    const { clock, peers, quarantine } = parts;
+    this.#spread = new ZoneSpread(peers, (to, entries, passOn) => {
+      this.#send(to, entries, passOn);
     });
-    parts.quarantine.onPlace(() => parts.peers.place);
-    parts.quarantine.onChange((entry) => {
+    const find = (content: string) => quarantine.find(content);
+    this.#batch = new BatchedSpread({ clock, spread: this.#spread, find });
+    quarantine.onPlace(() => peers.place);
+    quarantine.onChange((entry) => {
       this.#tell([entry]);
     });
   }
@@ -70,35 +66,7 @@
   }
 
   #tell(entries: readonly QuarantineEntry[]): void {
-    for (const { content } of entries) {
-      if (this.#toTell.size < MOST_TO_TELL) this.#toTell.add(content);
-    }
-    this.#tellSoon();
-  }
-
-  #tellSoon(): void {
-    if (this.#isPlanned || this.#toTell.size === 0) return;
-    const { clock } = this.parts;
-    const waitMs = this.#toldAtMs + TELL_PERIOD_MS - clock.monotonicMs();
-    if (waitMs <= 0) {
-      this.#tellNow();
-      return;
-    }
-    this.#isPlanned = true;
-    clock.after(waitMs, () => {
-      this.#isPlanned = false;
-      this.#tellNow();
-    });
-  }
-
-  #tellNow(): void {
-    const { clock, quarantine } = this.parts;
-    this.#toldAtMs = clock.monotonicMs();
-    const contents = [...this.#toTell].slice(0, MOST_TOLD_AT_ONCE);
-    for (const content of contents) this.#toTell.delete(content);
-    const entries = contents.flatMap((content) => quarantine.find(content) ?? []);
-    this.#spread.tell(entries);
-    this.#tellSoon();
+    this.#batch.tell(entries.map(({ content }) => content));
   }
 
   #send(peers: readonly Peer[], entries: readonly QuarantineEntry[], passOn: boolean): void {
--- a/packages/relay/src/peers/work-on-the-wire.ts
+++ b/packages/relay/src/peers/work-on-the-wire.ts
@@ -39,7 +39,8 @@
 }
 
 /** A question to a planner for the wire, as of `nowMs`. */
-export function toWireAsk(request: PlanRequest, nowMs: Milliseconds): WireAsk {
+export function toWireAsk(request: PlanRequest, nowMs: Milliseconds): Omit<WireAsk, 'limits'> {
+  const { content, permit, waitsForLimitUntilMs: waitsUntilMs } = request;
   const { attemptId, requestId, service, workspace, priority } = request;
   const { promptTokens, answerTokens, aimMs, gapAimMs, isRepeated } = request;
   return {
@@ -58,12 +59,15 @@
     isRepeated,
     avoidedIds: [...request.avoidedIds],
     excludedIds: [...request.excludedIds],
+    ...(waitsUntilMs === undefined ? {} : { waitsForLimitMs: Math.round(waitsUntilMs - nowMs) }),
+    ...(content === undefined ? {} : { content }),
+    ...(permit && { permit: { ...permit, serverIds: [...permit.serverIds] } }),
   };
 }
 
 /** A question of `host` from the wire, on this process's clock. */
 export function fromWireAsk(wire: WireAsk, host: string, nowMs: Milliseconds): PlanRequest {
-  const { attempt, request, waitedMs, silentMs, leftMs, ...same } = wire;
+  const { attempt, request, waitedMs, silentMs, leftMs, waitsForLimitMs, ...same } = wire;
   return {
     ...same,
     attemptId: attempt,
@@ -72,6 +76,7 @@
     arrivedAtMs: nowMs - waitedMs,
     silentSinceMs: nowMs - silentMs,
     limitAtMs: nowMs + leftMs,
+    waitsForLimitUntilMs: waitsForLimitMs === undefined ? undefined : nowMs + waitsForLimitMs,
   };
 }
 
@@ -80,5 +85,7 @@
   if (answer.kind !== 'place') return answer;
   const { stream } = answer;
   const shares = stream.shares.map((share) => ({ ...share }));
-  return { kind: 'place', stream: { ...stream, readerIds: [...stream.readerIds], shares } };
+  const readerIds = [...stream.readerIds];
+  const permittedIds = [...stream.permittedIds];
+  return { kind: 'place', stream: { ...stream, readerIds, shares, permittedIds } };
 }
--- a/packages/relay/src/planning/placing.test.ts
+++ b/packages/relay/src/planning/placing.test.ts
@@ -39,6 +39,7 @@
     expectedFirstMs: 60,
     writersBefore: 0,
     readingBeforeMs: 0,
+    permittedIds: [],
   },
 };
 
--- a/packages/relay/src/planning/placing.ts
+++ b/packages/relay/src/planning/placing.ts
@@ -1,7 +1,6 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { PlacementRule } from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
-import type { PlanAnswer, PlannedStream, PlanRequest } from './plan-request.js';
+import type { PlanAnswer, PlannedStream, PlanRefusal, PlanRequest } from './plan-request.js';
 import type { Planner } from './planner.js';
 import { Replies } from './replies.js';
 import { WaitRecord } from './wait-record.js';
@@ -9,7 +8,7 @@
 /** What a host knows of a plan when it stops asking. */
 export type Placed =
   | { readonly kind: 'place'; readonly stream: PlannedStream; readonly planner: string }
-  | { readonly kind: 'refuse'; readonly rule: PlacementRule; readonly planner: string }
+  | (PlanRefusal & { readonly planner: string })
   | { readonly kind: 'over' };
 
 /** How other hosts that plan are found and asked. */
@@ -87,6 +86,11 @@
     }
   }
 
+  /** Tells the host that plans for a service of a request, and waits for no answer. */
+  tell(request: PlanRequest): void {
+    this.#ask(this.#plannerOf(request.service), request);
+  }
+
   /** The answer after one to wait; undefined where it is time to ask again or to stop. */
   async #decided(replies: Replies, isOver: () => boolean): Promise<PlanAnswer | undefined> {
     const { clock } = this.parts;
--- a/packages/relay/src/planning/plan-engines.ts
+++ b/packages/relay/src/planning/plan-engines.ts
@@ -1,18 +1,28 @@
 import type { Milliseconds } from '@poppypond/core';
 import { callerSilenceMs, planStream } from '@poppypond/fleet';
-import type { BackendServer, FleetView, LatePromptRule, StreamPlacement } from '@poppypond/fleet';
+import type {
+  BackendServer,
+  EngineLoad,
+  FleetView,
+  LatePromptRule,
+  StreamDemand,
+  StreamPlacement,
+  StreamPlan,
+} from '@poppypond/fleet';
 import type { EngineFigures } from '@poppypond/routing';
 import type { ServerList } from '../store/server-list.js';
+import type { LimitedService } from './limited-servers.js';
 import type { PlanAnswer, PlannedStream, PlanRequest } from './plan-request.js';
 
 /** What a plan is made from. */
 export interface PlanInputs {
   /** On this process's clock; all that are planned in one round share it. */
   readonly nowMs: Milliseconds;
-  readonly servers: ServerList;
   readonly fleet: FleetView;
   /** Decides about long prompts that would be late; where there is none, as is best by measure. */
   readonly lateRule?: LatePromptRule | undefined;
+  /** Which engines may be sent one more request, where some name limits. */
+  readonly limited: LimitedService;
 }
 
 /** Brings servers into the order in which they are filled. */
@@ -32,7 +42,7 @@
 }
 
 /** Servers that the asking host may send a request; those that leave, where no other is left. */
-function allowedServers(
+export function allowedServers(
   servers: ServerList,
   { service, excludedIds }: PlanRequest,
 ): readonly BackendServer[] {
@@ -49,7 +59,10 @@
   return Math.min(limitAtMs, leavesAtMs) - arrivedAtMs;
 }
 
-function toPlannedStream(placement: StreamPlacement): PlannedStream {
+function toPlannedStream(
+  placement: StreamPlacement,
+  permittedIds: readonly string[],
+): PlannedStream {
   const { rule, writer, readers, partMs, shares, expectedFirstMs } = placement;
   return {
     rule,
@@ -60,18 +73,42 @@
     expectedFirstMs,
     writersBefore: writer.writers,
     readingBeforeMs: writer.pendingReadMs,
+    permittedIds,
   };
 }
 
-/** Plans a stream over the engines that may take work now. */
+/**
+ * Plans over all engines, and anew where that would have engines with limits read parts for others: each part costs a
+ * place there, which a whole prompt could have.
+ */
+function planSparingly(
+  loads: readonly EngineLoad[],
+  { limited, lateRule }: PlanInputs,
+  figures: EngineFigures,
+  demand: StreamDemand,
+): StreamPlan {
+  const plan = planStream(loads, figures, demand, lateRule);
+  if (plan.kind !== 'place') return plan;
+  if (!plan.readers.some(({ server }) => limited.isLimited(server))) return plan;
+  const free = loads.filter(({ server }) => !limited.isLimited(server));
+  if (free.length > 0) return planStream(free, figures, demand, lateRule);
+  const alone = planStream([plan.writer], figures, demand, lateRule);
+  return alone.kind === 'place' ? alone : plan;
+}
+
+/**
+ * Plans a stream over the engines that may take work now; `open` are those of them that may be sent a request by their
+ * limits.
+ */
 export function planEngines(
   inputs: PlanInputs,
   figures: EngineFigures,
   request: PlanRequest,
+  open: readonly BackendServer[],
   order: ServerOrder,
 ): PlanAnswer {
-  const { fleet, nowMs, servers, lateRule } = inputs;
-  const usable = order(without(allowedServers(servers, request), request.avoidedIds));
+  const { fleet, limited, nowMs } = inputs;
+  const usable = order(without(open, request.avoidedIds));
   const loads = usable.map((server) => fleet.load(server, figures, nowMs));
   const demand = {
     promptTokens: request.promptTokens,
@@ -81,6 +118,8 @@
     patienceMs: patienceOf(request),
     isRepeated: request.isRepeated,
   };
-  const plan = planStream(loads, figures, demand, lateRule);
-  return plan.kind === 'place' ? { kind: 'place', stream: toPlannedStream(plan) } : plan;
+  const plan = planSparingly(loads, inputs, figures, demand);
+  if (plan.kind !== 'place') return plan;
+  const used = [plan.writer, ...plan.readers].map(({ server }) => server);
+  return { kind: 'place', stream: toPlannedStream(plan, limited.give(used)) };
 }
--- a/packages/relay/src/planning/plan-request.ts
+++ b/packages/relay/src/planning/plan-request.ts
@@ -30,6 +30,20 @@
   readonly avoidedIds: readonly string[];
   /** Servers that the host may send nothing, whatever others there are. */
   readonly excludedIds: readonly string[];
+  /** Until when it may wait for a place where all servers name limits, on this process's clock; not where undefined. */
+  readonly waitsForLimitUntilMs?: Milliseconds | undefined;
+  /** Names what is asked, the same for all tries of one request; told where servers of the service name limits. */
+  readonly content?: string | undefined;
+  /** What is asked for where it is no plan for a stream. */
+  readonly permit?: PermitWish | undefined;
+}
+
+/** A place of a limit that a host asks for: to send a call, an order or a question. */
+export interface PermitWish {
+  /** The servers that may be meant; any of the service where there are none. */
+  readonly serverIds: readonly string[];
+  /** Whether it is sent whatever the answer, so that it only has to be counted. */
+  readonly isSent: boolean;
 }
 
 /** Where a stream is to run, by the ids of servers. */
@@ -47,10 +61,21 @@
   /** Answers that the writer had before this one, and the reading before it. */
   readonly writersBefore: number;
   readonly readingBeforeMs: Milliseconds;
+  /** Those of the servers that name a limit or did lately, of which the planner has given a place. */
+  readonly permittedIds: readonly string[];
+}
+
+/** Why a planner places nothing, and when its caller may come back where that is known. */
+export interface PlanRefusal {
+  readonly kind: 'refuse';
+  readonly rule: PlacementRule;
+  readonly retryAfterMs?: Milliseconds | undefined;
+  /** What there is to tell beside the rule. */
+  readonly detail?: string | undefined;
 }
 
 /** What a planner answers. After `wait` it answers again when a place is found. */
 export type PlanAnswer =
   | { readonly kind: 'place'; readonly stream: PlannedStream }
   | { readonly kind: 'wait'; readonly rule: PlacementRule }
-  | { readonly kind: 'refuse'; readonly rule: PlacementRule };
+  | PlanRefusal;
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -1,15 +1,17 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
+import { ServerLimits } from '@poppypond/fleet';
 import type { BackendServer, FleetView, LatePromptRule } from '@poppypond/fleet';
 import type { ConfigurationInForce } from '@poppypond/routing';
 import type { ServerList } from '../store/server-list.js';
-import { inAgreedOrder, planEngines } from './plan-engines.js';
-import type { PlanAnswer, PlanRequest } from './plan-request.js';
+import { LimitedServers } from './limited-servers.js';
+import type { LimitedService, PartOf } from './limited-servers.js';
+import { allowedServers, inAgreedOrder, planEngines, without } from './plan-engines.js';
+import type { PlanAnswer, PlannedStream, PlanRequest } from './plan-request.js';
 import { toAttemptUse } from './planned-use.js';
 import { LeastServedFirst } from './waiting-order.js';
 import type { WaitingOrder } from './waiting-order.js';
-
-/** Takes a planner's answer. */
-export type AnswerListener = (answer: PlanAnswer) => void;
+import { WaitingRequests } from './waiting-requests.js';
+import type { AnswerListener, ComesFirst, Waiting } from './waiting-requests.js';
 
 /** What a planner needs. */
 export interface PlannerParts {
@@ -25,33 +27,41 @@
   readonly lateRule?: LatePromptRule | undefined;
   /** Told of each service for which this host is asked to plan as its planner. */
   readonly onPlanner?: (service: string) => void;
+  /** Limits that servers name for all hosts together; where there are none, no server names one. */
+  readonly limits?: ServerLimits;
+  /** What this host may give out of them; where there is none, the whole. */
+  readonly partOf?: PartOf;
 }
 
-interface Waiting {
-  readonly request: PlanRequest;
-  readonly onAnswer: AnswerListener;
-  /** When its host was heard last, on this process's clock. */
-  readonly askedAtMs: Milliseconds;
-  readonly isAlone: boolean;
+/** A call that needs no plan but a place. */
+function permittedCall(
+  { id: writerId }: BackendServer,
+  permittedIds: readonly string[],
+): PlannedStream {
+  const reading = { readerIds: [], partMs: 0, shares: [], expectedFirstMs: 0 };
+  return {
+    rule: 'permitted',
+    writerId,
+    ...reading,
+    writersBefore: 0,
+    readingBeforeMs: 0,
+    permittedIds,
+  };
 }
 
+const WHOLE_LIMIT: PartOf = () => ({ role: 'first', share: 1 });
+
 /** Pause before waiting requests are looked at again. */
 const LOOK_AGAIN_MS: Milliseconds = 10;
-/**
- * Requests that are looked at together; the others have their turn 10 ms later. One look takes 0.13 ms
- * with 150 engines (the mean of 1,200, beside other work), so 60 that wait would take three quarters
- * of a processor if all were looked at every time, and those that come would wait for it.
- */
-const LOOKED_AT_TOGETHER = 16;
 /** A waiting request whose host does not ask again for this long is dropped; hosts ask every 300 ms. */
 const ASKED_LATELY_MS: Milliseconds = 1000;
 
 /** Decides for hosts where their streams run, and keeps those that must wait. */
 export class Planner {
-  readonly #waiting = new Map<string, Waiting>();
   readonly #order: WaitingOrder;
+  readonly #waiting: WaitingRequests;
+  readonly #limits: LimitedServers;
   #cancelLook: CancelTimer | undefined;
-  #lookedAt = 0;
   /** Hosts that don't know of each other must not all begin with the same engines. */
   readonly #shuffled = (servers: readonly BackendServer[]) =>
     servers
@@ -61,6 +71,11 @@
 
   constructor(readonly parts: PlannerParts) {
     this.#order = parts.order ?? new LeastServedFirst(parts.clock);
+    this.#waiting = new WaitingRequests(this.#order);
+    this.#limits = new LimitedServers(
+      parts.limits ?? new ServerLimits(),
+      parts.partOf ?? WHOLE_LIMIT,
+    );
   }
 
   /** Whether this host knows the configuration and the servers. */
@@ -82,33 +97,29 @@
     if (!isAlone) this.parts.onPlanner?.(request.service);
     const answer = this.#decide(request, isAlone, askedAtMs);
     if (answer.kind === 'wait') {
-      this.#waiting.set(request.attemptId, { request, onAnswer, askedAtMs, isAlone });
+      const { rule } = answer;
+      this.#waiting.set({ request, onAnswer, askedAtMs, isAlone, rule });
       this.#cancelLook ??= this.parts.clock.every(LOOK_AGAIN_MS, () => {
         this.#lookAgain();
       });
     } else {
-      this.#waiting.delete(request.attemptId);
+      this.#waiting.remove(request.attemptId);
     }
     onAnswer(answer);
   }
 
   /** Forgets a request that waits or was placed, and that won't run by this plan. */
   withdraw(attemptId: string): void {
-    const waiting = this.#waiting.get(attemptId);
-    if (waiting) this.#drop(waiting.request);
+    this.#waiting.remove(attemptId);
     this.parts.fleet.end(attemptId);
   }
 
-  #drop(request: PlanRequest): void {
-    this.#waiting.delete(request.attemptId);
-  }
-
   #lookAgain(): void {
     const nowMs = this.parts.clock.monotonicMs();
-    for (const waiting of this.#takeTurn()) {
+    for (const waiting of this.#waiting.takeTurn(this.#comesFirst(nowMs))) {
       const { request, askedAtMs } = waiting;
       const isLeft = nowMs - askedAtMs > ASKED_LATELY_MS || nowMs >= request.limitAtMs;
-      if (isLeft) this.#drop(request);
+      if (isLeft) this.#waiting.remove(request.attemptId);
       else this.#lookAgainAt(waiting, nowMs);
     }
     if (this.#waiting.size > 0) return;
@@ -116,30 +127,89 @@
     this.#cancelLook = undefined;
   }
 
-  /** The next few in the order in which they are served, from the first again after the last. */
-  #takeTurn(): readonly Waiting[] {
-    const all = this.#order.sort([...this.#waiting.values()]);
-    const from = this.#lookedAt < all.length ? this.#lookedAt : 0;
-    this.#lookedAt = from + LOOKED_AT_TOGETHER;
-    return all.slice(from, this.#lookedAt);
+  /** Callers that were refused for want of a place and told to come back now are served first. */
+  #comesFirst(nowMs: Milliseconds): ComesFirst {
+    return (request) => this.#limits.isReturned(request, nowMs);
   }
 
-  #lookAgainAt({ request, onAnswer, isAlone }: Waiting, nowMs: Milliseconds): void {
+  #lookAgainAt(waiting: Waiting, nowMs: Milliseconds): void {
+    const { request, onAnswer, isAlone } = waiting;
     const answer = this.#decide(request, isAlone, nowMs);
-    if (answer.kind === 'wait') return;
-    this.#waiting.delete(request.attemptId);
+    if (answer.kind === 'wait') {
+      const { rule } = answer;
+      if (rule !== waiting.rule) this.#waiting.set({ ...waiting, rule });
+      return;
+    }
+    this.#waiting.remove(request.attemptId);
     onAnswer(answer);
   }
 
   #decide(request: PlanRequest, isAlone: boolean, nowMs: Milliseconds): PlanAnswer {
-    const { fleet, inForce } = this.parts;
+    this.parts.fleet.end(request.attemptId);
+    const limited = this.#limits.at(request.service, isAlone, nowMs);
+    const allowed = this.#allowed(request);
+    if (request.permit?.isSent) {
+      limited.give(allowed);
+      return { kind: 'refuse', rule: 'permitted' };
+    }
+    const ahead = this.#aheadOf(request, limited, allowed);
+    const open = limited.open(allowed, ahead);
+    if (open.length === 0 && allowed.length > 0) {
+      return this.#limits.answer(request, limited, allowed, ahead);
+    }
+    if (request.permit) return this.#permit(request, limited, open);
+    return this.#plan(request, limited, open, isAlone);
+  }
+
+  /** The servers that a request may be sent to, whatever limits they name. */
+  #allowed(request: PlanRequest): readonly BackendServer[] {
+    const allowed = allowedServers(this.parts.servers, request);
+    const wanted = request.permit?.serverIds ?? [];
+    return wanted.length === 0 ? allowed : allowed.filter(({ id }) => wanted.includes(id));
+  }
+
+  /** How many come before a request where servers name limits: those that wait, and those that were told to come back. */
+  #aheadOf(
+    request: PlanRequest,
+    limited: LimitedService,
+    servers: readonly BackendServer[],
+  ): number {
+    const comesFirst = this.#comesFirst(limited.nowMs);
+    const waiting = this.#waiting.aheadOf(request, comesFirst);
+    if (comesFirst(request)) return waiting;
+    return waiting + this.#limits.keptFor(request.service, limited, servers);
+  }
+
+  /** Gives the place of a server that a call, an order or a question is sent to. */
+  #permit(
+    request: PlanRequest,
+    limited: LimitedService,
+    open: readonly BackendServer[],
+  ): PlanAnswer {
+    const usable = without(open, request.avoidedIds);
+    const server = usable[Math.floor(this.parts.draw() * usable.length)];
+    if (!server) return { kind: 'refuse', rule: 'no_engine' };
+    this.#limits.onPlaced(request, limited.nowMs);
+    const stream = permittedCall(server, limited.give([server]));
+    this.#order.onPlaced(request, stream);
+    return { kind: 'place', stream };
+  }
+
+  #plan(
+    request: PlanRequest,
+    limited: LimitedService,
+    open: readonly BackendServer[],
+    isAlone: boolean,
+  ): PlanAnswer {
+    const { fleet, inForce, lateRule } = this.parts;
+    const { nowMs } = limited;
     const figures = inForce.table?.service(request.service)?.engine;
     if (!figures) return { kind: 'refuse', rule: 'no_engine' };
-    fleet.end(request.attemptId);
     const order = isAlone ? this.#shuffled : inAgreedOrder;
-    const answer = planEngines({ ...this.parts, nowMs }, figures, request, order);
+    const answer = planEngines({ fleet, lateRule, limited, nowMs }, figures, request, open, order);
     if (answer.kind === 'wait') return answer;
     if (answer.kind === 'place') {
+      this.#limits.onPlaced(request, nowMs);
       fleet.begin(toAttemptUse(request, answer.stream, nowMs));
       this.#order.onPlaced(request, answer.stream);
     }
--- a/packages/relay/src/planning/waiting-order.ts
+++ b/packages/relay/src/planning/waiting-order.ts
@@ -25,6 +25,9 @@
 /** Engine time that a workspace was given counts half after this long: some two aims of long prompts. */
 const HALF_LIFE_MS: Milliseconds = 8000;
 
+/** Counted for each request, so that calls, which are not read, count by their number. */
+const LEAST_COUNTED_MS: Milliseconds = 1;
+
 interface Given {
   readonly engineMs: Milliseconds;
   readonly atMs: Milliseconds;
@@ -56,7 +59,8 @@
 
   onPlaced({ workspace }: PlanRequest, { partMs, readerIds }: PlannedStream): void {
     const nowMs = this.clock.monotonicMs();
-    const engineMs = this.#givenMs(workspace, nowMs) + partMs * (readerIds.length + 1);
+    const placedMs = Math.max(LEAST_COUNTED_MS, partMs) * (readerIds.length + 1);
+    const engineMs = this.#givenMs(workspace, nowMs) + placedMs;
     this.#given.set(workspace, { engineMs, atMs: nowMs });
   }
 
--- a/packages/relay/src/request/choice.ts
+++ b/packages/relay/src/request/choice.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
 import type { HeldMemory } from '../backend/held-memory.js';
+import type { SendPermit } from '../notices/permits.js';
 import type { PlannedStream, PlanRequest } from '../planning/plan-request.js';
 import type { CallerHead, ReaderAddress } from '../ports.js';
 import type { Admitted } from './admit.js';
@@ -25,6 +26,8 @@
   readonly readers: readonly BackendServer[];
   /** Memory on other engines; undefined where none is needed. */
   readonly held: HeldMemory | undefined;
+  /** Places that it was given of servers that name limits; undefined where none was asked for. */
+  readonly permit: SendPermit | undefined;
 }
 
 /** What a choice is made for. */
@@ -38,6 +41,10 @@
   readonly silentSinceMs: () => Milliseconds;
   /** Servers that failed this request already. */
   readonly failedIds: ReadonlySet<string>;
+  /** Servers that were chosen and that the gate let nothing through to. */
+  readonly heldBackIds: ReadonlySet<string>;
+  /** Names what is asked, whatever try it is; costs a hash of the body. */
+  readonly content: () => string;
   /** Called when the engine no longer answers for which memory is held elsewhere. */
   readonly onWriterLost: (writer: BackendServer) => void;
   /** Whether there is nothing left to choose for. */
@@ -57,15 +64,17 @@
 export type ChosenAtOnce = Chosen | { readonly kind: 'resting'; readonly nextMs: Milliseconds };
 
 /**
- * Servers that come last for a request: those that failed it, and for one that was turned away before those that turn
+ * Servers that come last for a request: those that failed it or were held back, and for one that was turned away before those that turn
  * requests away lately, where there are others.
  */
-export function lastChoices({ parts, admitted, failedIds }: ChoiceInputs): ReadonlySet<string> {
-  if (failedIds.size === 0) return failedIds;
+export function lastChoices(inputs: ChoiceInputs): ReadonlySet<string> {
+  const { parts, admitted, failedIds, heldBackIds } = inputs;
+  if (failedIds.size === 0) return heldBackIds;
   const { clock, gate, turnedAway } = parts;
   const usable = gate.usable(admitted.service);
   const doubtful = usable.filter((server) => gate.isDoubtful(server)).map(({ id }) => id);
-  const all = new Set([...failedIds, ...doubtful, ...turnedAway.lately(clock.monotonicMs())]);
+  const turned = turnedAway.lately(clock.monotonicMs());
+  const all = new Set([...failedIds, ...heldBackIds, ...doubtful, ...turned]);
   return usable.every(({ id }) => all.has(id)) ? failedIds : all;
 }
 
--- a/packages/relay/src/request/choose-engines.ts
+++ b/packages/relay/src/request/choose-engines.ts
@@ -1,16 +1,21 @@
 import { delay, randomId } from '@poppypond/core';
 import type { Milliseconds } from '@poppypond/core';
-import type { BackendServer, PlacementRule } from '@poppypond/fleet';
+import type { BackendServer } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
 import { HeldMemory } from '../backend/held-memory.js';
 import type { PlannedStream, PlanRequest } from '../planning/plan-request.js';
+import { permitFrom } from '../notices/permits.js';
+import type { Placed } from '../planning/placing.js';
 import { lastChoices } from './choice.js';
 import type { Choice, ChoiceInputs, Chosen, ChosenAtOnce, StreamPlan } from './choice.js';
 
+/** Of an aim, the part for which a caller is kept that no server may be sent; the rest is for its answer. */
+export const WAITED_AIM_SHARE = 0.5;
 /** Pause before a request is planned again whose plan could not be used. */
 const PLAN_AGAIN_MS: Milliseconds = 10;
 
-function toPlanRequest(inputs: ChoiceInputs, avoidedIds: Iterable<string>): PlanRequest {
+/** What a planner is asked for a request. */
+export function toPlanRequest(inputs: ChoiceInputs, avoidedIds: Iterable<string>): PlanRequest {
   const { parts, caller, admitted, arrivedAtMs, silentSinceMs, limitAtMs, failedIds } = inputs;
   const excludedIds = parts.gate.excludedIds(admitted.service);
   return {
@@ -31,6 +36,8 @@
     // Planners of releases that know of no exclusion avoid them at least.
     avoidedIds: [...avoidedIds, ...excludedIds],
     excludedIds,
+    content: parts.gate.knowsLimits ? inputs.content() : undefined,
+    waitsForLimitUntilMs: arrivedAtMs + admitted.route.aimMs * WAITED_AIM_SHARE,
   };
 }
 
@@ -76,7 +83,8 @@
 ): Promise<Choice | undefined> {
   if (!server) return undefined;
   const { request, stream } = plan;
-  const choice = { attemptId: request.attemptId, server, plan, readers, held: undefined };
+  const permit = permitFrom(stream.permittedIds, inputs.parts.clock.monotonicMs());
+  const choice = { attemptId: request.attemptId, server, plan, readers, held: undefined, permit };
   if (stream.shares.length === 0) return choice;
   const held = await holdShares(inputs, server, readers, stream);
   return held && { ...choice, held };
@@ -85,7 +93,15 @@
 /** A long prompt that gives way to others may find room once their reads, which take up to an aim, end. */
 const GIVEN_WAY_RETRY_AIMS = 0.5;
 
-function refusedBy(rule: PlacementRule, { aimMs }: Route): Chosen {
+/** The refusal of a planner, for the caller. */
+export function refusedBy(
+  { rule, retryAfterMs, detail }: Extract<Placed, { kind: 'refuse' }>,
+  { aimMs }: Route,
+): Chosen {
+  if (rule === 'limited') {
+    const why = `all servers of the service name limits: ${detail ?? 'none takes more now'}`;
+    return { kind: 'refused', why, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
+  }
   if (rule !== 'engines_needed_by_timely') return { kind: 'refused', why: rule };
   return { kind: 'refused', why: rule, retryAfterMs: aimMs * GIVEN_WAY_RETRY_AIMS };
 }
@@ -98,7 +114,7 @@
     const request = toPlanRequest(inputs, avoidedIds);
     const placed = await parts.placing.place(request, isOver);
     if (placed.kind === 'over') return placed;
-    if (placed.kind === 'refuse') return refusedBy(placed.rule, admitted.route);
+    if (placed.kind === 'refuse') return refusedBy(placed, admitted.route);
     const { stream, planner } = placed;
     const { servers, unusableIds } = findServers(inputs, stream);
     const isUsable = unusableIds.length === 0;
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -3,21 +3,26 @@
 import { placeCall } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { without } from '../planning/plan-engines.js';
+import type { PermitWish } from '../planning/plan-request.js';
 import { lastChoices } from './choice.js';
 import type { ChoiceInputs, Chosen, ChosenAtOnce } from './choice.js';
-import { chooseEngines } from './choose-engines.js';
+import { permitFrom } from '../notices/permits.js';
+import type { SendPermit } from '../notices/permits.js';
+import { chooseEngines, refusedBy, toPlanRequest, WAITED_AIM_SHARE } from './choose-engines.js';
 
 /** A list that is longer in coming is not foreseen, so the request is refused. */
 const FIRST_LIST_PATIENCE_MS: Milliseconds = 250;
 /** Pause between looks whether the list has come. */
 const LOOK_AGAIN_MS: Milliseconds = 5;
 
-/** Picks a server of a plain service; those that failed this request come last. */
-function choosePlainServer(inputs: ChoiceInputs): BackendServer | undefined {
-  const { parts, admitted } = inputs;
+/** Picks one of `usable` servers of a plain service; those that failed this request come last. */
+function pickPlain(
+  inputs: ChoiceInputs,
+  usable: readonly BackendServer[],
+): BackendServer | undefined {
+  const { parts } = inputs;
   const nowMs = parts.clock.monotonicMs();
-  const usable = without(parts.gate.usable(admitted.service), lastChoices(inputs));
-  const candidates = usable.map((server) => ({
+  const candidates = without(usable, lastChoices(inputs)).map((server) => ({
     server,
     outstanding: parts.fleet.writersOn(server.id),
     avoidedMs: parts.fleet.suspicions.leftMs(server.id, nowMs),
@@ -25,17 +30,44 @@
   return placeCall(candidates, parts.draw())?.server;
 }
 
-function choosePlain(inputs: ChoiceInputs): ChosenAtOnce {
-  const { parts, admitted } = inputs;
-  const server = choosePlainServer(inputs);
-  if (!server) return noServer(parts.gate.nextMs(admitted.service));
+function plainChoice(server: BackendServer, permit: SendPermit | undefined): ChosenAtOnce {
   const attemptId = randomId();
-  return {
-    kind: 'choice',
-    choice: { attemptId, server, plan: undefined, readers: [], held: undefined },
-  };
+  const alone = { plan: undefined, readers: [], held: undefined };
+  return { kind: 'choice', choice: { attemptId, server, ...alone, permit } };
 }
 
+async function choosePlain(inputs: ChoiceInputs): Promise<ChosenAtOnce> {
+  const { gate, permits } = inputs.parts;
+  const { service } = inputs.admitted;
+  const usable = gate.usable(service);
+  const unlimited = usable.filter((server) => !gate.isLimited(server));
+  if (unlimited.length === 0 && usable.length > 0) return chooseLimited(inputs);
+  const asked = usable.filter((server) => !gate.isLimited(server) || permits.mayBeOpen(server));
+  const server = pickPlain(inputs, asked);
+  if (!server) return noServer(gate.nextMs(service));
+  if (!gate.isLimited(server)) return plainChoice(server, undefined);
+  const permit = await permits.tryTake(server);
+  if (permit) return plainChoice(server, permit);
+  const other = pickPlain(inputs, unlimited);
+  return other ? plainChoice(other, undefined) : noServer(gate.nextMs(service));
+}
+
+/** All servers of a plain service name limits: whoever gives out their places says which one may be sent it, or when. */
+async function chooseLimited(inputs: ChoiceInputs): Promise<ChosenAtOnce> {
+  const { admitted, isOver, parts } = inputs;
+  const { clock, gate, placing } = parts;
+  const request = { ...toPlanRequest(inputs, lastChoices(inputs)), permit: ANY_SERVER };
+  const placed = await placing.place(request, isOver);
+  if (placed.kind === 'over') return placed;
+  if (placed.kind === 'refuse') return refusedBy(placed, admitted.route);
+  const { writerId, permittedIds } = placed.stream;
+  const server = gate.usable(admitted.service).find(({ id }) => id === writerId);
+  const permit = permitFrom(permittedIds, clock.monotonicMs());
+  return server ? plainChoice(server, permit) : noServer(gate.nextMs(admitted.service));
+}
+
+const ANY_SERVER: PermitWish = { serverIds: [], isSent: false };
+
 /** What comes of a service of which no server may be sent anything; `nextMs`: until one may. */
 function noServer(nextMs: Milliseconds | undefined): ChosenAtOnce {
   if (nextMs === undefined) return { kind: 'refused', why: 'no server of the service is listed' };
@@ -58,9 +90,6 @@
   return chooseEngines(inputs);
 }
 
-/** Of an aim, the part within which a server must be back whose rest a caller waits for; the rest is for its answer. */
-const WAITED_AIM_SHARE = 0.5;
-
 /** Chooses a server, after a wait if need be; a caller doesn't wait for a rest that takes much of its aim. */
 export async function choose(inputs: ChoiceInputs): Promise<Chosen> {
   const { parts, admitted, arrivedAtMs, isOver } = inputs;
--- a/packages/relay/src/request/patience.test.ts
+++ b/packages/relay/src/request/patience.test.ts
@@ -29,6 +29,7 @@
     expectedFirstMs,
     writersBefore: 0,
     readingBeforeMs: 0,
+    permittedIds: [],
   };
 }
 
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -2,6 +2,7 @@
 import type { FleetView, RetryBudget, TurnedAway } from '@poppypond/fleet';
 import type { ConfigurationInForce, Freshness } from '@poppypond/routing';
 import type { Log, Measures } from '@poppypond/telemetry';
+import type { Permits } from '../notices/permits.js';
 import type { SendGate } from '../notices/send-gate.js';
 import type { ServerNotices } from '../notices/server-notices.js';
 import type { PeerMesh } from '../peers/peer-mesh.js';
@@ -27,6 +28,7 @@
   readonly quarantine: SharedQuarantine;
   readonly notices: ServerNotices;
   readonly gate: SendGate;
+  readonly permits: Permits;
   readonly turnedAway: TurnedAway;
   readonly fleet: FleetView;
   readonly servers: ServerList;
--- a/packages/relay/src/request/relay-run.ts
+++ b/packages/relay/src/request/relay-run.ts
@@ -55,6 +55,7 @@
   /** When the last attempt began. */
   #attemptAtMs: Milliseconds = 0;
   #current: RunningAttempt | undefined;
+  readonly #heldBackIds = new Set<string>();
   /** Whether the current attempt was given up and another follows. */
   #isPassedOver = false;
   /** Why the request ends with the current attempt, which was given up; undefined where it doesn't. */
@@ -152,6 +153,8 @@
       limitAtMs: this.#limitAtMs,
       silentSinceMs: () => this.#lastEventAtMs,
       failedIds: this.#tally.failedIds,
+      heldBackIds: this.#heldBackIds,
+      content: () => this.#followed.content,
       isOver: () => this.#isOver(),
       onWriterLost: (writer: BackendServer) => {
         this.#passOver(writer, 'no answer to a question for its state');
@@ -178,6 +181,7 @@
     const block = this.parts.gate.tryTake(choice);
     if (!block) return false;
     this.#record.heldBack(block.id, block.why);
+    this.#heldBackIds.add(block.id);
     this.#leave(choice);
     return true;
   }
