--- a/packages/cli/src/loss-cause.ts
+++ b/packages/cli/src/loss-cause.ts
@@ -7,6 +7,7 @@
   | 'refused'
   | 'held_back_as_servers_ended'
   | 'refused_as_servers_rest'
+  | 'refused_as_servers_limited'
   | 'lost_with_its_host'
   | 'left_by_its_caller'
   | 'failed'
@@ -27,6 +28,7 @@
 const LEFT_CODES: ReadonlySet<string> = new Set(['cancelled_running', 'cancelled_waiting']);
 const UNPROVED = 'the configuration may be out of date';
 const ALL_REST = 'all servers of the service want rest';
+const ALL_LIMITED = 'all servers of the service name limits';
 
 function numberOf(line: LogLine | undefined, key: string): number | undefined {
   const text = line?.[key];
@@ -64,6 +66,7 @@
   const code = end['code'] ?? '';
   if (code === 'quarantined') return 'held_back_as_servers_ended';
   if (end['why'] === ALL_REST) return 'refused_as_servers_rest';
+  if (end['why']?.startsWith(ALL_LIMITED)) return 'refused_as_servers_limited';
   if (LEFT_CODES.has(code)) return 'left_by_its_caller';
   if (code !== 'ok') return 'failed';
   const aimMs = numberOf(end, 'aim_ms') ?? Number.POSITIVE_INFINITY;
--- a/packages/cli/src/losses.test.ts
+++ b/packages/cli/src/losses.test.ts
@@ -43,6 +43,11 @@
     expect(lossCause({ placed: undefined, end: readLine(resting) })).toBe(
       'refused_as_servers_rest',
     );
+    const limited =
+      'event=answered code=no_backend why="all servers of the service name limits: 2 servers take 4.0 a second"';
+    expect(lossCause({ placed: undefined, end: readLine(limited) })).toBe(
+      'refused_as_servers_limited',
+    );
   });
 });
 
--- a/packages/cli/src/why.test.ts
+++ b/packages/cli/src/why.test.ts
@@ -31,16 +31,20 @@
     expect(storyOf(lines, 'r3')).toEqual([]);
   });
 
-  it('tells which servers had said that they leave or want rest, while that holds', () => {
+  it('tells which servers had said that they leave, want rest or name a limit, while that holds', () => {
     const told = [
       'time=2026-01-01T00:00:01.000Z event=server_rests host=h-1 server=i-1 for_ms=1500',
       'time=2026-01-01T00:00:02.000Z event=server_rests host=h-1 server=i-2 for_ms=3000',
       'time=2026-01-01T00:00:02.000Z event=server_rests host=h-2 server=i-3 for_ms=3000',
       'time=2026-01-01T00:00:01.000Z event=server_leaving host=h-1 server=i-4 listed=ready',
+      'time=2026-01-01T00:00:01.000Z event=server_limit host=h-1 server=i-5 change=named per_second=2',
+      'time=2026-01-01T00:00:01.000Z event=server_limit host=h-1 server=i-6 change=named per_second=2',
+      'time=2026-01-01T00:00:03.000Z event=server_limit host=h-1 server=i-6 change=over per_second=2',
       'time=2026-01-01T00:00:04.000Z event=answered host=h-1 request=r code=no_backend',
     ].map(readLine);
     expect(storyOf(told, 'r').map((line) => line.split('  ').slice(2).join(' '))).toEqual([
       'server_leaving server=i-4 listed=ready',
+      'server_limit server=i-5 change=named per_second=2',
       'server_rests server=i-2 for_ms=3000',
       'answered code=no_backend',
     ]);
--- a/packages/cli/src/why.ts
+++ b/packages/cli/src/why.ts
@@ -29,8 +29,9 @@
   return Date.parse(line['time'] ?? '');
 }
 
-/** Whether what `line` tells held still as `later` was written; a rest is over after its time. */
+/** Whether what `line` tells held still as `later` was written; a rest is over after its time, a limit when it is told. */
 function holdsAt(line: LogLine, later: LogLine): boolean {
+  if (line['event'] === 'server_limit') return line['change'] !== 'over';
   if (line['event'] !== 'server_rests') return true;
   return milliseconds(line) + Number(line['for_ms']) >= milliseconds(later);
 }
--- a/packages/fleet/src/limit-ledger.ts
+++ b/packages/fleet/src/limit-ledger.ts
@@ -7,7 +7,9 @@
  * As what a host gives out places of limits: as the first in rank, in place of one that is silent, or for itself as
  * it hears nobody who could.
  */
-export type LimitRole = 'first' | 'stand_in' | 'alone';
+export type LimitRole = (typeof LIMIT_ROLES)[number];
+
+const LIMIT_ROLES = ['first', 'stand_in', 'alone'] as const;
 
 /** What a host may give out of each limit. */
 export interface LimitPart {
@@ -71,9 +73,11 @@
     return this.#rate(server, part, nowMs);
   }
 
-  /** Places of a server that were given in the last 4 s. */
-  givenLately(server: BackendServer, { role }: LimitPart, nowMs: Milliseconds): number {
-    const given = this.#buckets.get(`${role} ${server.id}`)?.given ?? [];
+  /** Places of a server that were given in the last 4 s, in whatever role. */
+  givenLately(server: BackendServer, nowMs: Milliseconds): number {
+    const given = LIMIT_ROLES.flatMap((role) => {
+      return this.#buckets.get(`${role} ${server.id}`)?.given ?? [];
+    });
     return given.filter((atMs) => nowMs - atMs < COUNTED_MS).length;
   }
 
--- a/packages/peer/src/mesh.test.ts
+++ b/packages/peer/src/mesh.test.ts
@@ -1,4 +1,5 @@
 import { SystemClock } from '@poppypond/core';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { listen } from '@poppypond/web';
 import type { ListeningServer } from '@poppypond/web';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -44,6 +45,29 @@
     .then(() => undefined);
 }
 
+function describeKnown(mesh: PeerMesh): string {
+  const links = mesh.linked().map(({ host }) => host);
+  const known = mesh
+    .members()
+    .map(({ member, silentMs }) => `${member.host} ${String(Math.round(silentMs))}`);
+  return `${mesh.settings.self.host}: linked ${links.join(' ')}; silent for ms ${known.join(', ')}`;
+}
+
+/** Waits until each knows `count` others; a failure tells whom each knew, and how long this process stood still. */
+async function untilAllKnow(all: readonly PeerMesh[], count: number): Promise<void> {
+  const stalls = monitorEventLoopDelay({ resolution: 10 });
+  stalls.enable();
+  try {
+    await until(() => all.every((mesh) => mesh.members().length === count));
+  } catch (error) {
+    const longestMs = String(Math.round(stalls.max / 1e6));
+    const known = all.map(describeKnown).join('\n');
+    throw new Error(`longest stall ${longestMs} ms\n${known}`, { cause: error });
+  } finally {
+    stalls.disable();
+  }
+}
+
 afterEach(async () => {
   await Promise.all(closers.splice(0).map((close) => close()));
 });
@@ -68,7 +92,7 @@
     const first = await startMesh('h00', [], 2);
     const seeds = [first.settings.self.peerUrl];
     const others = await Promise.all(NAMES.map((host) => startMesh(host, seeds, 2)));
-    await until(() => others.every((mesh) => mesh.members().length === 11));
+    await untilAllKnow(others, 11);
     const links = [first, ...others].reduce((sum, mesh) => sum + mesh.linked().length, 0);
     expect(links).toBeLessThan(12 * 11);
   });
@@ -77,12 +101,11 @@
     const first = await startMesh('h00', [], 2);
     const seeds = [first.settings.self.peerUrl];
     const all = [first, ...(await Promise.all(NAMES.map((host) => startMesh(host, seeds, 2))))];
-    const allKnown = () => all.every((mesh) => mesh.members().length === 11);
-    await until(allKnown);
+    await untilAllKnow(all, 11);
     const untilMs = performance.now() + 800;
     while (performance.now() < untilMs);
     for (const mesh of all) mesh.members();
-    await until(allKnown);
+    await untilAllKnow(all, 11);
   });
 
   /*
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -55,6 +55,7 @@
   readonly servers: ServerList;
   readonly memory: EngineMemory;
   readonly knowledge: SharedKnowledge;
+  readonly limits: ServerLimits;
   readonly notices: ServerNotices;
   readonly gate: SendGate;
   readonly keyTrust: KeyTrust;
@@ -130,6 +131,7 @@
     servers,
     memory,
     knowledge,
+    limits,
     notices,
     gate,
     keyTrust,
@@ -163,8 +165,8 @@
   base: RelayBase,
   sender: PeerSender,
   onGone: (host: string) => void,
-): { readonly peers: PeerMesh; readonly placing: Placing } {
-  const { clock, log, fleet, inForce, knowledge, notices, quarantine } = base;
+): { readonly peers: PeerMesh; readonly placing: Placing; readonly planner: Planner } {
+  const { clock, log, fleet, inForce, knowledge, limits, notices, quarantine } = base;
   const { incarnation, servers, memory, settings } = base;
   const { host } = settings;
   const readWork = (server: BackendServer) => memory.readWork(server);
@@ -179,7 +181,7 @@
     fleet,
     draw,
     onPlanner,
-    limits: notices.parts.limits,
+    limits,
     partOf: (service, isAlone) => peers.limitPart(service, isAlone),
   });
   const peers: PeerMesh = new PeerMesh({
@@ -196,11 +198,12 @@
     knowledge,
     quarantine,
     notices,
+    limits,
     beatPeriodMs: beatPeriodMs(settings),
     onGone,
   });
   const placing = new Placing({ clock, log, host, peers, planner });
-  return { peers, placing };
+  return { peers, placing, planner };
 }
 
 /** Makes what every request shares. */
--- a/packages/relay/src/peers/attempt-news.ts
+++ b/packages/relay/src/peers/attempt-news.ts
@@ -5,7 +5,8 @@
 import type { ExchangeParts } from './exchange-parts.js';
 import type { LimitNews } from './limit-news.js';
 import { toWireServer } from './list-on-the-wire.js';
-import type { PeerMessage, WireAsk } from './peer-messages.js';
+import type { PeerMessage } from './peer-messages.js';
+import type { WireAsk } from './plan-messages.js';
 import type { SharedKnowledge } from './shared-knowledge.js';
 import { fromWireAsk, toWireAnswer, toWireAsk, toWireUse } from './work-on-the-wire.js';
 
--- a/packages/relay/src/peers/heartbeat.ts
+++ b/packages/relay/src/peers/heartbeat.ts
@@ -1,7 +1,8 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { FleetView } from '@poppypond/fleet';
 import type { Peer, PeerAddress } from './peer-list.js';
-import type { Beat, WireLimit, WireQuarantine } from './peer-messages.js';
+import type { Beat, WireQuarantine } from './peer-messages.js';
+import type { WireLimit } from './plan-messages.js';
 import type { DatedWord, SharedKnowledge } from './shared-knowledge.js';
 import { toWireUse } from './work-on-the-wire.js';
 
--- a/packages/relay/src/peers/limit-news.ts
+++ b/packages/relay/src/peers/limit-news.ts
@@ -5,7 +5,8 @@
 import type { ExchangeParts } from './exchange-parts.js';
 import { fromWireLimit, toWireLimit } from './limit-on-the-wire.js';
 import type { Peer } from './peer-list.js';
-import type { Beat, ToldLimits, WireLimit } from './peer-messages.js';
+import type { Beat, ToldLimits } from './peer-messages.js';
+import type { WireLimit } from './plan-messages.js';
 import { ZoneSpread } from './zone-spread.js';
 
 /** What the exchange needs. */
--- a/packages/relay/src/peers/limit-on-the-wire.ts
+++ b/packages/relay/src/peers/limit-on-the-wire.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { ServerLimit, ToldLimit } from '@poppypond/fleet';
 import { fromWireServer, toWireServer } from './list-on-the-wire.js';
-import type { WireLimit } from './peer-messages.js';
+import type { WireLimit } from './plan-messages.js';
 
 /** A limit as it is told to peers, as of `nowMs`. */
 export function toWireLimit(limit: ServerLimit, nowMs: Milliseconds): WireLimit {
--- a/packages/relay/src/peers/list-on-the-wire.ts
+++ b/packages/relay/src/peers/list-on-the-wire.ts
@@ -4,7 +4,7 @@
 import type { ListedServers } from '../store/server-list.js';
 import { decodeAs, packBytes, unpackBytes } from './packed-bytes.js';
 import { serversSchema } from './peer-messages.js';
-import type { WireServer } from './peer-messages.js';
+import type { WireServer } from './plan-messages.js';
 
 const listSchema = z.object({
   version: z.number(),
--- a/packages/relay/src/peers/mocks/mesh-network.ts
+++ b/packages/relay/src/peers/mocks/mesh-network.ts
@@ -138,6 +138,7 @@
       knowledge,
       quarantine,
       notices,
+      limits,
       beatPeriodMs: 500,
       onGone: (gone) => this.gone.push(gone),
     });
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -1,7 +1,12 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
-import type { AttemptUse, BackendServer, FleetView, LimitPart } from '@poppypond/fleet';
+import type {
+  AttemptUse,
+  BackendServer,
+  FleetView,
+  LimitPart,
+  ServerLimits,
+} from '@poppypond/fleet';
 import type { Log } from '@poppypond/telemetry';
-import { match } from 'ts-pattern';
 import type { PlannerPeers } from '../planning/placing.js';
 import type { PlanAnswer, PlanRequest } from '../planning/plan-request.js';
 import type { Planner } from '../planning/planner.js';
@@ -12,7 +17,7 @@
 import { DepartedHosts } from './departed-hosts.js';
 import { LeavingNews } from './leaving-news.js';
 import { LimitNews } from './limit-news.js';
-import { fromWireServer } from './list-on-the-wire.js';
+import { MessageIntake } from './message-intake.js';
 import { News } from './news.js';
 import { PeerList } from './peer-list.js';
 import type { Peer, PeerAddress } from './peer-list.js';
@@ -20,7 +25,6 @@
 import { QuarantineNews } from './quarantine-news.js';
 import type { SelfFields } from './self-fields.js';
 import type { SharedKnowledge } from './shared-knowledge.js';
-import { fromWireUse } from './work-on-the-wire.js';
 
 /** Sends one message to a peer; may lose it. */
 export interface PeerSender {
@@ -42,6 +46,7 @@
   readonly knowledge: SharedKnowledge;
   readonly quarantine: SharedQuarantine;
   readonly notices: ServerNotices;
+  readonly limits: ServerLimits;
   /** Pause between heartbeats. */
   readonly beatPeriodMs: Milliseconds;
   /** Called by one of the first hosts when another is gone for good. */
@@ -68,6 +73,7 @@
   readonly #limitNews: LimitNews;
   readonly #attempts: AttemptNews;
   readonly #beats: Beats;
+  readonly #intake: MessageIntake;
   /** Hosts that were heard and not known before; others are told of them with the next heartbeat. */
   readonly #newcomers = new Set<string>();
   readonly #departed: DepartedHosts;
@@ -78,8 +84,8 @@
   constructor(readonly parts: PeerMeshParts) {
     this.#peers = new PeerList(parts.clock, parts.self, () => parts.planner.canPlan);
     this.#departed = new DepartedHosts(parts.clock);
-    const { clock, log, self, fleet, planner, knowledge, quarantine, notices } = parts;
-    const { engineServices } = parts;
+    const { clock, log, self, fleet, planner, knowledge, quarantine } = parts;
+    const { engineServices, limits, notices } = parts;
     const shared = {
       clock,
       peers: this.#peers,
@@ -94,7 +100,7 @@
     this.#news = new News({ ...shared, log, knowledge, onTaken });
     this.#quarantineNews = new QuarantineNews({ ...shared, quarantine });
     this.#leavingNews = new LeavingNews({ ...shared, notices });
-    this.#limitNews = new LimitNews({ ...shared, notices, limits: notices.parts.limits });
+    this.#limitNews = new LimitNews({ ...shared, notices, limits });
     const work = { fleet, planner, knowledge, limitNews: this.#limitNews };
     this.#attempts = new AttemptNews({ ...shared, ...work, host: self.host, engineServices });
     this.#beats = new Beats({
@@ -105,6 +111,23 @@
       engineServiceCount: () => engineServices().length,
       isPlanner: (host) => this.#attempts.isPlanner(host),
     });
+    this.#intake = new MessageIntake({
+      ...shared,
+      ...work,
+      beats: this.#beats,
+      news: this.#news,
+      attempts: this.#attempts,
+      quarantineNews: this.#quarantineNews,
+      leavingNews: this.#leavingNews,
+      onPlan: parts.onPlan,
+      onMembers: (members) => {
+        this.#takeMembers(members);
+      },
+      onLeft: (host) => {
+        this.#departed.onLeft(host);
+        this.#forget(host, 'left');
+      },
+    });
   }
 
   /** Whether this host is one of the few that read the store for all. */
@@ -225,65 +248,7 @@
   receive(message: PeerMessage, address: string): void {
     if (this.#isStopped || message.host === this.parts.self.host) return;
     this.#hear(message, address);
-    const { fleet, planner, clock } = this.parts;
-    const nowMs = clock.monotonicMs();
-    match(message)
-      .with({ kind: 'beat' }, (beat) => {
-        this.#beats.onBeat(beat);
-        const peer = this.#peers.find(beat.host);
-        if (peer) this.#news.onWord(peer, beat);
-      })
-      .with({ kind: 'begin' }, ({ use, host }) => {
-        fleet.begin(fromWireUse(use, host, nowMs));
-      })
-      .with({ kind: 'ask' }, ({ ask, host }) => {
-        this.#attempts.onAsk(ask, host);
-      })
-      .with({ kind: 'plan' }, ({ attempt, answer }) => {
-        this.parts.onPlan(attempt, answer);
-      })
-      .with({ kind: 'withdraw' }, ({ attempt }) => {
-        planner.withdraw(attempt);
-      })
-      .with({ kind: 'read' }, ({ attempt }) => {
-        fleet.onReadDone(attempt);
-      })
-      .with({ kind: 'end' }, ({ attempt }) => {
-        fleet.end(attempt);
-      })
-      .with({ kind: 'suspect' }, ({ server, forMs }) => {
-        fleet.suspicions.avoid(server, forMs, nowMs);
-      })
-      .with({ kind: 'gone' }, ({ server, host }) => {
-        this.parts.knowledge.hearGone(fromWireServer(server), host);
-      })
-      .with({ kind: 'told' }, (told) => {
-        this.#news.onTold(told);
-      })
-      .with({ kind: 'list_change' }, (change) => {
-        this.#news.onListChange(change);
-      })
-      .with({ kind: 'want' }, (want) => {
-        const peer = this.#peers.find(want.host);
-        if (peer) this.#news.onWant(peer, want);
-      })
-      .with({ kind: 'members' }, ({ members }) => {
-        this.#takeMembers(members);
-      })
-      .with({ kind: 'quarantine' }, (told) => {
-        this.#quarantineNews.onTold(told);
-      })
-      .with({ kind: 'leaving' }, (told) => {
-        this.#leavingNews.onTold(told);
-      })
-      .with({ kind: 'limits' }, (told) => {
-        this.#limitNews.onTold(told);
-      })
-      .with({ kind: 'leave' }, ({ host }) => {
-        this.#departed.onLeft(host);
-        this.#forget(host, 'left');
-      })
-      .exhaustive();
+    this.#intake.take(message);
   }
 
   #hear(message: PeerMessage, address: string): void {
--- a/packages/relay/src/peers/work-on-the-wire.ts
+++ b/packages/relay/src/peers/work-on-the-wire.ts
@@ -1,7 +1,8 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { AttemptUse } from '@poppypond/fleet';
 import type { PlanAnswer, PlanRequest } from '../planning/plan-request.js';
-import type { WireAnswer, WireAsk, WireUse } from './peer-messages.js';
+import type { WireUse } from './peer-messages.js';
+import type { WireAnswer, WireAsk } from './plan-messages.js';
 
 /** An attempt for the wire, as of `nowMs`. */
 export function toWireUse(use: AttemptUse, nowMs: Milliseconds): WireUse {
--- a/packages/relay/src/planning/limited-servers.ts
+++ b/packages/relay/src/planning/limited-servers.ts
@@ -73,7 +73,7 @@
   /** What there is to tell of limits that are used up. */
   describe(servers: readonly BackendServer[]): string {
     const given = servers.reduce((sum, server) => {
-      return sum + this.ledger.givenLately(server, this.part, this.nowMs);
+      return sum + this.ledger.givenLately(server, this.nowMs);
     }, 0);
     const rate = this.rateOf(servers).toFixed(1);
     const { role } = this.part;
@@ -105,6 +105,11 @@
     return new LimitedService(this.#ledger, part, nowMs);
   }
 
+  /** Places of a server that this host gave in the last 4 s, in whatever role. */
+  givenLately(server: BackendServer, nowMs: Milliseconds): number {
+    return this.#ledger.givenLately(server, nowMs);
+  }
+
   /** Whether a request was refused before and told to come back about now. */
   isReturned({ service, content }: PlanRequest, nowMs: Milliseconds): boolean {
     return this.#returns.get(service)?.isDue(content, nowMs) ?? false;
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -83,6 +83,11 @@
     return this.parts.inForce.table !== undefined && this.parts.servers.isKnown;
   }
 
+  /** Places of a server with a limit that this host gave in the last 4 s. */
+  givenLately(server: BackendServer): number {
+    return this.#limits.givenLately(server, this.parts.clock.monotonicMs());
+  }
+
   /** Requests that wait here. */
   get waitingCount(): number {
     return this.#waiting.size;
@@ -174,6 +179,7 @@
     limited: LimitedService,
     servers: readonly BackendServer[],
   ): number {
+    if (this.#limits.isEmpty) return 0;
     const comesFirst = this.#comesFirst(limited.nowMs);
     const waiting = this.#waiting.aheadOf(request, comesFirst);
     if (comesFirst(request)) return waiting;
@@ -186,7 +192,10 @@
     limited: LimitedService,
     open: readonly BackendServer[],
   ): PlanAnswer {
-    const usable = without(open, request.avoidedIds);
+    const { fleet } = this.parts;
+    const suspects = open.filter(({ id }) => fleet.suspicions.leftMs(id, limited.nowMs) > 0);
+    const avoidedIds = [...request.avoidedIds, ...suspects.map(({ id }) => id)];
+    const usable = without(open, avoidedIds);
     const server = usable[Math.floor(this.parts.draw() * usable.length)];
     if (!server) return { kind: 'refuse', rule: 'no_engine' };
     this.#limits.onPlaced(request, limited.nowMs);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -9,7 +9,9 @@
 import { DatagramSender } from './peers/datagram-sender.js';
 import { MemberDirectory } from './peers/member-directory.js';
 import type { PeerMesh } from './peers/peer-mesh.js';
+import type { Planner } from './planning/planner.js';
 import type { PlatformPorts } from './ports.js';
+import { RelayGauges } from './relay-gauges.js';
 import { Serving } from './request/serving.js';
 import { FrontServer } from './server/front-server.js';
 import { readinessPage, serveSmallPages, textPage } from './server/small-server.js';
@@ -22,6 +24,7 @@
 /** What takes and serves requests, from the start on. */
 interface Running {
   readonly peers: PeerMesh;
+  readonly planner: Planner;
   readonly serving: Serving;
   readonly front: FrontServer;
 }
@@ -155,7 +158,7 @@
 
   #compose(sender: DatagramSender): Running {
     const { clock, inForce } = this.#base;
-    const { peers, placing } = composePeers(this.#base, sender, (host) => {
+    const { peers, placing, planner } = composePeers(this.#base, sender, (host) => {
       void this.#directory.remove(host);
     });
     const serving = new Serving(composeParts(this.#base, peers, placing));
@@ -168,7 +171,7 @@
         void serving.serve(request);
       },
     });
-    return { peers, serving, front };
+    return { peers, planner, serving, front };
   }
 
   /** After a pause, what is known is asked for anew before anything is decided by it. */
@@ -205,12 +208,13 @@
   }
 
   /** Follows the store, and keeps the gauges at what holds. */
-  #follow({ peers, front }: Running, turns: StoreTurns): void {
+  #follow({ peers, planner, front }: Running, turns: StoreTurns): void {
+    const gauges = new RelayGauges(this.#base);
     const stopWatches = startWatches(this.#base, peers, turns, ({ configuration }) => {
       front.setIdleTimeout(configuration.limits.idleTimeoutMs * IDLE_FACTOR);
     });
     const cancelGauges = this.#base.clock.every(GAUGE_PERIOD_MS, () => {
-      this.#setGauges();
+      gauges.set(this.#openCount, peers, planner);
     });
     this.#onStop.push(stopWatches, cancelGauges);
   }
@@ -235,14 +239,4 @@
     if (this.#isStopping || !this.#base.servers.isKnown) return false;
     return this.#base.keyTrust.verdict() !== 'refused';
   }
-
-  #setGauges(): void {
-    const { freshness, inForce, keyTrust, measures, servers } = this.#base;
-    keyTrust.verdict();
-    measures.set('poppypond_requests_open', this.#openCount);
-    measures.set('poppypond_configuration_version', inForce.version);
-    measures.set('poppypond_configuration_age_milliseconds', freshness.ageMs());
-    measures.set('poppypond_backend_servers', servers.size);
-    measures.set('poppypond_peers', this.#running?.peers.aliveCount ?? 0);
-  }
 }
--- a/packages/relay/src/request/choose-engines.ts
+++ b/packages/relay/src/request/choose-engines.ts
@@ -37,7 +37,8 @@
     avoidedIds: [...avoidedIds, ...excludedIds],
     excludedIds,
     content: parts.gate.knowsLimits ? inputs.content() : undefined,
-    waitsForLimitUntilMs: arrivedAtMs + admitted.route.aimMs * WAITED_AIM_SHARE,
+    // A stream that is taken up again is waited for from its last event on.
+    waitsForLimitUntilMs: silentSinceMs() + admitted.route.aimMs * WAITED_AIM_SHARE,
   };
 }
 
--- a/packages/relay/src/request/request-record.ts
+++ b/packages/relay/src/request/request-record.ts
@@ -119,7 +119,8 @@
 
   /** A server that was chosen has said meanwhile that it wants nothing. */
   heldBack(server: string, why: SendBlock): void {
-    const { log, servers } = this.parts;
+    const { log, measures, servers } = this.parts;
+    measures.count('poppypond_sends_held_back_total', { why });
     log.info('send_held_back', {
       request: this.caller.requestId,
       server,
--- a/packages/telemetry/src/measures.ts
+++ b/packages/telemetry/src/measures.ts
@@ -50,9 +50,24 @@
   },
   poppypond_server_words_total: {
     type: 'counter',
-    help: 'Words of servers that they leave or want rest, each once.',
+    help: 'Words of servers that they leave, want rest or name a limit, each once.',
     labels: ['word'],
   },
+  poppypond_server_limit_per_second: {
+    type: 'gauge',
+    help: 'Requests a second that a server takes from all hosts together, for servers that name it now.',
+    labels: ['server'],
+  },
+  poppypond_server_limit_given: {
+    type: 'gauge',
+    help: 'Requests to a server with a limit for which this host gave a place in the last 4 s.',
+    labels: ['server'],
+  },
+  poppypond_sends_held_back_total: {
+    type: 'counter',
+    help: 'Servers that were chosen and could be sent nothing any more, by why.',
+    labels: ['why'],
+  },
   poppypond_quarantine_changes_total: {
     type: 'counter',
     help: 'Requests that were found to end servers, tried again, or served after all.',
@@ -141,6 +156,14 @@
     this.#gauges.get(name)?.set(value);
   }
 
+  /** Sets a gauge for each value of its one label, and drops all others. */
+  setEach(name: MeasuresOf<'gauge'>, values: ReadonlyMap<string, number>): void {
+    const gauge = this.#gauges.get(name);
+    const [label = ''] = MEASURES[name].labels;
+    gauge?.reset();
+    for (const [labelled, value] of values) gauge?.set({ [label]: labelled }, value);
+  }
+
   observe(name: MeasuresOf<'histogram'>, milliseconds: number, labels: MeasureLabels): void {
     this.#histograms.get(name)?.observe({ ...labels }, milliseconds);
   }
