Void places of limits that were told while a process stood still; emulator: engines that name limits

A host that stands still with a place on its way to it would use it whenever it goes on. The gate takes no place that was told within 0.1 s after a pause, and none that is a second old; how much a host may give out is found once for each look at those that wait.

--- a/packages/emulator/src/deployment.ts
+++ b/packages/emulator/src/deployment.ts
@@ -48,7 +48,7 @@
   readonly engineId: string;
   readonly fromMs: Milliseconds;
   readonly toMs: Milliseconds;
-  readonly says: 'rests' | 'leaves';
+  readonly says: 'rests' | 'leaves' | 'limits';
 }
 
 /** The name of an engine; engines are filled in the order of their names. */
--- a/packages/emulator/src/engine-words.ts
+++ b/packages/emulator/src/engine-words.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@poppypond/core';
-import { RestingServers } from '@poppypond/fleet';
+import { RestingServers, ServerLimits } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import type { ServerList } from '@poppypond/relay/planning';
 import type { EngineWord } from './deployment.js';
@@ -7,11 +7,17 @@
 
 /** What an engine asks for that turns requests away. */
 const REST_MS: Milliseconds = 3000;
+/** The requests a second that an engine takes which names a limit. */
+export const LIMIT_PER_SECOND = 2;
 
 /** What engines say of themselves on a day, and what the host makes of it. */
 export class EngineWords {
   readonly #rests: RestingServers;
   readonly #servers = new Map<string, BackendServer>();
+  /** Limits that engines name. */
+  readonly limits = new ServerLimits();
+  /** When attempts reached engines that named a limit then. */
+  readonly limitedArrivals: { readonly id: string; readonly atMs: Milliseconds }[] = [];
 
   constructor(
     readonly clock: VirtualClock,
@@ -30,6 +36,7 @@
     if (!server) return false;
     const nowMs = this.clock.monotonicMs();
     this.#rests.onSent(server, attemptId, nowMs);
+    if (this.#says(id, 'limits')) this.limitedArrivals.push({ id, atMs: nowMs });
     if (!this.#says(id, 'rests')) return false;
     this.#rests.begin(server, REST_MS, nowMs);
     this.#rests.onOver(server, attemptId);
@@ -41,7 +48,11 @@
     const server = this.#servers.get(id);
     if (!server) return;
     this.#rests.onAnswered(server, attemptId);
-    if (this.#says(id, 'leaves')) this.list.onLeaving(server, this.clock.monotonicMs());
+    const nowMs = this.clock.monotonicMs();
+    if (this.#says(id, 'leaves')) this.list.onLeaving(server, nowMs);
+    const isLimited = this.#says(id, 'limits');
+    const named = { kind: 'named', perSecond: LIMIT_PER_SECOND } as const;
+    this.limits.hear(server, isLimited ? named : { kind: 'none' }, nowMs, nowMs);
   }
 
   /** Engines that may be sent nothing now. */
--- a/packages/emulator/src/play-day.test.ts
+++ b/packages/emulator/src/play-day.test.ts
@@ -1,8 +1,16 @@
-import { FleetView, LateAsTimely, LateWhenIdle, RestingServers } from '@poppypond/fleet';
+import {
+  FleetView,
+  LateAsTimely,
+  LateWhenIdle,
+  RestingServers,
+  ServerLimits,
+} from '@poppypond/fleet';
 import type { LatePromptRule } from '@poppypond/fleet';
 import { seededRandom } from '@poppypond/load';
 import { afterEach, describe, expect, it, vi } from 'vitest';
+import { engineIdOf } from './deployment.js';
 import { drawDay, drawDayOfTurns, drawDeployment, drawWords } from './draw-deployment.js';
+import { LIMIT_PER_SECOND } from './engine-words.js';
 import { summarizeDay } from './outcome.js';
 import { PlayedDay } from './play-day.js';
 
@@ -46,6 +54,39 @@
   return outcomes.filter(({ kind }) => kind === 'refused').length / outcomes.length;
 }
 
+const WINDOW_MS = 4000;
+const NAMED_FROM_MS = 5000;
+const KEPT_AFTER_MS = 3000;
+
+/** Calm days on which the first quarter of the engines name a limit: the most that one got in 4 s, and refusals. */
+function playLimits(seeds: readonly number[]) {
+  const days = seeds.map((seed) => {
+    const draw = seededRandom(seed);
+    const deployment = drawDeployment('drawn', false, draw);
+    const count = Math.ceil(deployment.engines / 4);
+    const words = Array.from({ length: count }, (_unused, index) => {
+      const always = { fromMs: NAMED_FROM_MS, toMs: Number.POSITIVE_INFINITY };
+      return { engineId: engineIdOf(index), ...always, says: 'limits' as const };
+    });
+    const played = new PlayedDay(
+      deployment,
+      { ...drawDay(deployment, draw), bursts: [], restartsAtMs: [], words },
+      seed,
+    );
+    return { outcomes: played.run(), arrivals: played.words.limitedArrivals };
+  });
+  const counts = days.flatMap(({ arrivals }) => {
+    const kept = arrivals.filter(({ atMs }) => atMs > NAMED_FROM_MS + KEPT_AFTER_MS);
+    return kept.map(({ id, atMs }) => {
+      const inWindow = kept.filter((one) => one.atMs >= atMs && one.atMs < atMs + WINDOW_MS);
+      return inWindow.filter((one) => one.id === id).length;
+    });
+  });
+  const outcomes = days.flatMap((day) => day.outcomes);
+  const refused = outcomes.filter(({ kind }) => kind === 'refused').length / outcomes.length;
+  return { most: Math.max(...counts), refused };
+}
+
 afterEach(() => {
   vi.restoreAllMocks();
 });
@@ -77,6 +118,16 @@
     expect(kept).toBeLessThan(refusedShareWithWords(seeds) / 3);
   });
 
+  it('finds a planted bad policy worse: a planner that does not keep to the limits that engines name', () => {
+    const seeds = [31, 32, 33];
+    const aimedAt = (LIMIT_PER_SECOND * WINDOW_MS) / 1000 + 2;
+    const kept = playLimits(seeds);
+    expect(kept.most).toBeLessThanOrEqual(aimedAt);
+    expect(kept.refused).toBeLessThan(0.01);
+    vi.spyOn(ServerLimits.prototype, 'rateOf').mockReturnValue(undefined);
+    expect(playLimits(seeds).most).toBeGreaterThan(2 * aimedAt);
+  });
+
   it('earns more on overloaded days where late giant prompts leave engines to timely ones', () => {
     const seeds = [11, 12, 13, 14];
     const all = shareOfOverload(seeds, new LateAsTimely());
--- a/packages/emulator/src/play-day.ts
+++ b/packages/emulator/src/play-day.ts
@@ -51,7 +51,8 @@
   readonly #draw: () => number;
   readonly #inForce = new ConfigurationInForce();
   readonly #servers: ServerList;
-  readonly #words: EngineWords;
+  /** What engines say of themselves. */
+  readonly words: EngineWords;
   #fleet = new FleetView();
   #planner: Planner;
   #life = 0;
@@ -66,7 +67,7 @@
     this.#draw = seededRandom(seed);
     this.#servers = new ServerList(this.#clock, silentLog);
     const listed = this.#configure();
-    this.#words = new EngineWords(this.#clock, this.#servers, listed, day.words, this.#draw);
+    this.words = new EngineWords(this.#clock, this.#servers, listed, day.words, this.#draw);
     this.#planner = this.#makePlanner();
   }
 
@@ -115,6 +116,7 @@
       fleet: this.#fleet,
       draw: this.#draw,
       lateRule: this.lateRule,
+      limits: this.words.limits,
     });
   }
 
@@ -176,7 +178,7 @@
       limitAtMs: atMs + kind.limitMs,
       isRepeated: turnedAwayBy.size > 0,
       avoidedIds: [...turnedAwayBy],
-      excludedIds: this.#words.excludedIds(),
+      excludedIds: this.words.excludedIds(),
     };
   }
 
@@ -198,7 +200,7 @@
     };
     this.#clock.after(2 * HOP_MS, () => {
       if (this.#isStale(open, life)) return;
-      if (this.#words.isTurnedAway(writerId, requestId)) {
+      if (this.words.isTurnedAway(writerId, requestId)) {
         this.#tryAgain(open, writerId);
         return;
       }
@@ -235,7 +237,7 @@
       onEvent: (isLast) => {
         this.#clock.after(HOP_MS, () => {
           if (this.#isStale(open, life)) return;
-          this.#words.onEvents(writerId, requestId);
+          this.words.onEvents(writerId, requestId);
           this.#onEvent(open, isLast);
         });
       },
--- a/packages/fleet/src/limit-ledger.ts
+++ b/packages/fleet/src/limit-ledger.ts
@@ -14,7 +14,7 @@
 /** What a host may give out of each limit. */
 export interface LimitPart {
   readonly role: LimitRole;
-  /** Share of the limit; those of all hosts that may give at a time are planned to add up to 1. */
+  /** Share of the limit. */
   readonly share: number;
 }
 
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -104,6 +104,10 @@
     },
   };
   const memory = new LifeAwareMemory(ports.memory, words, gate);
+  const pauses = new PauseWatch(clock);
+  pauses.onPause(() => {
+    gate.onPause();
+  });
   const knowledge = new SharedKnowledge({ clock, inForce, freshness, list: servers });
   const keyTrust = new KeyTrust(
     { clock, log, measures, inForce, freshness, knowledge },
@@ -136,7 +140,7 @@
     gate,
     keyTrust,
     quarantine,
-    pauses: new PauseWatch(clock),
+    pauses,
   };
 }
 
--- a/packages/relay/src/notices/limits-of-all-hosts.test.ts
+++ b/packages/relay/src/notices/limits-of-all-hosts.test.ts
@@ -7,7 +7,6 @@
 import { MeshNetwork } from '../peers/mocks/mesh-network.js';
 import type { Host } from '../peers/mocks/mesh-network.js';
 import type { PlanRequest } from '../planning/plan-request.js';
-import { permitFrom } from './permits.js';
 import { SendGate } from './send-gate.js';
 
 const STEP_MS: Milliseconds = 5;
@@ -114,7 +113,7 @@
     const server = this.engines.find(({ id }) => id === writerId);
     if (placed.kind !== 'place' || !server) return;
     const { attemptId } = request;
-    const permit = permitFrom(placed.stream.permittedIds, clock.monotonicMs());
+    const permit = { serverIds: placed.stream.permittedIds, givenAtMs: clock.monotonicMs() };
     const isHeldBack = this.#gateOf(host).tryTake({ attemptId, server, readers: [], permit });
     if (!isHeldBack) this.#arrive(host, server, attemptId);
   }
--- a/packages/relay/src/notices/permits.ts
+++ b/packages/relay/src/notices/permits.ts
@@ -7,8 +7,8 @@
 /** Places of servers' limits that an attempt was given. */
 export interface SendPermit {
   readonly serverIds: readonly string[];
-  /** Until when it may be used, on this process's clock: later ones are given to others by then. */
-  readonly untilMs: Milliseconds;
+  /** When this host was given them, on its clock. */
+  readonly givenAtMs: Milliseconds;
 }
 
 /** How permits are asked for. */
@@ -27,19 +27,12 @@
   readonly draw: () => number;
 }
 
-/** A permit that is not used for so long is void: a host that stood still uses it no more. */
-const PERMIT_MS: Milliseconds = 1000;
 /** A server without a place is asked for again after this at least: hosts must not all ask for the next one. */
 const SHORTEST_CLOSED_MS: Milliseconds = 50;
 const LONGEST_CLOSED_MS: Milliseconds = 2000;
 /** An order or a question waits for so long at most for the answer of whoever gives out places. */
 const ASK_LIMIT_MS: Milliseconds = 200;
 
-/** A permit for what a plan has given, from now. */
-export function permitFrom(serverIds: readonly string[], nowMs: Milliseconds): SendPermit {
-  return { serverIds, untilMs: nowMs + PERMIT_MS };
-}
-
 /** Asks the host that gives out places of limits for what is not planned: calls, orders and questions. */
 export class Permits {
   readonly #closedUntilMs = new Map<string, Milliseconds>();
@@ -59,7 +52,7 @@
     const isOver = () => clock.monotonicMs() >= request.limitAtMs;
     const placed = await placing.place(request, isOver);
     if (placed.kind === 'place') {
-      return permitFrom(placed.stream.permittedIds, clock.monotonicMs());
+      return { serverIds: placed.stream.permittedIds, givenAtMs: clock.monotonicMs() };
     }
     this.#close(server, placed.kind === 'refuse' ? placed.retryAfterMs : undefined);
     return undefined;
--- a/packages/relay/src/notices/send-gate.test.ts
+++ b/packages/relay/src/notices/send-gate.test.ts
@@ -5,7 +5,6 @@
 import { describe, expect, it } from 'vitest';
 import type { ServerWord } from '../ports.js';
 import { ServerList } from '../store/server-list.js';
-import { permitFrom } from './permits.js';
 import { SendGate } from './send-gate.js';
 import { ServerNotices } from './server-notices.js';
 
@@ -104,9 +103,11 @@
     expect(take(gate, ONE)).toBe('limited');
     expect(take(gate, TWO, ONE ? [ONE] : [])).toBe('limited');
     expect(take(gate, TWO)).toBeUndefined();
-    const permit = permitFrom(['i-1'], clock.monotonicMs());
+    const permit = { serverIds: ['i-1'], givenAtMs: clock.monotonicMs() };
     const attempt = { attemptId: 'a', readers: [], permit };
     expect(ONE && gate.tryTake({ ...attempt, server: ONE })).toBeUndefined();
+    gate.onPause();
+    expect(ONE && gate.tryTake({ ...attempt, server: ONE })?.why).toBe('limited');
     await clock.advance(1500);
     expect(ONE && gate.tryTake({ ...attempt, server: ONE })?.why).toBe('limited');
   });
@@ -118,7 +119,7 @@
     gate.askAt({
       tryTake: ({ id }) => {
         places -= 1;
-        return Promise.resolve(places >= 0 ? permitFrom([id], 0) : undefined);
+        return Promise.resolve(places >= 0 ? { serverIds: [id], givenAtMs: 0 } : undefined);
       },
       noteUsed: ({ id }) => used.push(id),
     });
--- a/packages/relay/src/notices/send-gate.ts
+++ b/packages/relay/src/notices/send-gate.ts
@@ -42,6 +42,10 @@
  * begin the next one. About as long as a server takes to be returned to by steps.
  */
 const CALLERS_SPREAD_MS: Milliseconds = 500;
+/** A place of a limit that is not used for so long is void; others come in since. */
+const PERMIT_MS: Milliseconds = 1000;
+/** What had waited for this process while it stood still is taken in within this time. */
+const AFTER_PAUSE_MS: Milliseconds = 100;
 /** A server that is returned to by steps takes the next request when one has its answer. */
 const NEXT_STEP_MS: Milliseconds = 20;
 
@@ -52,6 +56,7 @@
  */
 export class SendGate {
   #permits: PermitSource = NO_PERMITS;
+  #permitsFromMs: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(readonly parts: SendGateParts) {}
 
@@ -128,6 +133,11 @@
     this.#permits = permits;
   }
 
+  /** This process stood still: places that it is told of now were given long before. */
+  onPause(): void {
+    this.#permitsFromMs = this.parts.clock.monotonicMs() + AFTER_PAUSE_MS;
+  }
+
   /** Whether any server names a limit for all hosts together, or did lately. */
   get knowsLimits(): boolean {
     return this.parts.limits.size > 0;
@@ -171,8 +181,10 @@
   /** What a server gets from all hosts is counted where places are given, so nothing goes there without one. */
   #limitBlock(server: BackendServer, permit: SendPermit | undefined): SendBlock | undefined {
     if (!this.isLimited(server)) return undefined;
-    const isValid = permit !== undefined && permit.untilMs > this.parts.clock.monotonicMs();
-    return isValid && permit.serverIds.includes(server.id) ? undefined : 'limited';
+    if (!permit?.serverIds.includes(server.id)) return 'limited';
+    const { givenAtMs } = permit;
+    const isNew = this.parts.clock.monotonicMs() - givenAtMs < PERMIT_MS;
+    return isNew && givenAtMs >= this.#permitsFromMs ? undefined : 'limited';
   }
 
   /** `takes`: whether it is sent the request itself, of which it is given one after the other after a rest. */
--- a/packages/relay/src/planning/limited-servers.ts
+++ b/packages/relay/src/planning/limited-servers.ts
@@ -87,6 +87,8 @@
   /** By service. */
   readonly #returns = new Map<string, ReturnPromises>();
 
+  readonly #parts = new Map<string, { readonly part: LimitPart; readonly atMs: Milliseconds }>();
+
   constructor(
     limits: ServerLimits,
     readonly partOf: PartOf,
@@ -101,8 +103,18 @@
 
   /** The limits of a service now. */
   at(service: string, isAlone: boolean, nowMs: Milliseconds): LimitedService {
-    const part = this.isEmpty ? NO_PART : this.partOf(service, isAlone);
-    return new LimitedService(this.#ledger, part, nowMs);
+    return new LimitedService(this.#ledger, this.#partOf(service, isAlone, nowMs), nowMs);
+  }
+
+  /** Found out once for all requests of one look: it takes all hosts into account. */
+  #partOf(service: string, isAlone: boolean, nowMs: Milliseconds): LimitPart {
+    if (this.isEmpty) return NO_PART;
+    const key = `${String(isAlone)} ${service}`;
+    const known = this.#parts.get(key);
+    if (known?.atMs === nowMs) return known.part;
+    const part = this.partOf(service, isAlone);
+    this.#parts.set(key, { part, atMs: nowMs });
+    return part;
   }
 
   /** Places of a server that this host gave in the last 4 s, in whatever role. */
--- a/packages/relay/src/request/choose-engines.ts
+++ b/packages/relay/src/request/choose-engines.ts
@@ -4,7 +4,6 @@
 import type { Route } from '@poppypond/routing';
 import { HeldMemory } from '../backend/held-memory.js';
 import type { PlannedStream, PlanRequest } from '../planning/plan-request.js';
-import { permitFrom } from '../notices/permits.js';
 import type { Placed } from '../planning/placing.js';
 import { lastChoices } from './choice.js';
 import type { Choice, ChoiceInputs, Chosen, ChosenAtOnce, StreamPlan } from './choice.js';
@@ -84,7 +83,8 @@
 ): Promise<Choice | undefined> {
   if (!server) return undefined;
   const { request, stream } = plan;
-  const permit = permitFrom(stream.permittedIds, inputs.parts.clock.monotonicMs());
+  const givenAtMs = inputs.parts.clock.monotonicMs();
+  const permit = { serverIds: stream.permittedIds, givenAtMs };
   const choice = { attemptId: request.attemptId, server, plan, readers, held: undefined, permit };
   if (stream.shares.length === 0) return choice;
   const held = await holdShares(inputs, server, readers, stream);
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -6,7 +6,6 @@
 import type { PermitWish } from '../planning/plan-request.js';
 import { lastChoices } from './choice.js';
 import type { ChoiceInputs, Chosen, ChosenAtOnce } from './choice.js';
-import { permitFrom } from '../notices/permits.js';
 import type { SendPermit } from '../notices/permits.js';
 import { chooseEngines, refusedBy, toPlanRequest, WAITED_AIM_SHARE } from './choose-engines.js';
 
@@ -62,7 +61,7 @@
   if (placed.kind === 'refuse') return refusedBy(placed, admitted.route);
   const { writerId, permittedIds } = placed.stream;
   const server = gate.usable(admitted.service).find(({ id }) => id === writerId);
-  const permit = permitFrom(permittedIds, clock.monotonicMs());
+  const permit = { serverIds: permittedIds, givenAtMs: clock.monotonicMs() };
   return server ? plainChoice(server, permit) : noServer(gate.nextMs(admitted.service));
 }
 
