--- a/packages/fleet/src/server-limits.ts
+++ b/packages/fleet/src/server-limits.ts
@@ -26,10 +26,7 @@
 /** What came of a word: undefined where it tells nothing new. */
 export type LimitChange = 'named' | 'changed' | 'over' | undefined;
 
-/**
- * One that names none at all is sent a request this often all the same, as nobody would hear that its limit is over;
- * and what it names that is less than this is taken for this.
- */
+/** A limit of 0, or of less than this, is taken for this: without a request now and then nobody hears that it is over. */
 const LEAST_PER_SECOND = 0.05;
 /** After a limit the rate begins at this at least, and doubles until it is no limit any more. */
 const RETURN_PER_SECOND = 1;
--- a/packages/relay/src/planning/planner.ts
+++ b/packages/relay/src/planning/planner.ts
@@ -173,7 +173,7 @@
     return wanted.length === 0 ? allowed : allowed.filter(({ id }) => wanted.includes(id));
   }
 
-  /** How many come before a request where servers name limits: those that wait, and those that were told to come back. */
+  /** How many come before a request where servers name limits: those that wait, and callers that are due back. */
   #aheadOf(
     request: PlanRequest,
     limited: LimitedService,
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -2,17 +2,19 @@
 import type { Milliseconds } from '@poppypond/core';
 import { placeCall } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
+import type { SendPermit } from '../notices/permits.js';
 import { without } from '../planning/plan-engines.js';
 import type { PermitWish } from '../planning/plan-request.js';
 import { lastChoices } from './choice.js';
 import type { ChoiceInputs, Chosen, ChosenAtOnce } from './choice.js';
-import type { SendPermit } from '../notices/permits.js';
 import { chooseEngines, refusedBy, toPlanRequest, WAITED_AIM_SHARE } from './choose-engines.js';
 
 /** A list that is longer in coming is not foreseen, so the request is refused. */
 const FIRST_LIST_PATIENCE_MS: Milliseconds = 250;
 /** Pause between looks whether the list has come. */
 const LOOK_AGAIN_MS: Milliseconds = 5;
+/** Asks for a place of whichever server of the service has one. */
+const ANY_SERVER: PermitWish = { serverIds: [], isSent: false };
 
 /** Picks one of `usable` servers of a plain service; those that failed this request come last. */
 function pickPlain(
@@ -65,8 +67,6 @@
   return server ? plainChoice(server, permit) : noServer(gate.nextMs(admitted.service));
 }
 
-const ANY_SERVER: PermitWish = { serverIds: [], isSent: false };
-
 /** What comes of a service of which no server may be sent anything; `nextMs`: until one may. */
 function noServer(nextMs: Milliseconds | undefined): ChosenAtOnce {
   if (nextMs === undefined) return { kind: 'refused', why: 'no server of the service is listed' };
