One function for the places a second that a host gives for a server

The ledger of limits had it twice, once public and once private, with the same body. Behaviour is the same.

--- a/packages/fleet/src/limit-ledger.ts
+++ b/packages/fleet/src/limit-ledger.ts
@@ -46,14 +46,14 @@
 
   /** Requests that may be sent to a server now; infinite where it names no limit. */
   placesOf(server: BackendServer, part: LimitPart, nowMs: Milliseconds): number {
-    const rate = this.#rate(server, part, nowMs);
+    const rate = this.rateOf(server, part, nowMs);
     if (rate === undefined) return Number.POSITIVE_INFINITY;
     return Math.max(0, Math.floor(this.#filled(server, part, rate, nowMs).places));
   }
 
   /** Gives a place, or counts one that was used without being asked for. */
   give(server: BackendServer, part: LimitPart, nowMs: Milliseconds): void {
-    const rate = this.#rate(server, part, nowMs);
+    const rate = this.rateOf(server, part, nowMs);
     if (rate === undefined) return;
     const bucket = this.#filled(server, part, rate, nowMs);
     bucket.places -= 1;
@@ -62,15 +62,16 @@
 
   /** How long until a place is there; infinite where none is to come. */
   nextMs(server: BackendServer, part: LimitPart, nowMs: Milliseconds): Milliseconds {
-    const rate = this.#rate(server, part, nowMs);
+    const rate = this.rateOf(server, part, nowMs);
     if (rate === undefined) return 0;
     const missing = 1 - this.#filled(server, part, rate, nowMs).places;
     return missing <= 0 ? 0 : (missing / rate) * MS_PER_SECOND;
   }
 
   /** The places a second that this host gives for a server; undefined where it names no limit. */
-  rateOf(server: BackendServer, part: LimitPart, nowMs: Milliseconds): number | undefined {
-    return this.#rate(server, part, nowMs);
+  rateOf(server: BackendServer, { share }: LimitPart, nowMs: Milliseconds): number | undefined {
+    const rate = this.limits.rateOf(server, nowMs);
+    return rate === undefined ? undefined : rate * share;
   }
 
   /** Places of a server that were given in the last 4 s, in whatever role. */
@@ -81,11 +82,6 @@
     return given.filter((atMs) => nowMs - atMs < COUNTED_MS).length;
   }
 
-  #rate(server: BackendServer, { share }: LimitPart, nowMs: Milliseconds): number | undefined {
-    const rate = this.limits.rateOf(server, nowMs);
-    return rate === undefined ? undefined : rate * share;
-  }
-
   #filled(server: BackendServer, { role }: LimitPart, rate: number, nowMs: Milliseconds): Bucket {
     const key = `${role} ${server.id}`;
     const known = this.#buckets.get(key);
