Log when a host reaches no server any more

The logs of one host did not tell whether servers had died or the host had lost its paths. Three servers unreached without a connection to any in between now log host_isolated with the age of the last connection, and host_reconnected at its end; poppypond_unreached_servers has the count. Tests of the relay package: 312 passed.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -25,6 +25,7 @@
 export * from './retry-budget.js';
 export * from './retry-decision.js';
 export * from './server-limits.js';
+export * from './server-paths.js';
 export * from './server-speeds.js';
 export type { SpeedReport } from './speed-reports.js';
 export * from './stream-speed.js';
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -23,6 +23,7 @@
   writeStandardOutput,
 } from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
+import { Reachability } from './connections/reachability.js';
 import { GatedEngineMemory } from './backend/gated-engine-memory.js';
 import { logAvoidance } from './notices/avoidance-log.js';
 import { composeRates } from './notices/compose-rates.js';
@@ -76,6 +77,7 @@
   readonly regions: ZoneRegions;
   readonly notices: ServerNotices;
   readonly speedNotices: SpeedNotices;
+  readonly reachability: Reachability;
   readonly gate: SendGate;
   readonly keyTrust: KeyTrust;
   readonly quarantine: SharedQuarantine;
@@ -228,6 +230,7 @@
     regions,
     notices,
     speedNotices,
+    reachability: new Reachability(shared),
     gate,
     keyTrust,
     quarantine,
@@ -374,6 +377,7 @@
     hostBudget: base.hostBudget,
     notices: base.notices,
     speedNotices: base.speedNotices,
+    reachability: base.reachability,
     evacuations: base.evacuations,
     confirmedZones: base.confirmedZones,
     gate: base.gate,
--- a/packages/relay/src/relay-gauges.ts
+++ b/packages/relay/src/relay-gauges.ts
@@ -27,6 +27,7 @@
     this.#setColdServers();
     this.#setSlowServers();
     this.#setAvoidance();
+    this.base.reachability.update();
     this.#boundNotices.check();
     this.#setAdmission(planner);
   }
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -287,16 +287,18 @@
     this.#current = undefined;
     this.#watch.end();
     this.parts.gate.onAttemptEnd(choice.server, id);
-    this.#recordResult(choice, end);
+    this.#recordResult(choice, end, attempt.isConnected);
     void choice.held?.release();
     this.#telemetry.attemptEnded(end.kind);
     return end;
   }
 
   /** Reports the end of an attempt and what it tells about its server. */
-  #recordResult({ attemptId, server }: Choice, end: AttemptOutcome): void {
-    const { fleet, gate, peers } = this.parts;
+  #recordResult({ attemptId, server }: Choice, end: AttemptOutcome, isConnected: boolean): void {
+    const { fleet, gate, peers, reachability } = this.parts;
     const isFailed = isServerFailure(end);
+    if (end.kind === 'not_sent') reachability.recordUnreached(server);
+    else if (isConnected) reachability.recordConnected();
     const engineService = this.#engineService;
     peers.end(attemptId, engineService, isFailed === false);
     if (!fleet.avoidance.isEnabled || engineService !== undefined || isFailed === undefined) return;
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -111,6 +111,11 @@
     help: 'Connections that went silent although their server accepts new ones.',
     labels: ['service'],
   },
+  poppypond_unreached_servers: {
+    type: 'gauge',
+    help: 'Servers that this host did not reach since its last connection to any.',
+    labels: [],
+  },
   poppypond_sends_held_back_total: {
     type: 'counter',
     help: 'Servers that were chosen and could be sent nothing any more, by why.',
