Reach servers through other hosts where this host's own paths are lost

Cause: a request had one path to a server, a connection from the host that received it, and a failed connection was always taken for a fault of the server. So the host also told all others that the servers had failed, and counted unreached servers as terminated, which quarantined requests on hosts that were not partitioned.

Change: connections to servers are opened by a connector. If the direct one fails, or does not come up within 100 ms, peers are asked to connect over plain HTTP; the first path that comes up is used. Nothing is sent before, so an attempt still reaches one server at most once, and retry budget, send gate, deadline and resume position stay with the host that took the request. A path that only a peer could replace is remembered as broken: later connections go through a peer at once, and one each 500 ms is tried directly too. Three unreached servers without a connection in between make the host count as isolated; it then answers peers that ask it at once, and a failure that no other host confirms makes no server suspect and no request quarantined.

CONNECT was not taken: a peer that dies closes its connections cleanly, which looks like the end of a response without a length; the chunks of a body do not. Sending the request on as a whole would give retries, gate and deadline to two hosts.

--- a/packages/fleet/src/server-paths.ts
+++ b/packages/fleet/src/server-paths.ts
@@ -1,35 +1,81 @@
 import type { Milliseconds } from '@poppypond/core';
 
+/** A server that this host does not reach although another host does. */
+interface BrokenPath {
+  /** When another host last reached the server in place of this one. */
+  readonly provenAtMs: Milliseconds;
+  /** When this host last tried to reach the server itself. */
+  readonly probedAtMs: Milliseconds;
+}
+
 /** This many servers without a connection to any in between: the fault is on this host's side. */
 const MIN_UNREACHED_SERVERS = 3;
 /** A failed connection says nothing about the present after this time. */
-const UNREACHED_MEMORY_MS: Milliseconds = 5000;
+const MEMORY_MS: Milliseconds = 5000;
+/** Interval between direct connection attempts to a server whose path is broken. */
+const PROBE_PERIOD_MS: Milliseconds = 500;
 
 /** Which servers this host reaches, by the results of its own connection attempts. */
 export class ServerPaths {
   /** Servers that were not reached since the last connection to any, with the time of the failure. */
   readonly #unreached = new Map<string, Milliseconds>();
+  readonly #broken = new Map<string, BrokenPath>();
   #connectedAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
+  /** Last probe of a path that is not known to be broken, while this host seems to be isolated. */
+  #isolatedProbeAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
 
   /** Records that this host has connected to a server. */
-  recordConnected(nowMs: Milliseconds): void {
+  recordConnected(serverId: string, nowMs: Milliseconds): void {
     this.#connectedAtMs = nowMs;
     this.#unreached.clear();
+    this.#broken.delete(serverId);
   }
 
-  /** Records that a connection to a server did not come up. */
+  /** Records that a connection to a server did not come up, and no other host says that it is down. */
   recordUnreached(serverId: string, nowMs: Milliseconds): void {
     this.#unreached.set(serverId, nowMs);
   }
 
+  /**
+   * Records that another host has connected to a server that this one does not reach. Returns true
+   * if the path was not known to be broken.
+   */
+  recordBroken(serverId: string, nowMs: Milliseconds): boolean {
+    const known = this.#find(serverId, nowMs);
+    this.#unreached.set(serverId, nowMs);
+    this.#broken.set(serverId, { provenAtMs: nowMs, probedAtMs: known?.probedAtMs ?? nowMs });
+    return known === undefined;
+  }
+
+  /** Whether the path to a server is broken, or may be as this host seems to be isolated. */
+  isBroken(serverId: string, nowMs: Milliseconds): boolean {
+    return this.isIsolated(nowMs) || this.#find(serverId, nowMs) !== undefined;
+  }
+
+  /** Whether to try a broken path again; counts as tried if so. */
+  takeProbe(serverId: string, nowMs: Milliseconds): boolean {
+    const known = this.#find(serverId, nowMs);
+    const probedAtMs = known?.probedAtMs ?? this.#isolatedProbeAtMs;
+    if (nowMs - probedAtMs < PROBE_PERIOD_MS) return false;
+    if (known) this.#broken.set(serverId, { ...known, probedAtMs: nowMs });
+    else this.#isolatedProbeAtMs = nowMs;
+    return true;
+  }
+
   /** Number of servers that were not reached since the last connection to any. */
   unreachedCount(nowMs: Milliseconds): number {
     for (const [id, atMs] of this.#unreached) {
-      if (nowMs - atMs > UNREACHED_MEMORY_MS) this.#unreached.delete(id);
+      if (nowMs - atMs > MEMORY_MS) this.#unreached.delete(id);
     }
     return this.#unreached.size;
   }
 
+  /** Number of servers that this host does not reach although another host does. */
+  brokenCount(nowMs: Milliseconds): number {
+    for (const id of [...this.#broken.keys()]) this.#find(id, nowMs);
+    return this.#broken.size;
+  }
+
   /** Whether this host seems to be partitioned from all servers. */
   isIsolated(nowMs: Milliseconds): boolean {
     return this.unreachedCount(nowMs) >= MIN_UNREACHED_SERVERS;
@@ -39,4 +85,11 @@
   connectedAgeMs(nowMs: Milliseconds): Milliseconds {
     return nowMs - this.#connectedAtMs;
   }
+
+  #find(serverId: string, nowMs: Milliseconds): BrokenPath | undefined {
+    const known = this.#broken.get(serverId);
+    if (known && nowMs - known.provenAtMs <= MEMORY_MS) return known;
+    this.#broken.delete(serverId);
+    return undefined;
+  }
 }
--- a/packages/relay/src/backend/server-attempt-budget.test.ts
+++ b/packages/relay/src/backend/server-attempt-budget.test.ts
@@ -3,6 +3,7 @@
 import type { Server, ServerResponse } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
 import { BUDGET_USES, HostBudget } from '../host/host-budget.js';
+import { DirectConnector } from '../connections/direct-connection.js';
 import { ServerAttempt } from './server-attempt.js';
 
 const SIZE = {
@@ -52,6 +53,7 @@
     },
     {
       clock: new SystemClock(),
+      connector: new DirectConnector(new SystemClock()),
       hostBudget,
       parseResponseHead: ({ statusCode, headers }) => ({
         status: statusCode ?? 0,
--- a/packages/relay/src/backend/server-attempt.test.ts
+++ b/packages/relay/src/backend/server-attempt.test.ts
@@ -4,6 +4,7 @@
 import type { Server, Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import { HostBudget } from '../host/host-budget.js';
+import { DirectConnector } from '../connections/direct-connection.js';
 import { ServerAttempt } from './server-attempt.js';
 import type { AttemptOutcome } from './server-attempt.js';
 import type { EventFrame } from './event-frames.js';
@@ -61,6 +62,7 @@
     },
     {
       clock: new SystemClock(),
+      connector: new DirectConnector(new SystemClock()),
       hostBudget: new HostBudget(undefined),
       parseResponseHead: ({ statusCode, headers }) => ({
         status: statusCode ?? 0,
@@ -159,6 +161,7 @@
       },
       {
         clock: new SystemClock(),
+        connector: new DirectConnector(new SystemClock()),
         hostBudget: new HostBudget(undefined),
         parseResponseHead: () => {
           throw new Error('unexpected response');
--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -1,8 +1,10 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
-import { CONNECT_TIMEOUT_MS } from '@poppypond/web';
 import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import type { ServerConnector } from '../connections/server-connector.js';
 import type { HostBudget, Reservation } from '../host/host-budget.js';
 import { unreadBytesOf } from '../host/unread-bytes.js';
 import type { ResponseHead, HeaderPairs } from '../ports.js';
@@ -23,14 +25,15 @@
 }
 
 /**
- * How an attempt ended. `not_sent`: no connection came up, so no byte was sent. `whole`: a complete
+ * How an attempt ended. `not_sent`: no connection came up, so no byte was sent; `isServerAtFault` is
+ * false if only this host may not reach the server. `whole`: a complete
  * response with its body, of any status. `events_done`: an event stream ended cleanly. `broken`:
  * the connection failed or the response was invalid, and the server may have run the request.
  * `not_taken`: the rest of the response was not read, as the host had no room for it or its caller
  * did not read. `cancelled`: by this host.
  */
 export type AttemptOutcome =
-  | { readonly kind: 'not_sent'; readonly detail: string }
+  | { readonly kind: 'not_sent'; readonly detail: string; readonly isServerAtFault: boolean }
   | { readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer }
   | { readonly kind: 'events_done'; readonly head: ResponseHead }
   | { readonly kind: 'broken'; readonly detail: string }
@@ -47,6 +50,7 @@
 /** Dependencies of `ServerAttempt`. */
 export interface AttemptParts {
   readonly clock: Clock;
+  readonly connector: ServerConnector;
   readonly parseResponseHead: (message: IncomingMessage) => ResponseHead;
   /** Called with the head of a response to this request, of any status. */
   readonly onHead: (head: ResponseHead) => void;
@@ -77,20 +81,20 @@
   readonly done: Promise<AttemptOutcome>;
   #resolveDone: (end: AttemptOutcome) => void = () => undefined;
   #isFinished = false;
+  readonly #connecting = new AbortController();
   #isConnected = false;
   /**
    * Tracked because Node reports a response without a length as complete even if its connection was
    * reset.
    */
   #isReset = false;
-  #cancelConnectTimeout: CancelTimer = () => undefined;
   /** Bytes of the response that were taken in and not passed on yet. */
   readonly #held: Reservation;
   /** Bytes that are estimated to have arrived while reading is paused. */
   readonly #unread: Reservation;
   #isPaused = false;
   #cancelPauseLimit: CancelTimer = () => undefined;
-  readonly #request: ClientRequest;
+  #request: ClientRequest | undefined;
   #response: IncomingMessage | undefined;
 
   constructor(
@@ -102,7 +106,7 @@
     });
     this.#held = parts.hostBudget.reserve('answer');
     this.#unread = parts.hostBudget.reserve('unread');
-    this.#request = this.#open();
+    void this.#open();
   }
 
   /** Whether reading is paused because the caller does not read. */
@@ -144,32 +148,39 @@
     this.#settle({ kind: 'not_taken', why: 'caller_too_slow', detail });
   }
 
-  #open(): ClientRequest {
-    const { server, method, path, headers, body } = this.call;
+  async #open(): Promise<void> {
+    const connected = await this.parts.connector.connect(this.call.server, this.#connecting.signal);
+    if (connected.isErr) {
+      const { detail, isServerAtFault } = connected.error;
+      return this.#settle({ kind: 'not_sent', detail, isServerAtFault });
+    }
+    const connection = connected.value;
+    if (this.#isFinished) connection.destroy();
+    else if (connection.destroyed)
+      this.#settle({ kind: 'not_sent', detail: 'connection closed', isServerAtFault: true });
+    else this.#send(connection);
+  }
+
+  #send(connection: Duplex): void {
+    const { method, path, headers, body } = this.call;
+    this.#isConnected = true;
+    connection.once('error', () => {
+      this.#isReset = true;
+    });
+    // Node reports a reset that arrives together with data as a clean end; only in that case the
+    // socket has no remote address. The address must not be read earlier, as Node caches it.
+    connection.prependOnceListener('end', () => {
+      if (connection instanceof Socket && connection.remoteAddress === undefined)
+        this.#isReset = true;
+    });
     const opened = request({
-      host: server.address,
-      port: server.port,
       method,
       path,
       headers,
-      agent: false,
       setHost: false,
+      createConnection: () => connection,
     });
-    opened.once('socket', (socket) => {
-      socket.setNoDelay(true);
-      socket.once('error', () => {
-        this.#isReset = true;
-      });
-      // Node reports a reset that arrives together with data as a clean end; only in that case the
-      // socket has no remote address. The address must not be read earlier, as Node caches it.
-      socket.prependOnceListener('end', () => {
-        if (socket.remoteAddress === undefined) this.#isReset = true;
-      });
-      socket.once('connect', () => {
-        this.#isConnected = true;
-        this.#cancelConnectTimeout();
-      });
-    });
+    this.#request = opened;
     opened.once('response', (response) => {
       this.#onResponse(response);
     });
@@ -179,27 +190,22 @@
     opened.once('close', () => {
       this.#onError('connection closed without a response');
     });
-    this.#cancelConnectTimeout = this.parts.clock.after(CONNECT_TIMEOUT_MS, () => {
-      if (!this.#isConnected) this.#settle({ kind: 'not_sent', detail: 'connect timeout' });
-    });
     const { link } = this.parts.hostBudget;
     opened.end(body, link && (() => link.onWritten(body.length)));
-    return opened;
   }
 
   #onError(detail: string): void {
-    if (this.#response) return;
-    this.#settle(this.#isConnected ? { kind: 'broken', detail } : { kind: 'not_sent', detail });
+    if (!this.#response) this.#settle({ kind: 'broken', detail });
   }
 
   #settle(end: AttemptOutcome): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    this.#cancelConnectTimeout();
     this.#cancelPauseLimit();
     this.#held.end();
     this.#unread.end();
-    this.#request.destroy();
+    this.#connecting.abort();
+    this.#request?.destroy();
     this.#resolveDone(end);
   }
 
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -23,7 +23,8 @@
   writeStandardOutput,
 } from '@poppypond/telemetry';
 import type { Log } from '@poppypond/telemetry';
-import { Reachability } from './connections/reachability.js';
+import { composeConnections } from './connections/compose-connections.js';
+import type { Connections } from './connections/compose-connections.js';
 import { GatedEngineMemory } from './backend/gated-engine-memory.js';
 import { logAvoidance } from './notices/avoidance-log.js';
 import { composeRates } from './notices/compose-rates.js';
@@ -56,7 +57,7 @@
 import { ServerList } from './store/server-list.js';
 
 /** The parts of a relay process that exist before it opens a port. */
-export interface RelayBase extends ServerRates {
+export interface RelayBase extends ServerRates, Connections {
   readonly settings: RelaySettings;
   readonly ports: PlatformPorts;
   readonly store: CountedStore;
@@ -77,7 +78,6 @@
   readonly regions: ZoneRegions;
   readonly notices: ServerNotices;
   readonly speedNotices: SpeedNotices;
-  readonly reachability: Reachability;
   readonly gate: SendGate;
   readonly keyTrust: KeyTrust;
   readonly quarantine: SharedQuarantine;
@@ -157,17 +157,25 @@
   return new GatedEngineMemory(memory, handlers, gate, confirmedZones);
 }
 
-/** Creates the parts of a relay that need no open port. */
-export function composeBase(settings: RelaySettings, ports: PlatformPorts): RelayBase {
-  const { host, logLevel } = settings;
-  const { incarnation } = newOwner(host);
-  const clock = new SystemClock();
+function composeLog(
+  { host, logLevel }: RelaySettings,
+  clock: Clock,
+): Pick<RelayBase, 'log' | 'output'> {
   const output = new BoundedOutput(clock, writeStandardOutput, (counts) => {
     return `${formatFields({ event: 'lines_dropped', host, ...counts })}\n`;
   });
   const log = createLog({ host }, logLevel, (line, level) => {
     output.writeLine(line, level === 'info' || level === 'debug' ? 'ordinary' : 'important');
   });
+  return { output, log };
+}
+
+/** Creates the parts of a relay that need no open port. */
+export function composeBase(settings: RelaySettings, ports: PlatformPorts): RelayBase {
+  const { host } = settings;
+  const { incarnation } = newOwner(host);
+  const clock = new SystemClock();
+  const { output, log } = composeLog(settings, clock);
   const activeConfiguration = new ActiveConfiguration();
   const freshness = new Freshness(clock);
   const fleet = new FleetView(new ServerSpeeds(settings.observesServerSpeeds));
@@ -197,7 +205,9 @@
   const pauseDetector = new PauseDetector(clock);
   const confirmedZones = new ConfirmedZones(clock, evacuations, pauseDetector);
   const gated = { gate, servers, notices };
-  const memory = gateMemory(ports.memory, gated, confirmedZones, paceCheck);
+  const connections = composeConnections(settings, { ...shared, random });
+  const ungated = ports.memory(connections.connector);
+  const memory = gateMemory(ungated, gated, confirmedZones, paceCheck);
   pauseDetector.onPause(() => {
     evacuations.onPause();
     gate.onPause();
@@ -230,7 +240,7 @@
     regions,
     notices,
     speedNotices,
-    reachability: new Reachability(shared),
+    ...connections,
     gate,
     keyTrust,
     quarantine,
@@ -332,6 +342,7 @@
   });
   coldNotices.setAlivePeerCount(() => peers.aliveCount);
   bounds.setKnownHosts(() => peers.knownHosts());
+  base.forwardingPeers.setMembers(() => peers.members());
   const placement = new PlacementClient({ clock, log, host, peers, planner });
   return { peers, placement, planner };
 }
@@ -377,7 +388,7 @@
     hostBudget: base.hostBudget,
     notices: base.notices,
     speedNotices: base.speedNotices,
-    reachability: base.reachability,
+    connector: base.connector,
     evacuations: base.evacuations,
     confirmedZones: base.confirmedZones,
     gate: base.gate,
--- /dev/null
+++ b/packages/relay/src/connections/forwarding-listener.ts
@@ -0,0 +1,127 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { BackendServer } from '@poppypond/fleet';
+import type { PrometheusMetrics } from '@poppypond/telemetry';
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
+import { unescape } from 'node:querystring';
+import { pipeline } from 'node:stream';
+import type { Duplex } from 'node:stream';
+import { connectDirectly } from './direct-connection.js';
+import { FORWARDING_PATH, FORWARDING_STATUS } from './forwarded-connection.js';
+import type { Reachability } from './reachability.js';
+
+/** Dependencies of `ForwardingListener`. */
+export interface ForwardingListenerParts {
+  readonly clock: Clock;
+  readonly metrics: PrometheusMetrics;
+  readonly reachability: Reachability;
+  /** Whether a host with this network address is known. */
+  readonly isPeerAddress: (address: string) => boolean;
+  /** Returns a listed server. */
+  readonly findServer: (id: string) => BackendServer | undefined;
+  /** Whether this host has no room for further connections, or is stopping. */
+  readonly isClosed: () => boolean;
+}
+
+/** Leaves the asking host time to ask another one before its own timeout. */
+const CONNECT_TIMEOUT_MS: Milliseconds = 150;
+/** Bounds the descriptors and buffers: two connections each, with at most 64 KiB each. */
+const MAX_CONNECTIONS = 500;
+/** A connection without a byte in either direction for this long is closed. */
+const IDLE_TIMEOUT_MS: Milliseconds = 60_000;
+const FORBIDDEN = 403;
+const NOT_FOUND = 404;
+const UNAVAILABLE = 503;
+
+/**
+ * Connects other hosts to servers that they do not reach. Passes bytes on without reading them; the
+ * asking host decides what is sent, and to which server.
+ */
+export class ForwardingListener {
+  readonly #server: Server;
+  #openCount = 0;
+
+  constructor(readonly parts: ForwardingListenerParts) {
+    this.#server = createServer({ noDelay: true, keepAlive: true }, (message, response) => {
+      void this.#forward(message, response);
+    });
+    this.#server.requestTimeout = 0;
+    this.#server.timeout = IDLE_TIMEOUT_MS;
+  }
+
+  /** Forwarded connections that are open. */
+  get openCount(): number {
+    return this.#openCount;
+  }
+
+  /** Listens on the TCP port of the same number as the UDP port for peers. */
+  listen(address: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, address, resolve);
+    });
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #forward(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    message.on('error', () => undefined);
+    const { clock, metrics, reachability, isPeerAddress } = this.parts;
+    const end = (status: number) => {
+      metrics.count('poppypond_forwarded_connections_total', { status: String(status) });
+      response.writeHead(status, { connection: 'close' });
+      if (status === FORWARDING_STATUS.connected) response.flushHeaders();
+      else response.end();
+    };
+    if (!isPeerAddress(message.socket.remoteAddress ?? '')) return end(FORBIDDEN);
+    const server = this.#findServer(message);
+    if (!server) return end(NOT_FOUND);
+    if (!this.#isAvailable(server)) return end(UNAVAILABLE);
+    this.#openCount += 1;
+    response.once('close', () => {
+      this.#openCount -= 1;
+    });
+    const cancellation = new AbortController();
+    response.once('close', () => {
+      cancellation.abort();
+    });
+    const { signal } = cancellation;
+    const connected = await connectDirectly(clock, server, signal, CONNECT_TIMEOUT_MS);
+    if (connected.isErr) {
+      const { why } = connected.error;
+      return end(why === 'refused' || why === 'silent' ? FORWARDING_STATUS[why] : UNAVAILABLE);
+    }
+    reachability.recordConnected(server);
+    end(FORWARDING_STATUS.connected);
+    passOn(message, response, connected.value);
+  }
+
+  #findServer({ method, url = '' }: IncomingMessage): BackendServer | undefined {
+    if (method !== 'POST' || !url.startsWith(FORWARDING_PATH)) return undefined;
+    return this.parts.findServer(unescape(url.slice(FORWARDING_PATH.length)));
+  }
+
+  /** A host that does not reach the server itself answers at once, so that another can be asked. */
+  #isAvailable(server: BackendServer): boolean {
+    const { isClosed, reachability } = this.parts;
+    return !isClosed() && this.#openCount < MAX_CONNECTIONS && !reachability.isBroken(server);
+  }
+}
+
+/** Passes bytes in both directions until one side closes. */
+function passOn(message: IncomingMessage, response: ServerResponse, connection: Duplex): void {
+  // Node reports a reset that arrives together with data as a clean end, see `ServerAttempt`.
+  connection.prependOnceListener('end', () => {
+    if (connection instanceof Socket && connection.remoteAddress === undefined) response.destroy();
+  });
+  response.once('close', () => {
+    connection.destroy();
+  });
+  const ignoreError = () => undefined;
+  pipeline(message, connection, ignoreError);
+  pipeline(connection, response, ignoreError);
+}
--- a/packages/relay/src/connections/reachability.ts
+++ b/packages/relay/src/connections/reachability.ts
@@ -10,44 +10,69 @@
   readonly metrics: PrometheusMetrics;
 }
 
-/** Records which servers this host reaches, and logs when it seems to be cut off from all. */
+/** Records which servers this host reaches, and logs each change. */
 export class Reachability {
-  readonly paths = new ServerPaths();
+  readonly #paths = new ServerPaths();
   #isolatedSinceMs: Milliseconds | undefined;
 
   constructor(readonly parts: ReachabilityParts) {}
 
   /** Whether this host seems to be partitioned from all servers. */
   get isIsolated(): boolean {
-    return this.paths.isIsolated(this.parts.clock.monotonicMs());
+    return this.#paths.isIsolated(this.#nowMs);
+  }
+
+  /** Whether the path to a server is broken, or may be as this host seems to be isolated. */
+  isBroken({ id }: BackendServer): boolean {
+    return this.#paths.isBroken(id, this.#nowMs);
+  }
+
+  /** Whether to try a broken path again; counts as tried if so. */
+  takeProbe({ id }: BackendServer): boolean {
+    return this.#paths.takeProbe(id, this.#nowMs);
   }
 
   /** Records that this host has connected to a server. */
-  recordConnected(): void {
-    this.paths.recordConnected(this.parts.clock.monotonicMs());
+  recordConnected({ id }: BackendServer): void {
+    this.#paths.recordConnected(id, this.#nowMs);
     this.update();
   }
 
-  /** Records that a connection to a server did not come up. */
+  /** Records that a connection to a server did not come up, and no other host says that it is down. */
   recordUnreached({ id }: BackendServer): void {
-    this.paths.recordUnreached(id, this.parts.clock.monotonicMs());
+    this.#paths.recordUnreached(id, this.#nowMs);
+    this.update();
+  }
+
+  /** Records that a peer has connected to a server that this host does not reach. */
+  recordBroken({ id, service }: BackendServer, peer: string): void {
+    const connectedAgeMs = Math.round(this.#paths.connectedAgeMs(this.#nowMs));
+    if (this.#paths.recordBroken(id, this.#nowMs)) {
+      const line = { server: id, service, reached_by: peer, connected_age_ms: connectedAgeMs };
+      this.parts.log.warn('path_broken', line);
+    }
     this.update();
   }
 
-  /** Updates the gauge, and logs the begin and the end of the isolation. */
+  /** Updates the gauges, and logs the begin and the end of the isolation. */
   update(): void {
-    const { clock, log, metrics } = this.parts;
-    const nowMs = clock.monotonicMs();
-    const unreached = this.paths.unreachedCount(nowMs);
+    const { log, metrics } = this.parts;
+    const nowMs = this.#nowMs;
+    const unreached = this.#paths.unreachedCount(nowMs);
     metrics.set('poppypond_unreached_servers', unreached);
+    metrics.set('poppypond_broken_paths', this.#paths.brokenCount(nowMs));
     if (this.isIsolated === (this.#isolatedSinceMs !== undefined)) return;
     if (this.#isolatedSinceMs === undefined) {
       this.#isolatedSinceMs = nowMs;
-      const connectedAgeMs = Math.round(this.paths.connectedAgeMs(nowMs));
+      const connectedAgeMs = Math.round(this.#paths.connectedAgeMs(nowMs));
       log.warn('host_isolated', { unreached, connected_age_ms: connectedAgeMs });
       return;
     }
     log.warn('host_reconnected', { after_ms: Math.round(nowMs - this.#isolatedSinceMs) });
     this.#isolatedSinceMs = undefined;
   }
+
+  get #nowMs(): Milliseconds {
+    return this.parts.clock.monotonicMs();
+  }
 }
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -294,6 +294,11 @@
     return { hosts: [this.parts.self.host, ...others].sort(), hostCount };
   }
 
+  /** All other known hosts, alive or not. */
+  members(): readonly PeerAddress[] {
+    return [...this.#peers.all()];
+  }
+
   /** Number of peers heard from recently. */
   get aliveCount(): number {
     return this.#peers.aliveCount;
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@poppypond/core';
 import type { Server, Socket } from 'node:net';
 import type { BackendServer, LimitNotice } from '@poppypond/fleet';
+import type { ServerConnector } from './connections/server-connector.js';
 import type { RoutingConfiguration } from '@poppypond/routing';
 import type { IncomingMessage } from 'node:http';
 import type { Result } from 'true-myth';
@@ -221,7 +222,8 @@
   readonly store: RowStore;
   readonly rows: PlatformRows;
   readonly wire: RelayWire;
-  readonly memory: EngineMemory;
+  /** Returns the client of engine memory, which opens its connections by `connector`. */
+  readonly memory: (connector: ServerConnector) => EngineMemory;
   /**
    * Hands over a server that listens at `ADDRESS:PORT` already, and the paused connections that it
    * has accepted; undefined if there is none.
--- a/packages/relay/src/quarantine/termination-detector.test.ts
+++ b/packages/relay/src/quarantine/termination-detector.test.ts
@@ -8,6 +8,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import type { CallerHead } from '../ports.js';
 import { ServerList } from '../store/server-list.js';
+import { DirectConnector } from '../connections/direct-connection.js';
 import { contentOf } from './request-content.js';
 import { TerminationDetector } from './termination-detector.js';
 import type { ProbedServer } from './termination-detector.js';
@@ -49,6 +50,7 @@
 
 function createDetector() {
   const clock = new SystemClock();
+  const connector = new DirectConnector(clock);
   const servers = new ServerList(clock, silentLog);
   const shared = { clock, log: silentLog, metrics: new PrometheusMetrics(), host: 'host-1' };
   const quarantine = new SharedQuarantine({ ...shared, quarantine: new Quarantine() });
@@ -59,7 +61,7 @@
     const onProbed = (server: ProbedServer) => found.push(server);
     return {
       followed,
-      ends: new TerminationDetector({ clock, servers, onProbed }, followed),
+      ends: new TerminationDetector({ clock, connector, servers, onProbed }, followed),
     };
   };
   return { servers, follow, found };
--- a/packages/relay/src/quarantine/termination-detector.ts
+++ b/packages/relay/src/quarantine/termination-detector.ts
@@ -1,12 +1,12 @@
 import { delay } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
 import type { BackendServer, FollowedRequest } from '@poppypond/fleet';
-import { probeServer } from '@poppypond/web';
-import type { ProbeResult } from '@poppypond/web';
+import { probeConnection } from '../connections/server-connector.js';
+import type { ConnectionProbe, ServerConnector } from '../connections/server-connector.js';
 import type { ServerList } from '../store/server-list.js';
 
-/** Result of a check whether a server has terminated; `listening` if it has not. */
-export type ServerFinding = ProbeResult | 'started_again';
+/** Result of a check whether a server has terminated; `listening` and `unknown` if it may not have. */
+export type ServerFinding = ConnectionProbe | 'started_again';
 
 /** Result of the check of one server after an attempt, for the log. */
 export interface ProbedServer {
@@ -21,6 +21,7 @@
 /** Dependencies of `TerminationDetector`. */
 export interface TerminationDetectorParts {
   readonly clock: Clock;
+  readonly connector: ServerConnector;
   readonly servers: ServerList;
   readonly onProbed: (found: ProbedServer) => void;
 }
@@ -62,11 +63,11 @@
    * `PROBE_WAIT_MS`; a later result is still recorded.
    */
   async probe(attempt: string, server: BackendServer, why: string): Promise<void> {
-    const { clock } = this.parts;
-    const probed = probeServer(clock, server).then((state) => {
+    const { clock, connector } = this.parts;
+    const probed = probeConnection(connector, server).then((state) => {
       this.#recordFinding(attempt, server, state, why);
       // A process that restarted at once accepts connections too.
-      if (state === 'listening') this.#watchForRestart(attempt, server);
+      if (state === 'listening' || state === 'unknown') this.#watchForRestart(attempt, server);
     });
     await Promise.race([probed, delay(clock, PROBE_WAIT_MS)]);
   }
@@ -92,7 +93,8 @@
 
   #recordFinding(attempt: string, server: BackendServer, found: ServerFinding, why: string): void {
     const { followed } = this;
-    const mayCount = found !== 'listening' && !this.#countedAttempts.has(attempt);
+    const hasTerminated = found !== 'listening' && found !== 'unknown';
+    const mayCount = hasTerminated && !this.#countedAttempts.has(attempt);
     if (mayCount && this.#isFirstReport(server)) {
       this.#countedAttempts.add(attempt);
       followed.onTerminated(attempt, server.id);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -6,6 +6,7 @@
 import type { Unit } from 'true-myth';
 import { composeBase, composeParts, composePeers, selfAddress } from './compose.js';
 import type { RelayBase } from './compose.js';
+import { ForwardingListener } from './connections/forwarding-listener.js';
 import { HostFull } from './host/host-full.js';
 import { HostMonitor } from './host/host-monitor.js';
 import { DatagramSender } from './peers/datagram-sender.js';
@@ -31,6 +32,7 @@
   readonly planner: Planner;
   readonly serving: RequestHandler;
   readonly callerListener: CallerListener;
+  readonly forwardingListener: ForwardingListener;
 }
 
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
@@ -127,6 +129,10 @@
     const running = this.#compose(sender);
     this.#components = running;
     running.peers.start();
+    await running.forwardingListener.listen(settings.address, settings.peerPort);
+    this.#onStop.push(() => {
+      running.forwardingListener.close();
+    });
     await this.#openStatusServers(running);
     await this.#openCallerListener(running.callerListener);
     this.#handlePauses(running.peers);
@@ -151,16 +157,16 @@
     const { clock, log, output } = this.#base;
     const nowMs = clock.monotonicMs();
     const untilMs = nowMs + this.settings.stopGraceSeconds * MS_PER_SECOND - STOP_MARGIN_MS;
-    log.warn('stopping', { open: this.#openCount, within_ms: Math.round(untilMs - nowMs) });
+    log.warn('stopping', { open: this.#unfinishedCount, within_ms: Math.round(untilMs - nowMs) });
     await delay(clock, BALANCER_DRAIN_MS);
     // Requests would keep arriving on kept-alive connections, and late ones could not be finished.
     this.#components?.callerListener.close();
-    while (this.#openCount > 0 && clock.monotonicMs() < untilMs) {
+    while (this.#unfinishedCount > 0 && clock.monotonicMs() < untilMs) {
       this.#components?.callerListener.closeIdle();
       await delay(clock, DRAIN_POLL_PERIOD_MS);
     }
     this.#closeAll();
-    log.warn('stopped', { open: this.#openCount });
+    log.warn('stopped', { open: this.#unfinishedCount });
     await output.drain(LOG_DRAIN_MS);
   }
 
@@ -183,6 +189,11 @@
     return this.#components?.serving.openCount ?? 0;
   }
 
+  /** Open requests, and connections of other hosts that end with their requests. */
+  get #unfinishedCount(): number {
+    return this.#openCount + (this.#components?.forwardingListener.openCount ?? 0);
+  }
+
   #compose(sender: DatagramSender): RelayComponents {
     const { clock, activeConfiguration, hostBudget, log, metrics } = this.#base;
     const { peers, placement, planner } = composePeers(this.#base, sender, (host) => {
@@ -199,7 +210,16 @@
       hostBudget,
       hostFull: new HostFull({ budget: hostBudget, log, metrics, random: Math.random }),
     });
-    return { peers, planner, serving, callerListener };
+    const { hostFullness, reachability, servers } = this.#base;
+    const forwardingListener = new ForwardingListener({
+      clock,
+      metrics,
+      reachability,
+      isPeerAddress: (address) => peers.members().some((peer) => peer.address === address),
+      findServer: (id) => servers.find(id),
+      isClosed: () => this.#isStopping || hostFullness.isFull,
+    });
+    return { peers, planner, serving, callerListener, forwardingListener };
   }
 
   /** After a process pause, refreshes what this host knows before it decides anything by it. */
--- a/packages/relay/src/request/attempt-outcome-handler.ts
+++ b/packages/relay/src/request/attempt-outcome-handler.ts
@@ -61,7 +61,7 @@
       this.parts.finalResponse.finishEvents(end.head);
       return true;
     }
-    this.suspect(choice.server, end.detail);
+    if (end.kind === 'broken' || end.isServerAtFault) this.suspect(choice.server, end.detail);
     this.parts.relay.notices.recordFailure(choice.server);
     // The check precedes the retry: a termination of the next server counts as a further one only
     // if this one is known when the retry begins.
--- a/packages/relay/src/request/attempt-result.test.ts
+++ b/packages/relay/src/request/attempt-result.test.ts
@@ -30,7 +30,7 @@
       whole(503, { isNotExecuted: true }),
       whole(429, { isNotExecuted: true }),
       { kind: 'broken', detail: '' } as const,
-      { kind: 'not_sent', detail: '' } as const,
+      { kind: 'not_sent', detail: '', isServerAtFault: true } as const,
     ];
     expect(failures.map((end) => isServerFailure(end))).toEqual(failures.map(() => true));
   });
--- a/packages/relay/src/request/attempt-result.ts
+++ b/packages/relay/src/request/attempt-result.ts
@@ -21,5 +21,6 @@
   if (end.kind === 'whole') return isFailedResponse(end.head);
   if (end.kind === 'events_done') return false;
   if (end.kind === 'cancelled' || end.kind === 'not_taken') return undefined;
+  if (end.kind === 'not_sent') return end.isServerAtFault ? true : undefined;
   return true;
 }
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -112,11 +112,14 @@
     this.#deadlineAtMs = arrivedAtMs + timeoutMs;
     this.#events = new ResponseEvents(answer, caller.lastEventId);
     this.#lastEventAtMs = arrivedAtMs;
-    const { clock, memory, servers, quarantine } = parts;
+    const { clock, connector, memory, servers, quarantine } = parts;
     const onProbed = this.#telemetry.serverProbed.bind(this.#telemetry);
     const content = contentOf(caller, admitted.workspace, body);
     this.#followed = new FollowedRequest(quarantine, content);
-    this.#terminations = new TerminationDetector({ clock, servers, onProbed }, this.#followed);
+    this.#terminations = new TerminationDetector(
+      { clock, connector, servers, onProbed },
+      this.#followed,
+    );
     this.#finalResponse = new FinalResponse({
       answer,
       telemetry: this.#telemetry,
@@ -287,18 +290,16 @@
     this.#current = undefined;
     this.#watch.end();
     this.parts.gate.onAttemptEnd(choice.server, id);
-    this.#recordResult(choice, end, attempt.isConnected);
+    this.#recordResult(choice, end);
     void choice.held?.release();
     this.#telemetry.attemptEnded(end.kind);
     return end;
   }
 
   /** Reports the end of an attempt and what it tells about its server. */
-  #recordResult({ attemptId, server }: Choice, end: AttemptOutcome, isConnected: boolean): void {
-    const { fleet, gate, peers, reachability } = this.parts;
+  #recordResult({ attemptId, server }: Choice, end: AttemptOutcome): void {
+    const { fleet, gate, peers } = this.parts;
     const isFailed = isServerFailure(end);
-    if (end.kind === 'not_sent') reachability.recordUnreached(server);
-    else if (isConnected) reachability.recordConnected();
     const engineService = this.#engineService;
     peers.end(attemptId, engineService, isFailed === false);
     if (!fleet.avoidance.isEnabled || engineService !== undefined || isFailed === undefined) return;
@@ -341,6 +342,7 @@
       { server, method, path, headers, body, requestId, wantsEvents },
       {
         clock,
+        connector: this.parts.connector,
         parseResponseHead: (message) => wire.parseResponseHead(message),
         onHead: ({ word, isNotExecuted }) => {
           this.parts.notices.recordNotice(server, word, askedAtMs);
--- a/packages/relay/src/request/silent-server.ts
+++ b/packages/relay/src/request/silent-server.ts
@@ -1,11 +1,13 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
 import type { BackendServer, FleetView } from '@poppypond/fleet';
-import { probeServer } from '@poppypond/web';
+import { probeConnection } from '../connections/server-connector.js';
+import type { ServerConnector } from '../connections/server-connector.js';
 import type { EngineMemory } from '../ports.js';
 
 /** Dependencies of `isSilentServerAtFault`. */
 export interface SilentServerParts {
   readonly clock: Clock;
+  readonly connector: ServerConnector;
   readonly fleet: FleetView;
   readonly memory: EngineMemory;
 }
@@ -23,11 +25,12 @@
  * must not go silent too.
  */
 export async function isSilentServerAtFault(
-  { clock, fleet, memory }: SilentServerParts,
+  { clock, connector, fleet, memory }: SilentServerParts,
   { server, isEngine, startedAtMs }: SilentAttempt,
 ): Promise<boolean> {
   if (isEngine) return (await memory.readStatus(server)) === undefined;
   const { silentConnections } = fleet.avoidance;
   if (silentConnections.record(server.id, startedAtMs, clock.monotonicMs())) return true;
-  return (await probeServer(clock, server)) !== 'listening';
+  const found = await probeConnection(connector, server);
+  return found !== 'listening' && found !== 'unknown';
 }
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -116,6 +116,21 @@
     help: 'Servers that this host did not reach since its last connection to any.',
     labels: [],
   },
+  poppypond_broken_paths: {
+    type: 'gauge',
+    help: 'Servers that this host does not reach although another host does.',
+    labels: [],
+  },
+  poppypond_forwarding_requests_total: {
+    type: 'counter',
+    help: 'Connections that this host asked other hosts for, by how they ended.',
+    labels: ['end'],
+  },
+  poppypond_forwarded_connections_total: {
+    type: 'counter',
+    help: 'Connections that other hosts asked this one for, by status of the response.',
+    labels: ['status'],
+  },
   poppypond_sends_held_back_total: {
     type: 'counter',
     help: 'Servers that were chosen and could be sent nothing any more, by why.',
