Deliver responses without a length over forwarded connections

A response that ends with its connection arrived with 0 of 300,000 bytes, or as broken, over a forwarded connection. Cause: both ends tied the two directions together, so that the end of the response counted as an error of the unfinished request body. Now only the end of the response decides, and an end that the peer does not state is an error.

--- a/packages/fleet/src/server-paths.ts
+++ b/packages/fleet/src/server-paths.ts
@@ -1,9 +1,14 @@
 import type { Milliseconds } from '@poppypond/core';
 
+/** How the last connection of this host to a server failed. */
+interface FailedConnection {
+  readonly failedAtMs: Milliseconds;
+  /** Whether it got no answer, so that open connections are lost too; others may live on. */
+  readonly isSilent: boolean;
+}
+
 /** A server that this host does not reach although another host does. */
-interface BrokenPath {
-  /** When another host last reached the server in place of this one. */
-  readonly provenAtMs: Milliseconds;
+interface BrokenPath extends FailedConnection {
   /** When this host last tried to reach the server itself. */
   readonly probedAtMs: Milliseconds;
 }
@@ -17,8 +22,8 @@
 
 /** Which servers this host reaches, by the results of its own connection attempts. */
 export class ServerPaths {
-  /** Servers that were not reached since the last connection to any, with the time of the failure. */
-  readonly #unreached = new Map<string, Milliseconds>();
+  /** Servers that were not reached since the last connection to any. */
+  readonly #unreached = new Map<string, FailedConnection>();
   readonly #broken = new Map<string, BrokenPath>();
   #connectedAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
   /** Last probe of a path that is not known to be broken, while this host seems to be isolated. */
@@ -32,18 +37,19 @@
   }
 
   /** Records that a connection to a server did not come up, and no other host says that it is down. */
-  recordUnreached(serverId: string, nowMs: Milliseconds): void {
-    this.#unreached.set(serverId, nowMs);
+  recordUnreached(serverId: string, nowMs: Milliseconds, isSilent: boolean): void {
+    this.#unreached.set(serverId, { failedAtMs: nowMs, isSilent });
   }
 
   /**
    * Records that another host has connected to a server that this one does not reach. Returns true
    * if the path was not known to be broken.
    */
-  recordBroken(serverId: string, nowMs: Milliseconds): boolean {
+  recordBroken(serverId: string, nowMs: Milliseconds, isSilent: boolean): boolean {
     const known = this.#find(serverId, nowMs);
-    this.#unreached.set(serverId, nowMs);
-    this.#broken.set(serverId, { provenAtMs: nowMs, probedAtMs: known?.probedAtMs ?? nowMs });
+    const failed = { failedAtMs: nowMs, isSilent };
+    this.#unreached.set(serverId, failed);
+    this.#broken.set(serverId, { ...failed, probedAtMs: known?.probedAtMs ?? nowMs });
     return known === undefined;
   }
 
@@ -52,6 +58,15 @@
     return this.isIsolated(nowMs) || this.#find(serverId, nowMs) !== undefined;
   }
 
+  /** Whether a connection to a server that was opened directly is lost, as its path is silent. */
+  isSilent(serverId: string, nowMs: Milliseconds): boolean {
+    const known = this.#find(serverId, nowMs);
+    if (known) return known.isSilent;
+    return (
+      this.isIsolated(nowMs) && [...this.#unreached.values()].every(({ isSilent }) => isSilent)
+    );
+  }
+
   /** Whether to try a broken path again; counts as tried if so. */
   takeProbe(serverId: string, nowMs: Milliseconds): boolean {
     const known = this.#find(serverId, nowMs);
@@ -64,8 +79,8 @@
 
   /** Number of servers that were not reached since the last connection to any. */
   unreachedCount(nowMs: Milliseconds): number {
-    for (const [id, atMs] of this.#unreached) {
-      if (nowMs - atMs > MEMORY_MS) this.#unreached.delete(id);
+    for (const [id, { failedAtMs }] of this.#unreached) {
+      if (nowMs - failedAtMs > MEMORY_MS) this.#unreached.delete(id);
     }
     return this.#unreached.size;
   }
@@ -88,7 +103,7 @@
 
   #find(serverId: string, nowMs: Milliseconds): BrokenPath | undefined {
     const known = this.#broken.get(serverId);
-    if (known && nowMs - known.provenAtMs <= MEMORY_MS) return known;
+    if (known && nowMs - known.failedAtMs <= MEMORY_MS) return known;
     this.#broken.delete(serverId);
     return undefined;
   }
--- a/packages/relay/src/connections/connection-race.ts
+++ b/packages/relay/src/connections/connection-race.ts
@@ -91,6 +91,11 @@
     });
   }
 
+  /** Whether the direct connection has got no answer. */
+  get #isSilent(): boolean {
+    return this.#directFailure === undefined || this.#directFailure.why === 'silent';
+  }
+
   #connectDirectly(): void {
     this.#isDirectStarted = true;
     const { clock, reachability } = this.parts;
@@ -104,7 +109,7 @@
       }
       this.#directFailure = connected.error;
       if (this.#forwardedBy !== undefined)
-        reachability.recordBroken(this.server, this.#forwardedBy);
+        reachability.recordBroken(this.server, this.#forwardedBy, this.#isSilent);
       else if (this.#pending.size === 0) this.#askNextPeer();
     });
   }
@@ -152,7 +157,7 @@
     if (!this.#isSettled) this.#forwardedBy = host;
     const isDirectLate = this.#isDirectStarted && !this.#isKnownBroken;
     if (this.#forwardedBy === host && (isDirectLate || this.#directFailure))
-      reachability.recordBroken(this.server, host);
+      reachability.recordBroken(this.server, host, this.#isSilent);
     this.#onConnected(connected.value);
   }
 
@@ -169,7 +174,7 @@
   #fail(failure: ConnectFailure): void {
     if (this.#isSettled) return;
     const { peers, reachability } = this.parts;
-    if (!this.#isConfirmed) reachability.recordUnreached(this.server);
+    if (!this.#isConfirmed) reachability.recordUnreached(this.server, this.#isSilent);
     const isPathBroken = peers.isAnyKnown && reachability.isBroken(this.server);
     const isServerAtFault = this.#isConfirmed || !isPathBroken;
     this.#settle(Result.err({ ...failure, isServerAtFault }));
--- a/packages/relay/src/connections/forwarded-connection.ts
+++ b/packages/relay/src/connections/forwarded-connection.ts
@@ -1,5 +1,6 @@
 import type { BackendServer } from '@poppypond/fleet';
 import { request } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Duplex } from 'node:stream';
 import { Result } from 'true-myth';
 import type { PeerAddress } from '../peers/peer-list.js';
@@ -15,6 +16,49 @@
   [FORWARDING_STATUS.silent]: 'silent',
 };
 
+/** The bytes of a connection through a peer. Fails unless the peer states the end of the response. */
+class ForwardedConnection extends Duplex {
+  readonly #outgoing: ClientRequest;
+  readonly #response: IncomingMessage;
+
+  constructor(outgoing: ClientRequest, response: IncomingMessage) {
+    super({ allowHalfOpen: false });
+    this.#outgoing = outgoing;
+    this.#response = response;
+    // An error before the first use must not go unhandled.
+    this.on('error', () => undefined);
+    response.on('data', (chunk: Buffer) => {
+      if (!this.push(chunk)) response.pause();
+    });
+    response.once('end', () => {
+      this.push(null);
+    });
+    response.once('close', () => {
+      if (!response.complete) this.destroy(new Error('the forwarding host closed the connection'));
+    });
+  }
+
+  override _read(): void {
+    this.#response.resume();
+  }
+
+  override _write(chunk: Buffer, _encoding: string, onWritten: () => void): void {
+    if (this.#outgoing.write(chunk)) onWritten();
+    else this.#outgoing.once('drain', onWritten);
+  }
+
+  override _final(onEnded: () => void): void {
+    this.#outgoing.end();
+    onEnded();
+  }
+
+  override _destroy(error: Error | null, onDestroyed: (error: Error | null) => void): void {
+    this.#outgoing.destroy();
+    this.#response.destroy();
+    onDestroyed(error);
+  }
+}
+
 /**
  * Opens a connection to a server through a peer. Request and response bodies carry its bytes in
  * chunks, so that the loss of the peer can't be mistaken for the end of the server's response.
@@ -40,9 +84,7 @@
       response.on('error', () => undefined);
       if (status !== FORWARDING_STATUS.connected)
         return fail(FAILURES_BY_STATUS[status] ?? 'unavailable', `status ${String(status)}`);
-      const connection = Duplex.from({ readable: response, writable: outgoing });
-      connection.on('error', () => undefined);
-      resolve(Result.ok(connection));
+      resolve(Result.ok(new ForwardedConnection(outgoing, response)));
     });
     outgoing.flushHeaders();
   });
--- a/packages/relay/src/connections/forwarding-listener.ts
+++ b/packages/relay/src/connections/forwarding-listener.ts
@@ -121,7 +121,7 @@
   response.once('close', () => {
     connection.destroy();
   });
-  const ignoreError = () => undefined;
-  pipeline(message, connection, ignoreError);
-  pipeline(connection, response, ignoreError);
+  // Not by `pipeline`, which would abort the response when the server closes its connection first.
+  message.pipe(connection);
+  pipeline(connection, response, () => undefined);
 }
--- a/packages/relay/src/connections/reachability.ts
+++ b/packages/relay/src/connections/reachability.ts
@@ -27,6 +27,11 @@
     return this.#paths.isBroken(id, this.#nowMs);
   }
 
+  /** Whether a connection to a server that was opened directly is lost, as its path is silent. */
+  isSilent({ id }: BackendServer): boolean {
+    return this.#paths.isSilent(id, this.#nowMs);
+  }
+
   /** Whether to try a broken path again; counts as tried if so. */
   takeProbe({ id }: BackendServer): boolean {
     return this.#paths.takeProbe(id, this.#nowMs);
@@ -39,16 +44,22 @@
   }
 
   /** Records that a connection to a server did not come up, and no other host says that it is down. */
-  recordUnreached({ id }: BackendServer): void {
-    this.#paths.recordUnreached(id, this.#nowMs);
+  recordUnreached({ id }: BackendServer, isSilent: boolean): void {
+    this.#paths.recordUnreached(id, this.#nowMs, isSilent);
     this.update();
   }
 
   /** Records that a peer has connected to a server that this host does not reach. */
-  recordBroken({ id, service }: BackendServer, peer: string): void {
+  recordBroken({ id, service }: BackendServer, peer: string, isSilent: boolean): void {
     const connectedAgeMs = Math.round(this.#paths.connectedAgeMs(this.#nowMs));
-    if (this.#paths.recordBroken(id, this.#nowMs)) {
-      const line = { server: id, service, reached_by: peer, connected_age_ms: connectedAgeMs };
+    if (this.#paths.recordBroken(id, this.#nowMs, isSilent)) {
+      const line = {
+        server: id,
+        service,
+        reached_by: peer,
+        silent: isSilent,
+        connected_age_ms: connectedAgeMs,
+      };
       this.parts.log.warn('path_broken', line);
     }
     this.update();
