Move requests off open connections whose path went silent

What callers saw: a stream under way when its host lost its paths stood still until the engine counted as busy for too long, as status queries now reach it through a peer: 2,242 ms for five events 150 ms apart. Cause: an answer of the server on another path was taken for proof that the connection works. A direct connection whose path is known to be silent now counts as lost at the first check; one whose path refuses new connections does not, as open ones live on. The test fails before (1,750 ms allowed) and passes now.

Further tests: no suspicions or quarantine elsewhere, everything served after all servers were silent for a second, requests that may run once run once.

--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -83,6 +83,7 @@
   #isFinished = false;
   readonly #connecting = new AbortController();
   #isConnected = false;
+  #isDirect = false;
   /**
    * Tracked because Node reports a response without a length as complete even if its connection was
    * reset.
@@ -119,6 +120,11 @@
     return this.#isConnected;
   }
 
+  /** Whether the connection was opened by this host itself. */
+  get isDirect(): boolean {
+    return this.#isDirect;
+  }
+
   /** Cancels the attempt by closing its connection, which also stops the server's work. */
   cancel(): void {
     this.#settle({ kind: 'cancelled' });
@@ -164,6 +170,7 @@
   #send(connection: Duplex): void {
     const { method, path, headers, body } = this.call;
     this.#isConnected = true;
+    this.#isDirect = connection instanceof Socket;
     connection.once('error', () => {
       this.#isReset = true;
     });
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -388,6 +388,7 @@
     hostBudget: base.hostBudget,
     notices: base.notices,
     speedNotices: base.speedNotices,
+    reachability: base.reachability,
     connector: base.connector,
     evacuations: base.evacuations,
     confirmedZones: base.confirmedZones,
--- a/packages/relay/src/request/attempt-watch.ts
+++ b/packages/relay/src/request/attempt-watch.ts
@@ -18,6 +18,8 @@
    * monitored.
    */
   readonly mayRepeat: boolean;
+  /** Whether the connection of the current attempt is lost, whatever its server does. */
+  readonly isConnectionLost: (server: BackendServer) => boolean;
   /**
    * Called when a server that the attempt depends on is silent or dead, with the reason. Returns
    * whether the attempt ends.
@@ -44,13 +46,14 @@
   #stopWatchingRestarts: () => void = () => undefined;
 
   constructor(readonly parts: AttemptWatchParts) {
-    const { clock, memory, route, onUnresponsive } = parts;
+    const { clock, memory, route, isConnectionLost, onUnresponsive } = parts;
     const isResponsive = async (server: BackendServer) =>
       (await memory.readStatus(server)) !== undefined;
     this.#silence = new SilenceWatch({
       clock,
       route,
       isResponsive,
+      isConnectionLost,
       onSilent: (server) => onUnresponsive(server, SILENT),
     });
     this.#prefills = new PrefillWatch({
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -2,6 +2,7 @@
 import type { FleetView, RetryBudget, RecentRejections } from '@poppypond/fleet';
 import type { ActiveConfiguration, Freshness } from '@poppypond/routing';
 import type { Log, PrometheusMetrics } from '@poppypond/telemetry';
+import type { Reachability } from '../connections/reachability.js';
 import type { ServerConnector } from '../connections/server-connector.js';
 import type { HostBudget } from '../host/host-budget.js';
 import type { PermitClient } from '../notices/permit-client.js';
@@ -34,6 +35,7 @@
   readonly quarantine: SharedQuarantine;
   readonly notices: ServerNotices;
   readonly speedNotices: SpeedNotices;
+  readonly reachability: Reachability;
   readonly connector: ServerConnector;
   readonly evacuations: Evacuations;
   readonly confirmedZones: ConfirmedZones;
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -144,6 +144,8 @@
       servers,
       route: this.#route,
       mayRepeat: this.#history.mayRepeat,
+      isConnectionLost: (server) =>
+        this.#current?.attempt.isDirect === true && parts.reachability.isSilent(server),
       onUnresponsive: (server, why) => this.#abandonFor(server, why),
       onRestarted: (server) => {
         this.#onServerRestarted(server);
--- a/packages/relay/src/request/silence-watch.ts
+++ b/packages/relay/src/request/silence-watch.ts
@@ -10,6 +10,8 @@
   readonly route: Route;
   /** Whether a server answers a status query. */
   readonly isResponsive: (server: BackendServer) => Promise<boolean>;
+  /** Whether the connection of the monitored attempt is lost, whatever the server does. */
+  readonly isConnectionLost: (server: BackendServer) => boolean;
   /**
    * Called when the monitored attempt is to be abandoned because this server is silent. Returns
    * whether the attempt ends; otherwise the server is checked again later.
@@ -70,7 +72,11 @@
   async #onSilence(): Promise<void> {
     const silent = this.#monitored;
     if (!silent) return;
-    const isBusy = this.#mayBeBusy(silent) && (await this.parts.isResponsive(silent.server));
+    const { isConnectionLost, isResponsive } = this.parts;
+    const isBusy =
+      !isConnectionLost(silent.server) &&
+      this.#mayBeBusy(silent) &&
+      (await isResponsive(silent.server));
     if (this.#monitored !== silent) return;
     if (isBusy) {
       this.#checkAfter(BUSY_RECHECK_MS);
