--- a/packages/fleet/src/server-paths.ts
+++ b/packages/fleet/src/server-paths.ts
@@ -26,8 +26,8 @@
   readonly #unreached = new Map<string, FailedConnection>();
   readonly #broken = new Map<string, BrokenPath>();
   #connectedAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
-  /** Last probe of a path that is not known to be broken, while this host seems to be isolated. */
-  #isolatedProbeAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
+  /** Last probe of a path that is not known to be broken, while this host seems to be partitioned from all servers. */
+  #partitionedProbeAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
 
   /** Records that this host has connected to a server. */
   recordConnected(serverId: string, nowMs: Milliseconds): void {
@@ -53,9 +53,9 @@
     return known === undefined;
   }
 
-  /** Whether the path to a server is broken, or may be as this host seems to be isolated. */
+  /** Whether the path to a server is broken, or may be, as this host seems to be partitioned from all servers. */
   isBroken(serverId: string, nowMs: Milliseconds): boolean {
-    return this.isIsolated(nowMs) || this.#find(serverId, nowMs) !== undefined;
+    return this.isPartitioned(nowMs) || this.#find(serverId, nowMs) !== undefined;
   }
 
   /** Whether a connection to a server that was opened directly is lost, as its path is silent. */
@@ -63,17 +63,17 @@
     const known = this.#find(serverId, nowMs);
     if (known) return known.isSilent;
     return (
-      this.isIsolated(nowMs) && [...this.#unreached.values()].every(({ isSilent }) => isSilent)
+      this.isPartitioned(nowMs) && [...this.#unreached.values()].every(({ isSilent }) => isSilent)
     );
   }
 
   /** Whether to try a broken path again; counts as tried if so. */
   takeProbe(serverId: string, nowMs: Milliseconds): boolean {
     const known = this.#find(serverId, nowMs);
-    const probedAtMs = known?.probedAtMs ?? this.#isolatedProbeAtMs;
+    const probedAtMs = known?.probedAtMs ?? this.#partitionedProbeAtMs;
     if (nowMs - probedAtMs < PROBE_PERIOD_MS) return false;
     if (known) this.#broken.set(serverId, { ...known, probedAtMs: nowMs });
-    else this.#isolatedProbeAtMs = nowMs;
+    else this.#partitionedProbeAtMs = nowMs;
     return true;
   }
 
@@ -92,7 +92,7 @@
   }
 
   /** Whether this host seems to be partitioned from all servers. */
-  isIsolated(nowMs: Milliseconds): boolean {
+  isPartitioned(nowMs: Milliseconds): boolean {
     return this.unreachedCount(nowMs) >= MIN_UNREACHED_SERVERS;
   }
 
--- a/packages/relay/src/connections/reachability.ts
+++ b/packages/relay/src/connections/reachability.ts
@@ -13,13 +13,13 @@
 /** Records which servers this host reaches, and logs each change. */
 export class Reachability {
   readonly #paths = new ServerPaths();
-  #isolatedSinceMs: Milliseconds | undefined;
+  #partitionedSinceMs: Milliseconds | undefined;
 
   constructor(readonly parts: ReachabilityParts) {}
 
   /** Whether this host seems to be partitioned from all servers. */
-  get isIsolated(): boolean {
-    return this.#paths.isIsolated(this.#nowMs);
+  get isPartitioned(): boolean {
+    return this.#paths.isPartitioned(this.#nowMs);
   }
 
   /** Time since this host last connected to a server; infinite if it never has. */
@@ -27,7 +27,7 @@
     return this.#paths.connectedAgeMs(this.#nowMs);
   }
 
-  /** Whether the path to a server is broken, or may be as this host seems to be isolated. */
+  /** Whether the path to a server is broken, or may be, as this host seems to be partitioned from all servers. */
   isBroken({ id }: BackendServer): boolean {
     return this.#paths.isBroken(id, this.#nowMs);
   }
@@ -70,22 +70,22 @@
     this.update();
   }
 
-  /** Updates the gauges, and logs the begin and the end of the isolation. */
+  /** Updates the gauges, and logs the begin and the end of the partition. */
   update(): void {
     const { log, metrics } = this.parts;
     const nowMs = this.#nowMs;
     const unreached = this.#paths.unreachedCount(nowMs);
     metrics.set('poppypond_unreached_servers', unreached);
     metrics.set('poppypond_broken_paths', this.#paths.brokenCount(nowMs));
-    if (this.isIsolated === (this.#isolatedSinceMs !== undefined)) return;
-    if (this.#isolatedSinceMs === undefined) {
-      this.#isolatedSinceMs = nowMs;
+    if (this.isPartitioned === (this.#partitionedSinceMs !== undefined)) return;
+    if (this.#partitionedSinceMs === undefined) {
+      this.#partitionedSinceMs = nowMs;
       const connectedAgeMs = Math.round(this.connectedAgeMs);
-      log.warn('host_isolated', { unreached, connected_age_ms: connectedAgeMs });
+      log.warn('host_partitioned', { unreached, connected_age_ms: connectedAgeMs });
       return;
     }
-    log.warn('host_reconnected', { after_ms: Math.round(nowMs - this.#isolatedSinceMs) });
-    this.#isolatedSinceMs = undefined;
+    log.warn('host_reconnected', { after_ms: Math.round(nowMs - this.#partitionedSinceMs) });
+    this.#partitionedSinceMs = undefined;
   }
 
   get #nowMs(): Milliseconds {
