Ask slow peers last instead of leaving them out

Cause: a peer that had not connected within 60 ms was left out for 2 s. On slow hosts that struck all peers, so that none was left to ask. Peers are ordered now: usable, unknown, slow, unavailable; none is left out. A connection by a broken path has 600 ms in place of 300, as it takes more steps on two hosts, and timers of connections let pending events go first on both.

--- a/packages/fleet/src/server-paths.ts
+++ b/packages/fleet/src/server-paths.ts
@@ -26,7 +26,7 @@
   readonly #unreached = new Map<string, FailedConnection>();
   readonly #broken = new Map<string, BrokenPath>();
   #connectedAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
-  /** Last probe of a path that is not known to be broken, while this host seems to be partitioned from all servers. */
+  /** Last probe of a path that is not known to be broken, while this host seems to be partitioned. */
   #partitionedProbeAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
 
   /** Records that this host has connected to a server. */
@@ -36,7 +36,7 @@
     this.#broken.delete(serverId);
   }
 
-  /** Records that a connection to a server did not come up, and no other host says that it is down. */
+  /** Records that no connection to a server came up, and no other host says that it is down. */
   recordUnreached(serverId: string, nowMs: Milliseconds, isSilent: boolean): void {
     this.#unreached.set(serverId, { failedAtMs: nowMs, isSilent });
   }
@@ -53,12 +53,15 @@
     return known === undefined;
   }
 
-  /** Whether the path to a server is broken, or may be, as this host seems to be partitioned from all servers. */
+  /**
+   * Whether the path to a server is broken, or may be, as this host seems to be partitioned from all
+   * servers.
+   */
   isBroken(serverId: string, nowMs: Milliseconds): boolean {
     return this.isPartitioned(nowMs) || this.#find(serverId, nowMs) !== undefined;
   }
 
-  /** Whether a connection to a server that was opened directly is lost, as its path is silent. */
+  /** Whether connections to a server that this host opened itself are lost. */
   isSilent(serverId: string, nowMs: Milliseconds): boolean {
     const known = this.#find(serverId, nowMs);
     if (known) return known.isSilent;
--- a/packages/relay/src/connections/connection-race.ts
+++ b/packages/relay/src/connections/connection-race.ts
@@ -1,8 +1,9 @@
-import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
+import type { CancelTimer, Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
 import { CONNECT_TIMEOUT_MS } from '@poppypond/web';
 import { Result } from 'true-myth';
 import type { Duplex } from 'node:stream';
+import { afterEvents } from './after-events.js';
 import { connectDirectly } from './direct-connection.js';
 import { connectThrough } from './forwarded-connection.js';
 import type { PathConnectorParts } from './path-connector.js';
@@ -15,6 +16,8 @@
 const MAX_PEERS = 2;
 /** For a path that is known to be broken. */
 const MAX_PEERS_IF_BROKEN = 3;
+/** Time limit if only a peer can connect, which takes more steps on two hosts. */
+const FORWARDED_TIMEOUT_MS: Milliseconds = 600;
 
 const TIMED_OUT: ConnectFailure = {
   why: 'silent',
@@ -22,23 +25,6 @@
   isServerAtFault: true,
 };
 
-/**
- * Calls `callback` after a delay and the events that are due by then: after a pause of the process
- * the connection may be up although the delay has passed.
- */
-function afterEvents(clock: Clock, delayMs: Milliseconds, callback: () => void): CancelTimer {
-  let isCancelled = false;
-  const cancel = clock.after(delayMs, () => {
-    setImmediate(() => {
-      if (!isCancelled) callback();
-    });
-  });
-  return () => {
-    isCancelled = true;
-    cancel();
-  };
-}
-
 /**
  * Opens one connection over whichever path comes up first: directly, and if that fails or takes
  * long through peers. Nothing is sent before a path is chosen, so the request reaches the server at
@@ -67,11 +53,12 @@
     this.#isKnownBroken = parts.reachability.isBroken(server);
   }
 
-  /** Resolves within `CONNECT_TIMEOUT_MS`. */
+  /** Resolves within `CONNECT_TIMEOUT_MS`, or `FORWARDED_TIMEOUT_MS` if the path is broken. */
   run(signal: AbortSignal): Promise<Connected> {
     const { clock, reachability } = this.parts;
     return new Promise((resolve) => {
-      const cancelTimeout = afterEvents(clock, CONNECT_TIMEOUT_MS, () => {
+      const timeoutMs = this.#isKnownBroken ? FORWARDED_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
+      const cancelTimeout = afterEvents(clock, timeoutMs, () => {
         this.#fail(TIMED_OUT);
       });
       const onAbort = () => {
@@ -117,7 +104,7 @@
   #askNextPeerAfter(delayMs: Milliseconds): void {
     const { clock, peers } = this.parts;
     this.#cancelForwarding = afterEvents(clock, delayMs, () => {
-      for (const host of this.#pending.keys()) peers.record(host, false);
+      for (const host of this.#pending.keys()) peers.record(host, 'slow');
       this.#askNextPeer();
     });
   }
@@ -148,7 +135,8 @@
     const end = connected.isOk ? 'connected' : connected.error.why;
     metrics.count('poppypond_forwarding_requests_total', { end });
     // A peer that does not reach the server either may still reach others.
-    if (connected.isOk || connected.error.why === 'unavailable') peers.record(host, connected.isOk);
+    if (connected.isOk) peers.record(host, 'usable');
+    else if (connected.error.why === 'unavailable') peers.record(host, 'unavailable');
     if (connected.isErr) {
       this.#isConfirmed ||= connected.error.why !== 'unavailable';
       this.#askNextPeer();
--- a/packages/relay/src/connections/direct-connection.ts
+++ b/packages/relay/src/connections/direct-connection.ts
@@ -3,6 +3,7 @@
 import { CONNECT_TIMEOUT_MS } from '@poppypond/web';
 import { connect } from 'node:net';
 import { Result } from 'true-myth';
+import { afterEvents } from './after-events.js';
 import type { Connected, ConnectFailure, ServerConnector } from './server-connector.js';
 
 const FAILURES_BY_CODE: Readonly<Record<string, ConnectFailure['why']>> = {
@@ -32,7 +33,7 @@
     const onAbort = () => {
       end(failure('unavailable', 'cancelled'));
     };
-    const cancelTimeout = clock.after(timeoutMs, () => {
+    const cancelTimeout = afterEvents(clock, timeoutMs, () => {
       end(failure('silent', 'connect timeout'));
     });
     signal.addEventListener('abort', onAbort, { once: true });
--- a/packages/relay/src/connections/forwarded-connection.ts
+++ b/packages/relay/src/connections/forwarded-connection.ts
@@ -16,7 +16,7 @@
   [FORWARDING_STATUS.silent]: 'silent',
 };
 
-/** The bytes of a connection through a peer. Fails unless the peer states the end of the response. */
+/** A connection through a peer. Fails unless the peer states the end of the response. */
 class ForwardedConnection extends Duplex {
   readonly #outgoing: ClientRequest;
   readonly #response: IncomingMessage;
--- a/packages/relay/src/connections/forwarding-peers.ts
+++ b/packages/relay/src/connections/forwarding-peers.ts
@@ -11,15 +11,20 @@
   readonly random: () => number;
 }
 
-/** What is known of a peer that was asked to forward a connection. */
+/**
+ * How a peer answered when it was asked to forward a connection. `slow`: not yet, so that another
+ * was asked too. `unavailable`: it did not try.
+ */
+export type PeerAnswer = 'usable' | 'slow' | 'unavailable';
+
 interface KnownPeer {
-  readonly isUsable: boolean;
+  readonly answer: PeerAnswer;
   readonly untilMs: Milliseconds;
 }
 
 /** How long a peer that forwarded a connection is preferred. */
 const USABLE_MS: Milliseconds = 10_000;
-/** How long a peer that did not is left out. */
+/** How long others are preferred to a peer that did not. */
 const UNUSABLE_MS: Milliseconds = 2000;
 /** Below this number of usable peers others are tried beside them, so that the load is spread. */
 const MIN_USABLE = 3;
@@ -47,8 +52,10 @@
   choose(tried: ReadonlySet<string>): PeerAddress | undefined {
     const { availabilityZone, random } = this.parts;
     const untried = this.#nearby().filter(({ host }) => !tried.has(host));
-    const usable = untried.filter(({ host }) => this.#find(host)?.isUsable === true);
-    const unknown = untried.filter(({ host }) => this.#find(host) === undefined);
+    const answered = (answer: PeerAnswer | undefined) =>
+      untried.filter(({ host }) => this.#find(host)?.answer === answer);
+    const usable = answered('usable');
+    const unknown = answered(undefined);
     const isExploring =
       usable.length < MIN_USABLE && unknown.length > 0 && random() < EXPLORED_SHARE;
     if (usable.length > 0 && !isExploring) return this.#pick(usable);
@@ -57,13 +64,15 @@
     const preferred = unknown.filter(
       (peer) => (peer.availabilityZone === availabilityZone) === isOwnZoneNext,
     );
-    return this.#pick(preferred.length > 0 ? preferred : unknown);
+    // All may be slow at once under load, so none is left out.
+    const inOrder = [preferred, unknown, answered('slow'), answered('unavailable')];
+    return this.#pick(inOrder.find((peers) => peers.length > 0) ?? []);
   }
 
-  /** Records whether a peer has forwarded a connection. */
-  record(host: string, isUsable: boolean): void {
-    const forMs = isUsable ? USABLE_MS : UNUSABLE_MS;
-    this.#known.set(host, { isUsable, untilMs: this.parts.clock.monotonicMs() + forMs });
+  /** Records how a peer answered. */
+  record(host: string, answer: PeerAnswer): void {
+    const forMs = answer === 'usable' ? USABLE_MS : UNUSABLE_MS;
+    this.#known.set(host, { answer, untilMs: this.parts.clock.monotonicMs() + forMs });
   }
 
   /** Hosts of the same region, or all others if there are none. */
--- a/packages/relay/src/connections/reachability.ts
+++ b/packages/relay/src/connections/reachability.ts
@@ -27,12 +27,15 @@
     return this.#paths.connectedAgeMs(this.#nowMs);
   }
 
-  /** Whether the path to a server is broken, or may be, as this host seems to be partitioned from all servers. */
+  /**
+   * Whether the path to a server is broken, or may be, as this host seems to be partitioned from all
+   * servers.
+   */
   isBroken({ id }: BackendServer): boolean {
     return this.#paths.isBroken(id, this.#nowMs);
   }
 
-  /** Whether a connection to a server that was opened directly is lost, as its path is silent. */
+  /** Whether connections to a server that this host opened itself are lost. */
   isSilent({ id }: BackendServer): boolean {
     return this.#paths.isSilent(id, this.#nowMs);
   }
@@ -48,7 +51,7 @@
     this.update();
   }
 
-  /** Records that a connection to a server did not come up, and no other host says that it is down. */
+  /** Records that no connection to a server came up, and no other host says that it is down. */
   recordUnreached({ id }: BackendServer, isSilent: boolean): void {
     this.#paths.recordUnreached(id, this.#nowMs, isSilent);
     this.update();
