Log which parts of prompts terminated servers were running

The logs of the incident name the requests of a crashed engine but none of the parts of their prompts, so that a part that crashes engines can't be told from engines that end by themselves. The wire reads the ids of the parts that other requests may share, and the line server_asked lists them.

--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -24,6 +24,11 @@
   readonly promptTokens: number;
   /** Maximum number of output tokens; 0 if the head does not state it. */
   readonly answerTokens: number;
+  /**
+   * Ids of the parts of the prompt that other requests may share, which excludes the last one; empty
+   * if the head does not list them.
+   */
+  readonly sharedParts: readonly string[];
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: number | undefined;
   /** Headers that are forwarded unchanged. */
--- a/packages/relay/src/quarantine/termination-detector.test.ts
+++ b/packages/relay/src/quarantine/termination-detector.test.ts
@@ -23,6 +23,7 @@
   timeoutMs: undefined,
   promptTokens: 0,
   answerTokens: 0,
+  sharedParts: [],
   lastEventId: undefined,
   forwarded: [],
 };
--- a/packages/relay/src/request/request-telemetry.ts
+++ b/packages/relay/src/request/request-telemetry.ts
@@ -8,6 +8,8 @@
 import type { StreamPlan } from './choice.js';
 import type { RelayParts } from './relay-parts.js';
 
+const MAX_LOGGED_PARTS = 8;
+
 /** How a response ended, for the log. */
 export interface ResponseSummary {
   readonly code: ResultName;
@@ -133,7 +135,8 @@
   serverProbed({ server, content, found, why, ends }: ProbedServer): void {
     const request = this.caller.requestId;
     const { workspace } = this.admitted;
-    const line = { request, content, workspace, server: server.id, found, why, ends };
+    const parts = this.caller.sharedParts.slice(0, MAX_LOGGED_PARTS).join(',') || undefined;
+    const line = { request, content, workspace, server: server.id, found, why, ends, parts };
     this.parts.metrics.count('poppypond_servers_asked_total', { state: found });
     this.parts.log.warn('server_asked', line);
   }
