Quarantine parts of prompts that terminate servers

What callers saw: requests of one kind crashed engines one after the other, 65 to 72 in a few seconds, and most other requests of the kind were not served meanwhile.

Cause: the quarantine knew requests only by their whole content. Requests that share a fatal part and nothing else were all different to it, each with one or two terminations. The class: evidence is kept under an identity that is narrower than what causes it.

Change: hosts report the parts of their runs that end with a server. A part is fatal after five terminations at separate times, or three of runs that each started after the previous termination, if it was in no complete response from 3 s before the first. It then gets an entry in the quarantine that requests have, with the same trials, messages and heartbeats. Terminations with a part that is held are not counted against other parts, and requests that were quarantined for them alone are released.

Why it works: a fatal part is never in a complete response, while all other parts of its requests are, as other requests share them.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -15,6 +15,7 @@
 export * from './late-prompts.js';
 export * from './permit-buckets.js';
 export * from './leaving-incarnations.js';
+export * from './part-terminations.js';
 export * from './place-call.js';
 export * from './place-stream.js';
 export * from './quarantine.js';
--- a/packages/fleet/src/quarantine.ts
+++ b/packages/fleet/src/quarantine.ts
@@ -147,6 +147,13 @@
       .length;
   }
 
+  /** Whether a request must not run now, also not as a trial. */
+  isHeld(content: string, nowMs: Milliseconds, graceMs: Milliseconds = 0): boolean {
+    const entry = this.#entries.get(content);
+    if (!entry || !isQuarantined(entry)) return false;
+    return nowMs < entry.quarantinedUntilMs + graceMs;
+  }
+
   /**
    * Decides whether a request may run now. A trial is granted once, to the first caller after the
    * hold. Each host adds a different `graceMs`, so that all hosts learn of a trial before the next
@@ -155,7 +162,7 @@
   judge(content: string, nowMs: Milliseconds, graceMs: Milliseconds = 0): QuarantineVerdict {
     const entry = this.#entries.get(content);
     if (!entry || !isQuarantined(entry)) return 'free';
-    if (nowMs < entry.quarantinedUntilMs + graceMs) return 'held';
+    if (this.isHeld(content, nowMs, graceMs)) return 'held';
     this.#put({ ...entry, quarantinedUntilMs: nowMs + holdMs(entry.ends), changedAtMs: nowMs });
     return 'trial';
   }
@@ -190,6 +197,32 @@
     return entry;
   }
 
+  /** Quarantines a subject that was found to terminate servers; returns the new entry. */
+  hold(
+    content: string,
+    terminations: readonly ServerTermination[],
+    nowMs: Milliseconds,
+  ): QuarantineEntry {
+    const entry = {
+      content,
+      round: this.#entries.get(content)?.round ?? 0,
+      ends: MAX_TERMINATIONS,
+      quarantinedUntilMs: nowMs + holdMs(MAX_TERMINATIONS),
+      changedAtMs: nowMs,
+      lastTerminations: terminations.slice(-MAX_LISTED_TERMINATIONS),
+    };
+    this.#put(entry);
+    return entry;
+  }
+
+  /** Returns the entries that are quarantined and whose terminations are all among `servers`. */
+  quarantinedBy(servers: ReadonlySet<string>): readonly QuarantineEntry[] {
+    return [...this.#entries.values()].filter(
+      (entry) =>
+        isQuarantined(entry) && entry.lastTerminations.every(({ server }) => servers.has(server)),
+    );
+  }
+
   /**
    * Records that the request was served; returns the updated entry, or undefined if no termination
    * was known.
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -47,6 +47,7 @@
 import { PlacementClient } from './planning/placement-client.js';
 import { Planner } from './planning/planner.js';
 import type { EngineMemory, PlatformPorts, ServerNotice } from './ports.js';
+import { PartQuarantine } from './quarantine/part-quarantine.js';
 import { SharedQuarantine } from './quarantine/shared-quarantine.js';
 import type { RelayParts } from './request/relay-parts.js';
 import type { RelaySettings } from './settings.js';
@@ -81,6 +82,7 @@
   readonly gate: SendGate;
   readonly keyTrust: KeyTrust;
   readonly quarantine: SharedQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly pauseDetector: PauseDetector;
   /** Bytes held for callers, servers and peers. */
   readonly hostBudget: HostBudget;
@@ -221,6 +223,7 @@
     },
   );
   const quarantine = new SharedQuarantine({ ...own, quarantine: new Quarantine() });
+  const partQuarantine = new PartQuarantine({ ...own, quarantine });
   return {
     settings,
     ports,
@@ -244,6 +247,7 @@
     gate,
     keyTrust,
     quarantine,
+    partQuarantine,
     pauseDetector,
     ...composeHostBudget(settings, clock),
   };
@@ -331,6 +335,7 @@
     },
     syncState,
     quarantine,
+    partQuarantine: base.partQuarantine,
     notices,
     limits,
     evacuations,
@@ -384,6 +389,7 @@
     freshness,
     keyTrust,
     quarantine,
+    partQuarantine: base.partQuarantine,
     pauseDetector,
     hostBudget: base.hostBudget,
     notices: base.notices,
--- a/packages/relay/src/peers/message-dispatcher.ts
+++ b/packages/relay/src/peers/message-dispatcher.ts
@@ -12,6 +12,7 @@
 import { fromWireServer } from './server-wire-format.js';
 import type { StoreStateExchange } from './store-state-exchange.js';
 import type { Heartbeat, PeerMessage, WireMember } from './peer-messages.js';
+import type { PartTerminationExchange } from './part-termination-exchange.js';
 import type { QuarantineExchange } from './quarantine-exchange.js';
 import type { StoreSyncState } from './store-sync-state.js';
 import { fromWireAttemptUse } from './planning-wire-format.js';
@@ -24,6 +25,7 @@
   readonly heartbeats: HeartbeatExchange;
   readonly news: StoreStateExchange;
   readonly attempts: AttemptExchange;
+  readonly partTerminationExchange: PartTerminationExchange;
   readonly quarantineExchange: QuarantineExchange;
   readonly leavingExchange: LeavingExchange;
   readonly limitExchange: LimitExchange;
@@ -87,6 +89,9 @@
       .with({ kind: 'quarantine' }, (told) => {
         quarantineExchange.onMessage(told);
       })
+      .with({ kind: 'part_terminations' }, (told) => {
+        this.parts.partTerminationExchange.onMessage(told);
+      })
       .with({ kind: 'leaving' }, (told) => {
         leavingExchange.onMessage(told);
       })
--- a/packages/relay/src/peers/mocks/mesh-network.ts
+++ b/packages/relay/src/peers/mocks/mesh-network.ts
@@ -20,7 +20,9 @@
 import { PlacementClient } from '../../planning/placement-client.js';
 import type { PlanAnswer } from '../../planning/plan-request.js';
 import { Planner } from '../../planning/planner.js';
+import { PartQuarantine } from '../../quarantine/part-quarantine.js';
 import { SharedQuarantine } from '../../quarantine/shared-quarantine.js';
+import type { SharedQuarantineParts } from '../../quarantine/shared-quarantine.js';
 import { Evacuations } from '../../store/evacuations.js';
 import { ServerList } from '../../store/server-list.js';
 import { decodeMessage, encodeMessage } from '../peer-messages.js';
@@ -78,6 +80,7 @@
   readonly list: ServerList;
   readonly syncState: StoreSyncState;
   readonly quarantine: SharedQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly notices: ServerNotices;
   readonly speedNotices: SpeedNotices;
   readonly evacuations: Evacuations;
@@ -92,6 +95,11 @@
   return new SpeedNotices({ ...parts, durations: new UsualDurations() });
 }
 
+function createQuarantines(parts: Omit<SharedQuarantineParts, 'quarantine'>) {
+  const quarantine = new SharedQuarantine({ ...parts, quarantine: new Quarantine() });
+  return { quarantine, partQuarantine: new PartQuarantine({ ...parts, quarantine }) };
+}
+
 /** Hosts whose messages are delivered when the test requests it. */
 export class MeshNetwork {
   readonly clock = new ManualClock();
@@ -140,7 +148,7 @@
     const { limits, rates, coldNotices } = serverRates;
     const notices = new ServerNotices({ ...own, servers: list, rests, limits, coldNotices });
     const speedNotices = createSpeedNotices({ ...own, servers: list, speeds: fleet.speeds });
-    const quarantine = new SharedQuarantine({ ...own, quarantine: new Quarantine() });
+    const quarantines = createQuarantines(own);
     const answers: ReceivedAnswer[] = [];
     const planner: Planner = new Planner({
       clock,
@@ -168,7 +176,7 @@
         placement.onPlanAnswer(attemptId, answer);
       },
       syncState,
-      quarantine,
+      ...quarantines,
       notices,
       limits,
       evacuations,
@@ -190,7 +198,7 @@
       planner,
     });
     if (hasServerList) list.replace(this.servers, 0, 1);
-    const state = { activeConfiguration, freshness, list, syncState, quarantine, notices };
+    const state = { activeConfiguration, freshness, list, syncState, notices, ...quarantines };
     const started = { ...serverRates, speedNotices, evacuations, startedAtMs, answers };
     const host = { mesh, fleet, placement, clock, ...state, ...started };
     this.hosts.set(port, host);
--- a/packages/relay/src/peers/notice-exchanges.ts
+++ b/packages/relay/src/peers/notice-exchanges.ts
@@ -2,6 +2,7 @@
 import type { ServerLimits } from '@poppypond/fleet';
 import type { ServerNotices } from '../notices/server-notices.js';
 import type { SpeedNotices } from '../notices/speed-notices.js';
+import type { PartQuarantine } from '../quarantine/part-quarantine.js';
 import type { SharedQuarantine } from '../quarantine/shared-quarantine.js';
 import type { Evacuations } from '../store/evacuations.js';
 import { ColdExchange } from './cold-exchange.js';
@@ -10,6 +11,7 @@
 import { LeavingExchange } from './leaving-exchange.js';
 import { LimitExchange } from './limit-exchange.js';
 import type { PeerClocks } from './peer-clocks.js';
+import { PartTerminationExchange } from './part-termination-exchange.js';
 import { QuarantineExchange } from './quarantine-exchange.js';
 import { SpeedExchange } from './speed-exchange.js';
 
@@ -20,6 +22,7 @@
   readonly limits: ServerLimits;
   readonly notices: ServerNotices;
   readonly quarantine: SharedQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly speedNotices: SpeedNotices;
 }
 
@@ -29,6 +32,7 @@
   readonly evacuationExchange: EvacuationExchange;
   readonly leavingExchange: LeavingExchange;
   readonly limitExchange: LimitExchange;
+  readonly partTerminationExchange: PartTerminationExchange;
   readonly quarantineExchange: QuarantineExchange;
   readonly speedExchange: SpeedExchange;
 }
@@ -39,12 +43,14 @@
   sources: NoticeSources,
   clocks: PeerClocks,
 ): NoticeExchanges {
-  const { coldNotices, evacuations, limits, notices, quarantine, speedNotices } = sources;
+  const { coldNotices, evacuations, limits, notices, speedNotices } = sources;
+  const { partQuarantine, quarantine } = sources;
   return {
     coldExchange: new ColdExchange({ ...parts, coldNotices, clocks }),
     evacuationExchange: new EvacuationExchange({ ...parts, evacuations, clocks }),
     leavingExchange: new LeavingExchange({ ...parts, notices }),
     limitExchange: new LimitExchange({ ...parts, notices, limits }),
+    partTerminationExchange: new PartTerminationExchange({ ...parts, partQuarantine }),
     quarantineExchange: new QuarantineExchange({ ...parts, quarantine }),
     speedExchange: new SpeedExchange({ ...parts, speedNotices, clocks }),
   };
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -12,6 +12,7 @@
 import type { PlannerPeers } from '../planning/placement-client.js';
 import type { PlanAnswer, PlanRequest } from '../planning/plan-request.js';
 import type { Planner } from '../planning/planner.js';
+import type { PartQuarantine } from '../quarantine/part-quarantine.js';
 import type { SharedQuarantine } from '../quarantine/shared-quarantine.js';
 import type { ColdNotices } from '../notices/cold-notices.js';
 import type { ServerNotices } from '../notices/server-notices.js';
@@ -54,6 +55,7 @@
   readonly onPlan: (attemptId: string, answer: PlanAnswer) => void;
   readonly syncState: StoreSyncState;
   readonly quarantine: SharedQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly notices: ServerNotices;
   readonly limits: ServerLimits;
   readonly evacuations: Evacuations;
@@ -401,6 +403,7 @@
     this.#withdrawals.tick();
     this.parts.fleet.expire(this.parts.clock.monotonicMs());
     this.parts.quarantine.expire();
+    this.parts.partQuarantine.expire();
     for (const peer of this.#peers.all()) {
       if (this.#peers.isForgotten(peer)) {
         this.#removePeer(peer.host, 'silent');
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -249,6 +249,32 @@
   /** Whether the receiver has to forward what is new to it within its availability zone. */
   passOn: z.boolean(),
 });
+/** Part of prompts that ran on a server that ended, and the time since its latest run started. */
+const startedPartSchema = z.tuple([z.string().min(1), z.number().min(0)]);
+const MAX_REPORTED_PARTS = 64;
+/** Wire form of runs that ended with their server. */
+const terminatedRunsSchema = z.tuple([
+  z.string().min(1).describe('incarnation'),
+  z.string().min(1).describe('server'),
+  z.string().min(1).describe('host that noticed it'),
+  z.number().min(0).describe('time since the end'),
+  z.boolean().describe('whether that time is when connections broke'),
+  z.array(startedPartSchema).max(MAX_REPORTED_PARTS),
+]);
+/** Wire form of a part that was in a complete response, and the time since. */
+const servedPartSchema = z.tuple([z.string().min(1), z.number().min(0)]);
+/**
+ * Sent when a server ended during runs with parts that other requests may share, or when a suspect
+ * part was served.
+ */
+const partTerminationsMessageSchema = z.object({
+  kind: z.literal('part_terminations'),
+  ...senderShape,
+  terminated: z.array(terminatedRunsSchema),
+  served: z.array(servedPartSchema),
+  /** Whether the receiver has to forward what is new to it within its availability zone. */
+  passOn: z.boolean(),
+});
 /** Sent when a server has announced that it leaves. */
 const serverLeavingSchema = z.object({
   kind: z.literal('leaving'),
@@ -304,6 +330,7 @@
   stateRequestSchema,
   membersSchema,
   quarantineMessageSchema,
+  partTerminationsMessageSchema,
   serverLeavingSchema,
   limitsMessageSchema,
   evacuationsMessageSchema,
@@ -336,6 +363,12 @@
 export type WireResult = z.infer<typeof resultSchema>;
 /** A message with quarantine entries. */
 export type QuarantineMessage = z.infer<typeof quarantineMessageSchema>;
+/** Wire form of runs that ended with their server. */
+export type WireTerminatedRuns = z.infer<typeof terminatedRunsSchema>;
+/** Wire form of a part that was served. */
+export type WireServedPart = z.infer<typeof servedPartSchema>;
+/** A message with parts that ran on servers that ended. */
+export type PartTerminationsMessage = z.infer<typeof partTerminationsMessageSchema>;
 /** A message about a server that leaves. */
 export type ServerLeavingMessage = z.infer<typeof serverLeavingSchema>;
 /** A message with rate limits of servers. */
--- /dev/null
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -0,0 +1,158 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import { isQuarantined, PartTerminations } from '@poppypond/fleet';
+import type { BackendServer, QuarantineEntry, TerminatedRuns } from '@poppypond/fleet';
+import type { SharedQuarantine } from './shared-quarantine.js';
+
+/** Dependencies of `PartQuarantine`. */
+export interface PartQuarantineParts {
+  readonly clock: Clock;
+  /** Name of this host. */
+  readonly host: string;
+  readonly quarantine: SharedQuarantine;
+}
+
+/** The end of a server as one host noticed it. */
+export interface NoticedEnd {
+  readonly server: BackendServer;
+  readonly atMs: Milliseconds;
+  /** Whether `atMs` is when a connection to the server broke. */
+  readonly isPrompt: boolean;
+}
+
+/** What hosts tell each other: runs that ended with their server, and parts that were served. */
+export interface PartReports {
+  readonly terminated: readonly TerminatedRuns[];
+  readonly served: readonly ServedPart[];
+}
+
+/** A part that was in a complete response. */
+export interface ServedPart {
+  readonly part: string;
+  readonly atMs: Milliseconds;
+}
+
+const KEY_PREFIX = 'part:';
+/** Parts of one host's runs on one server that are reported; the others were served recently. */
+const MAX_REPORTED_PARTS = 16;
+/** Peers are told that a suspect part was served if they may not know it for this long. */
+const SERVED_REPORT_PERIOD_MS: Milliseconds = 500;
+const NO_REPORTS: PartReports = { terminated: [], served: [] };
+
+/** Returns the quarantine key of a part of prompts for a service. */
+export function partKeyOf(service: string, part: string): string {
+  return `${KEY_PREFIX}${service}/${part}`;
+}
+
+/**
+ * Quarantines the parts of prompts that terminate the servers that run them, whatever else the
+ * requests contain. All hosts report the parts of their runs that end with a server; a part that is
+ * found to be fatal gets an entry in the quarantine of requests.
+ */
+export class PartQuarantine {
+  readonly #known = new PartTerminations();
+  #onReports: (reports: PartReports) => void = () => undefined;
+
+  constructor(readonly parts: PartQuarantineParts) {
+    parts.quarantine.onMerged((entry) => {
+      this.#onMerged(entry);
+    });
+  }
+
+  /** Sets the callback for what this host has found out itself. */
+  onReports(callback: (reports: PartReports) => void): void {
+    this.#onReports = callback;
+  }
+
+  /** Returns the entry of a part that is quarantined, even if a trial is due; undefined if it is not. */
+  find(part: string): QuarantineEntry | undefined {
+    const entry = this.parts.quarantine.find(part);
+    return entry && isQuarantined(entry) ? entry : undefined;
+  }
+
+  /** Records the end of a server during a run of this host with `partKeys`, started at `startedAtMs`. */
+  onTerminated(
+    { server, atMs, isPrompt }: NoticedEnd,
+    partKeys: readonly string[],
+    startedAtMs: Milliseconds,
+  ): void {
+    const suspects = partKeys.filter((part) => this.#known.isSuspect(part, atMs));
+    const runs: TerminatedRuns = {
+      incarnation: `${server.id}/${String(server.startedAtMs ?? '')}`,
+      server: server.id,
+      host: this.parts.host,
+      atMs,
+      isPrompt,
+      parts: new Map(suspects.slice(0, MAX_REPORTED_PARTS).map((part) => [part, startedAtMs])),
+    };
+    if (runs.parts.size === 0 || !this.#known.record(runs)) return;
+    this.#onReports({ ...NO_REPORTS, terminated: [runs] });
+    this.parts.quarantine.publishEntries(this.#holdFatal(runs));
+  }
+
+  /** Records that a trial run of a part has ended with its server. */
+  onTrialTerminated(part: string, server: string): void {
+    const { quarantine } = this.parts;
+    quarantine.onTermination(part, quarantine.historyOf(part), server);
+  }
+
+  /** Records that this host has served a request with `partKeys`. */
+  onServed(partKeys: readonly string[]): void {
+    const atMs = this.parts.clock.monotonicMs();
+    for (const part of partKeys) {
+      const isUnknown = atMs - this.#known.servedAtMs(part) > SERVED_REPORT_PERIOD_MS;
+      const isSuspect = isUnknown && this.#terminationsOf(part).length > 0;
+      this.#known.recordServed(part, atMs);
+      this.parts.quarantine.onServed(part);
+      if (isSuspect) this.#onReports({ ...NO_REPORTS, served: [{ part, atMs }] });
+    }
+  }
+
+  /** Merges reports of a peer and returns those that were new. */
+  mergeFromPeer({ terminated, served }: PartReports): PartReports {
+    const news = {
+      served: served.filter(({ part, atMs }) => this.#known.recordServed(part, atMs)),
+      terminated: terminated.filter((runs) => this.#known.record(runs)),
+    };
+    for (const runs of news.terminated) this.#holdFatal(runs);
+    return news;
+  }
+
+  /** Removes what no longer has an effect. */
+  expire(): void {
+    this.#known.expire(this.parts.clock.monotonicMs());
+  }
+
+  #isHeld = (part: string): boolean => this.find(part) !== undefined;
+
+  #terminationsOf(part: string): readonly TerminatedRuns[] {
+    return this.#known.terminationsOf(part, this.#isHeld);
+  }
+
+  /**
+   * Quarantines the parts of `runs` that are found to be fatal, and releases what was quarantined
+   * for the same terminations; returns all changed entries.
+   */
+  #holdFatal(runs: TerminatedRuns): readonly QuarantineEntry[] {
+    const { quarantine } = this.parts;
+    const fatal = [...runs.parts.keys()].filter(
+      (part) => !this.#isHeld(part) && this.#known.isFatal(part, this.#isHeld),
+    );
+    return fatal.flatMap((part) => {
+      const entry = quarantine.hold(part, this.#terminationsOf(part));
+      return [entry, ...quarantine.releaseOthers(part, this.#known.serversOf(part))];
+    });
+  }
+
+  /** Releases a part that a peer has quarantined if this host has served it since. */
+  #onMerged(entry: QuarantineEntry): void {
+    const { content, changedAtMs, lastTerminations } = entry;
+    if (!content.startsWith(KEY_PREFIX)) return;
+    if (!isQuarantined(entry)) {
+      this.#known.recordServed(content, changedAtMs);
+      return;
+    }
+    const last = lastTerminations.at(-1);
+    if (last && !this.#known.isSuspect(content, last.atMs)) this.parts.quarantine.onServed(content);
+    else this.parts.quarantine.releaseOthers(content, this.#known.serversOf(content));
+  }
+}
--- a/packages/relay/src/quarantine/shared-quarantine.ts
+++ b/packages/relay/src/quarantine/shared-quarantine.ts
@@ -4,6 +4,7 @@
   QuarantineRegistry,
   Quarantine,
   QuarantineEntry,
+  ServerTermination,
   TerminationHistory,
   QuarantineVerdict,
 } from '@poppypond/fleet';
@@ -48,6 +49,7 @@
  */
 export class SharedQuarantine implements QuarantineRegistry {
   #onChange: (entry: QuarantineEntry) => void = () => undefined;
+  #onMerged: (entry: QuarantineEntry) => void = () => undefined;
   #rankOfHost: () => number = () => 0;
 
   constructor(readonly parts: SharedQuarantineParts) {}
@@ -57,6 +59,11 @@
     this.#onChange = callback;
   }
 
+  /** Sets the callback for entries of peers that were new. */
+  onMerged(callback: (entry: QuarantineEntry) => void): void {
+    this.#onMerged = callback;
+  }
+
   /** Sets how the rank of this host is found: the number of reachable hosts before it. */
   setRankSource(place: () => number): void {
     this.#rankOfHost = place;
@@ -77,6 +84,11 @@
     return this.parts.quarantine.historyOf(content);
   }
 
+  /** Whether a request must not run now, also not as a trial. */
+  isHeld(content: string): boolean {
+    return this.parts.quarantine.isHeld(content, this.parts.clock.monotonicMs(), this.#graceMs);
+  }
+
   /** Decides whether a request may run now; publishes a trial run that this allows. */
   judge(content: string): QuarantineVerdict {
     const { clock, quarantine } = this.parts;
@@ -108,6 +120,39 @@
     return entry;
   }
 
+  /**
+   * Quarantines a subject for `terminations`. Does not publish it, as all hosts that know of the
+   * terminations do the same.
+   */
+  hold(content: string, terminations: readonly ServerTermination[]): QuarantineEntry {
+    const { clock, host, quarantine } = this.parts;
+    const listed = terminations.map(({ server, host: noticedBy, atMs }) => {
+      return { server, host: noticedBy, atMs };
+    });
+    const entry = quarantine.hold(content, listed, clock.monotonicMs());
+    this.#log('held', entry, host);
+    return entry;
+  }
+
+  /**
+   * Releases all other subjects that were quarantined only for terminations of `servers`; returns
+   * their new entries. Does not publish them either.
+   */
+  releaseOthers(content: string, servers: ReadonlySet<string>): readonly QuarantineEntry[] {
+    const { clock, host, quarantine } = this.parts;
+    const others = quarantine.quarantinedBy(servers).filter((entry) => entry.content !== content);
+    return others.flatMap((other) => {
+      const entry = quarantine.onServed(other.content, clock.monotonicMs());
+      if (entry) this.#log('freed', entry, host);
+      return entry ?? [];
+    });
+  }
+
+  /** Publishes entries, for hosts that do not know of all terminations. */
+  publishEntries(entries: readonly QuarantineEntry[]): void {
+    for (const entry of entries) this.#onChange(entry);
+  }
+
   /** Records that this host has served a request, which ends its quarantine. */
   onServed(content: string): void {
     const { clock, quarantine } = this.parts;
@@ -123,6 +168,7 @@
       const isNowQuarantined = isQuarantined(entry);
       if (isNowQuarantined !== wasQuarantined)
         this.#log(isNowQuarantined ? 'held' : 'freed', entry, host);
+      this.#onMerged(entry);
       return true;
     });
   }
--- a/packages/relay/src/quarantine/termination-detector.test.ts
+++ b/packages/relay/src/quarantine/termination-detector.test.ts
@@ -12,7 +12,9 @@
 import { contentOf } from './request-content.js';
 import { TerminationDetector } from './termination-detector.js';
 import type { ProbedServer } from './termination-detector.js';
+import { PartQuarantine } from './part-quarantine.js';
 import { SharedQuarantine } from './shared-quarantine.js';
+import { TerminationTracker } from './termination-tracker.js';
 
 const CALLER: CallerHead = {
   requestId: 'r',
@@ -55,10 +57,12 @@
   const servers = new ServerList(clock, silentLog);
   const shared = { clock, log: silentLog, metrics: new PrometheusMetrics(), host: 'host-1' };
   const quarantine = new SharedQuarantine({ ...shared, quarantine: new Quarantine() });
+  const partQuarantine = new PartQuarantine({ ...shared, quarantine });
   const found: ProbedServer[] = [];
   const follow = (body: string, caller = CALLER) => {
     const content = contentOf(caller, 'w', Buffer.from(body));
-    const followed = new FollowedRequest(quarantine, content);
+    const tracked = { service: 's', content, sharedParts: caller.sharedParts };
+    const followed = new TerminationTracker({ clock, quarantine, partQuarantine }, tracked);
     const onProbed = (server: ProbedServer) => found.push(server);
     return {
       followed,
--- a/packages/relay/src/quarantine/termination-detector.ts
+++ b/packages/relay/src/quarantine/termination-detector.ts
@@ -1,9 +1,11 @@
 import { delay } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { BackendServer, FollowedRequest } from '@poppypond/fleet';
+import type { BackendServer } from '@poppypond/fleet';
 import { probeConnection } from '../connections/server-connector.js';
 import type { ConnectionProbe, ServerConnector } from '../connections/server-connector.js';
 import type { ServerList } from '../store/server-list.js';
+import type { NoticedEnd } from './part-quarantine.js';
+import type { TerminationTracker } from './termination-tracker.js';
 
 /** Result of a check whether a server has terminated; `listening` and `unknown` if it may not have. */
 export type ServerFinding = ConnectionProbe | 'started_again';
@@ -47,7 +49,7 @@
 
   constructor(
     readonly parts: TerminationDetectorParts,
-    readonly followed: FollowedRequest,
+    readonly followed: TerminationTracker,
   ) {}
 
   /**
@@ -55,29 +57,41 @@
    * has terminated.
    */
   onRestarted(attempt: string, server: BackendServer): void {
-    this.#recordFinding(attempt, server, 'started_again', 'a newer incarnation is listed');
+    const end = { server, atMs: this.parts.clock.monotonicMs(), isPrompt: false };
+    this.#onRestarted(attempt, end);
   }
 
   /**
    * Checks whether a server that an attempt depended on has terminated. Resolves within
-   * `PROBE_WAIT_MS`; a later result is still recorded.
+   * `PROBE_WAIT_MS`; a later result is still recorded. `isPrompt`: whether its connection has just
+   * broken.
    */
-  async probe(attempt: string, server: BackendServer, why: string): Promise<void> {
+  async probe(
+    attempt: string,
+    server: BackendServer,
+    why: string,
+    isPrompt = false,
+  ): Promise<void> {
     const { clock, connector } = this.parts;
+    const end = { server, atMs: clock.monotonicMs(), isPrompt };
     const probed = probeConnection(connector, server).then((state) => {
-      this.#recordFinding(attempt, server, state, why);
+      this.#recordFinding(attempt, end, state, why);
       // A process that restarted at once accepts connections too.
-      if (state === 'listening' || state === 'unknown') this.#watchForRestart(attempt, server);
+      if (state === 'listening' || state === 'unknown') this.#watchForRestart(attempt, end);
     });
     await Promise.race([probed, delay(clock, PROBE_WAIT_MS)]);
   }
 
-  #watchForRestart(attempt: string, server: BackendServer): void {
+  #watchForRestart(attempt: string, end: NoticedEnd): void {
     const { clock, servers } = this.parts;
-    const end = servers.watchIncarnation(server, () => {
-      this.onRestarted(attempt, server);
+    const stopWatching = servers.watchIncarnation(end.server, () => {
+      this.#onRestarted(attempt, end);
     });
-    clock.after(RESTART_WATCH_MS, end);
+    clock.after(RESTART_WATCH_MS, stopWatching);
+  }
+
+  #onRestarted(attempt: string, end: NoticedEnd): void {
+    this.#recordFinding(attempt, end, 'started_again', 'a newer incarnation is listed');
   }
 
   /**
@@ -91,13 +105,14 @@
     return true;
   }
 
-  #recordFinding(attempt: string, server: BackendServer, found: ServerFinding, why: string): void {
+  #recordFinding(attempt: string, end: NoticedEnd, found: ServerFinding, why: string): void {
     const { followed } = this;
+    const { server } = end;
     const hasTerminated = found !== 'listening' && found !== 'unknown';
     const mayCount = hasTerminated && !this.#countedAttempts.has(attempt);
     if (mayCount && this.#isFirstReport(server)) {
       this.#countedAttempts.add(attempt);
-      followed.onTerminated(attempt, server.id);
+      followed.onTerminated(attempt, end);
     }
     const { content, ends } = followed;
     this.parts.onProbed({ server, content, found, why, ends });
--- /dev/null
+++ b/packages/relay/src/quarantine/termination-tracker.ts
@@ -0,0 +1,65 @@
+import { FollowedRequest } from '@poppypond/fleet';
+import type { QuarantineHold, RequestContent } from '@poppypond/fleet';
+import { FollowedParts } from './followed-parts.js';
+import type { FollowedPartsParts } from './followed-parts.js';
+import type { NoticedEnd } from './part-quarantine.js';
+
+/** What the quarantine needs to know about a request. */
+export interface TrackedRequest {
+  readonly service: string;
+  readonly content: RequestContent;
+  /** Ids of the parts of its prompt that other requests may share. */
+  readonly sharedParts: readonly string[];
+}
+
+/**
+ * Tracks the ends of servers during the attempts of one request, for the request itself and for the
+ * parts of its prompt.
+ */
+export class TerminationTracker {
+  readonly #request: FollowedRequest;
+  readonly #parts: FollowedParts;
+
+  constructor(parts: FollowedPartsParts, { service, content, sharedParts }: TrackedRequest) {
+    this.#request = new FollowedRequest(parts.quarantine, content);
+    this.#parts = new FollowedParts(parts, service, sharedParts);
+  }
+
+  /** Content id of the request; the body is hashed at the first access. */
+  get content(): string {
+    return this.#request.content;
+  }
+
+  /** Number of known terminations of the request. */
+  get ends(): number {
+    return this.#request.ends;
+  }
+
+  /**
+   * Returns the hold that keeps the request from running now; undefined if it may run, also as a
+   * trial.
+   */
+  checkHold(): QuarantineHold | undefined {
+    const held = this.#parts.checkHold() ?? this.#request.checkHold();
+    if (!held) this.#parts.takeTrials();
+    return held;
+  }
+
+  /** Records the start of an attempt. */
+  begin(attempt: string): void {
+    this.#request.begin(attempt);
+    this.#parts.begin(attempt);
+  }
+
+  /** Records that a server ended during an attempt. */
+  onTerminated(attempt: string, end: NoticedEnd): void {
+    this.#parts.onTerminated(attempt, end);
+    this.#request.onTerminated(attempt, end.server.id);
+  }
+
+  /** Records that the request was served. */
+  onServed(): void {
+    this.#request.onServed();
+    this.#parts.onServed();
+  }
+}
--- a/packages/relay/src/request/attempt-outcome-handler.ts
+++ b/packages/relay/src/request/attempt-outcome-handler.ts
@@ -1,8 +1,9 @@
 import type { Milliseconds } from '@poppypond/core';
-import type { AttemptFailure, BackendServer, FollowedRequest } from '@poppypond/fleet';
+import type { AttemptFailure, BackendServer } from '@poppypond/fleet';
 import type { AttemptOutcome } from '../backend/server-attempt.js';
 import type { ResponseHead } from '../ports.js';
 import type { TerminationDetector } from '../quarantine/termination-detector.js';
+import type { TerminationTracker } from '../quarantine/termination-tracker.js';
 import type { AttemptHistory } from './attempt-history.js';
 import type { CallerResponse } from './caller-response.js';
 import { findPrefillEngine } from './choice.js';
@@ -44,7 +45,7 @@
   readonly finalResponse: FinalResponse;
   readonly telemetry: RequestTelemetry;
   readonly history: AttemptHistory;
-  readonly followed: FollowedRequest;
+  readonly followed: TerminationTracker;
   readonly ends: TerminationDetector;
   /** Time limit of the request, from its arrival. */
   readonly timeoutMs: Milliseconds;
@@ -67,7 +68,7 @@
     // The check precedes the retry: a termination of the next server counts as a further one only
     // if this one is known when the retry begins. It also tells a lost path from a failed server.
     if (end.kind === 'broken') {
-      await this.parts.ends.probe(choice.attemptId, choice.server, end.detail);
+      await this.parts.ends.probe(choice.attemptId, choice.server, end.detail, true);
     }
     if (this.#isServerAtFault(end, choice.server)) {
       this.suspect(choice.server, end.detail);
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -13,6 +13,7 @@
 import type { PauseDetector } from '../pause-detector.js';
 import type { PlacementClient } from '../planning/placement-client.js';
 import type { EngineMemory, RelayWire } from '../ports.js';
+import type { PartQuarantine } from '../quarantine/part-quarantine.js';
 import type { SharedQuarantine } from '../quarantine/shared-quarantine.js';
 import type { ConfirmedZones } from '../store/confirmed-zones.js';
 import type { Evacuations } from '../store/evacuations.js';
@@ -33,6 +34,7 @@
   readonly pauseDetector: PauseDetector;
   readonly hostBudget: HostBudget;
   readonly quarantine: SharedQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly notices: ServerNotices;
   readonly speedNotices: SpeedNotices;
   readonly reachability: Reachability;
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -1,6 +1,6 @@
 import { delay } from '@poppypond/core';
 import type { Milliseconds } from '@poppypond/core';
-import { FollowedRequest, MIN_ANNOUNCED_PREFILL_MS } from '@poppypond/fleet';
+import { MIN_ANNOUNCED_PREFILL_MS } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import type { Route } from '@poppypond/routing';
 import type { EventFrame } from '../backend/event-frames.js';
@@ -10,6 +10,7 @@
 import type { ResponseHead, CallerHead } from '../ports.js';
 import { contentOf } from '../quarantine/request-content.js';
 import { TerminationDetector } from '../quarantine/termination-detector.js';
+import { TerminationTracker } from '../quarantine/termination-tracker.js';
 import { describeTerminations } from '../quarantine/shared-quarantine.js';
 import type { AdmittedRequest } from './admit.js';
 import { ResponseEvents } from './response-events.js';
@@ -71,7 +72,7 @@
    * Quarantine state of the request; `#terminations` detects servers that terminate while running
    * it.
    */
-  readonly #followed: FollowedRequest;
+  readonly #followed: TerminationTracker;
   readonly #terminations: TerminationDetector;
   readonly #finalResponse: FinalResponse;
   readonly #outcomeHandler: AttemptOutcomeHandler;
@@ -112,10 +113,12 @@
     this.#deadlineAtMs = arrivedAtMs + timeoutMs;
     this.#events = new ResponseEvents(answer, caller.lastEventId);
     this.#lastEventAtMs = arrivedAtMs;
-    const { clock, connector, memory, servers, quarantine } = parts;
+    const { clock, connector, memory, servers } = parts;
     const onProbed = this.#telemetry.serverProbed.bind(this.#telemetry);
     const content = contentOf(caller, admitted.workspace, body);
-    this.#followed = new FollowedRequest(quarantine, content);
+    const { service } = admitted;
+    const { sharedParts } = caller;
+    this.#followed = new TerminationTracker(parts, { service, content, sharedParts });
     this.#terminations = new TerminationDetector(
       { clock, connector, servers, onProbed },
       this.#followed,
@@ -259,7 +262,7 @@
     if (!held) return false;
     const ended = describeTerminations(held.entry, this.parts.clock.monotonicMs());
     this.#finalResponse.giveUp(
-      `servers terminated while running the request: ${ended}`,
+      `servers terminated while running the request or a part of its prompt: ${ended}`,
       held.forMs,
       'quarantined',
     );
