Release what was quarantined for the crashes of a fatal part

Found in review: of two parts found by the same report, the second released the first, as its terminations were a subset; a request that met its third crash after the part was held was quarantined for 20 s. The parts with the most terminations are held first, equal ones together; each end of a server that ran a held part releases the requests quarantined for such ends alone.

--- a/packages/fleet/src/part-terminations.ts
+++ b/packages/fleet/src/part-terminations.ts
@@ -127,6 +127,11 @@
     return count.isFatal;
   }
 
+  /** Parts that ran on an incarnation of a server as it terminated. */
+  partsOf(incarnation: string): readonly string[] {
+    return [...(this.#terminations.get(incarnation)?.parts.keys() ?? [])];
+  }
+
   /** Ids of the servers that terminated while they ran a part. */
   serversOf(part: string): ReadonlySet<string> {
     const terminations = [...this.#terminations.values()];
--- a/packages/fleet/src/quarantine-simulation.test.ts
+++ b/packages/fleet/src/quarantine-simulation.test.ts
@@ -1,5 +1,5 @@
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { describe, expect, it } from 'vitest';
+import { EventQueue, seededRandom } from './mocks/simulation.js';
 import { Quarantine } from './quarantine.js';
 import type { QuarantineEntry, TerminationHistory } from './quarantine.js';
 
@@ -30,32 +30,6 @@
  */
 const CONVERGENCE_MS = 3000;
 
-type Action = () => void;
-
-/** Runs actions in the order of their times. */
-class EventQueue {
-  nowMs = 0;
-  readonly #buckets = new Map<number, Action[]>();
-
-  at(atMs: number, action: Action): void {
-    const key = Math.max(Math.ceil(atMs), Math.floor(this.nowMs) + 1);
-    const bucket = this.#buckets.get(key);
-    if (bucket) bucket.push(action);
-    else this.#buckets.set(key, [action]);
-  }
-
-  after(delayMs: number, action: Action): void {
-    this.at(this.nowMs + delayMs, action);
-  }
-
-  run(untilMs: number): void {
-    for (; this.nowMs < untilMs; this.nowMs += 1) {
-      for (const action of this.#buckets.get(this.nowMs) ?? []) action();
-      this.#buckets.delete(this.nowMs);
-    }
-  }
-}
-
 interface Run {
   readonly isFatal: boolean;
   /** The connection broke; `found` is what the host finds out about the server. */
@@ -265,12 +239,6 @@
   }
 }
 
-function seededRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
-  for (let skipped = 0; skipped < 64; skipped += 1) generator.next();
-  return () => (generator.next() >>> 0) / 2 ** 32;
-}
-
 describe('Quarantine in simulated days', () => {
   // In 720 simulated days, 15 of 1,008,000 regular requests are held within 3 s of a third
   // termination, and none later.
--- a/packages/fleet/src/quarantine.ts
+++ b/packages/fleet/src/quarantine.ts
@@ -215,12 +215,9 @@
     return entry;
   }
 
-  /** Returns the entries that are quarantined and whose terminations are all among `servers`. */
-  quarantinedBy(servers: ReadonlySet<string>): readonly QuarantineEntry[] {
-    return [...this.#entries.values()].filter(
-      (entry) =>
-        isQuarantined(entry) && entry.lastTerminations.every(({ server }) => servers.has(server)),
-    );
+  /** Entries of all subjects that are quarantined. */
+  quarantined(): readonly QuarantineEntry[] {
+    return [...this.#entries.values()].filter(isQuarantined);
   }
 
   /**
--- a/packages/relay/src/quarantine/followed-parts.ts
+++ b/packages/relay/src/quarantine/followed-parts.ts
@@ -49,7 +49,7 @@
 
   /** Records the start of an attempt. */
   begin(attempt: string): void {
-    if (this.#keys.length > 0) this.#startedAtMs.set(attempt, this.parts.clock.monotonicMs());
+    this.#startedAtMs.set(attempt, this.parts.clock.monotonicMs());
   }
 
   /** Records that a server ended during an attempt; counts once per attempt. */
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -43,6 +43,10 @@
   return `${KEY_PREFIX}${service}/${part}`;
 }
 
+function isPartKey(content: string): boolean {
+  return content.startsWith(KEY_PREFIX);
+}
+
 /**
  * Quarantines the parts of prompts that terminate the servers that run them, whatever else the
  * requests contain. All hosts report the parts of their runs that end with a server; a part that is
@@ -84,9 +88,10 @@
       isPrompt,
       parts: new Map(suspects.slice(0, MAX_REPORTED_PARTS).map((part) => [part, startedAtMs])),
     };
-    if (runs.parts.size === 0 || !this.#known.record(runs)) return;
-    this.#onReports({ ...NO_REPORTS, terminated: [runs] });
-    this.parts.quarantine.publishEntries(this.#holdFatal(runs));
+    const isNew = runs.parts.size > 0 && this.#known.record(runs);
+    if (isNew) this.#onReports({ ...NO_REPORTS, terminated: [runs] });
+    const changed = [...this.#holdFatal(runs), ...this.#releaseVictims(runs.incarnation)];
+    this.parts.quarantine.publishEntries(changed);
   }
 
   /** Records that a trial run of a part has ended with its server. */
@@ -113,7 +118,10 @@
       served: served.filter(({ part, atMs }) => this.#known.recordServed(part, atMs)),
       terminated: terminated.filter((runs) => this.#known.record(runs)),
     };
-    for (const runs of news.terminated) this.#holdFatal(runs);
+    for (const runs of news.terminated) {
+      this.#holdFatal(runs);
+      this.#releaseVictims(runs.incarnation);
+    }
     return news;
   }
 
@@ -129,30 +137,55 @@
   }
 
   /**
-   * Quarantines the parts of `runs` that are found to be fatal, and releases what was quarantined
-   * for the same terminations; returns all changed entries.
+   * Quarantines the parts of `runs` that are found to be fatal, those with the most terminations
+   * first, and releases what was quarantined for the same terminations; returns all changed entries.
    */
   #holdFatal(runs: TerminatedRuns): readonly QuarantineEntry[] {
-    const { quarantine } = this.parts;
-    const fatal = [...runs.parts.keys()].filter(
-      (part) => !this.#isHeld(part) && this.#known.isFatal(part, this.#isHeld),
-    );
-    return fatal.flatMap((part) => {
-      const entry = quarantine.hold(part, this.#terminationsOf(part));
-      return [entry, ...quarantine.releaseOthers(part, this.#known.serversOf(part))];
+    const changed: QuarantineEntry[] = [];
+    for (;;) {
+      const fatal = [...runs.parts.keys()].filter(
+        (part) => !this.#isHeld(part) && this.#known.isFatal(part, this.#isHeld),
+      );
+      if (fatal.length === 0) return changed;
+      const counts = fatal.map((part) => this.#terminationsOf(part).length);
+      const worst = fatal.filter((_part, index) => counts[index] === Math.max(...counts));
+      // Those with equally many can't be told apart, so they are found before any is held.
+      const found = worst.map((part) => ({ part, terminations: this.#terminationsOf(part) }));
+      for (const { part, terminations } of found)
+        changed.push(this.parts.quarantine.hold(part, terminations));
+      for (const part of worst) changed.push(...this.#releaseExplained(part));
+    }
+  }
+
+  /** Releases what was quarantined for the end of a server that ran a part that is held. */
+  #releaseVictims(incarnation: string): readonly QuarantineEntry[] {
+    const held = this.#known.partsOf(incarnation).filter(this.#isHeld);
+    return held.flatMap((part) => this.#releaseExplained(part));
+  }
+
+  /**
+   * Releases what was quarantined only for terminations of servers that ran a fatal part: requests,
+   * and parts with fewer terminations.
+   */
+  #releaseExplained(part: string): readonly QuarantineEntry[] {
+    const servers = this.#known.serversOf(part);
+    return this.parts.quarantine.release((entry) => {
+      const isSubset = entry.lastTerminations.every(({ server }) => servers.has(server));
+      if (!isSubset || entry.lastTerminations.length === 0 || entry.content === part) return false;
+      return !isPartKey(entry.content) || this.#known.serversOf(entry.content).size < servers.size;
     });
   }
 
   /** Releases a part that a peer has quarantined if this host has served it since. */
   #onMerged(entry: QuarantineEntry): void {
     const { content, changedAtMs, lastTerminations } = entry;
-    if (!content.startsWith(KEY_PREFIX)) return;
+    if (!isPartKey(content)) return;
     if (!isQuarantined(entry)) {
       this.#known.recordServed(content, changedAtMs);
       return;
     }
     const last = lastTerminations.at(-1);
     if (last && !this.#known.isSuspect(content, last.atMs)) this.parts.quarantine.onServed(content);
-    else this.parts.quarantine.releaseOthers(content, this.#known.serversOf(content));
+    else this.#releaseExplained(content);
   }
 }
--- a/packages/relay/src/quarantine/shared-quarantine.ts
+++ b/packages/relay/src/quarantine/shared-quarantine.ts
@@ -134,15 +134,13 @@
     return entry;
   }
 
-  /**
-   * Releases all other subjects that were quarantined only for terminations of `servers`; returns
-   * their new entries. Does not publish them either.
-   */
-  releaseOthers(content: string, servers: ReadonlySet<string>): readonly QuarantineEntry[] {
+  /** Releases the quarantined subjects that `isReleased` selects; returns their new entries. */
+  release(isReleased: (entry: QuarantineEntry) => boolean): readonly QuarantineEntry[] {
     const { clock, host, quarantine } = this.parts;
-    const others = quarantine.quarantinedBy(servers).filter((entry) => entry.content !== content);
-    return others.flatMap((other) => {
-      const entry = quarantine.onServed(other.content, clock.monotonicMs());
+    return quarantine.quarantined().flatMap((known) => {
+      const entry = isReleased(known)
+        ? quarantine.onServed(known.content, clock.monotonicMs())
+        : undefined;
       if (entry) this.#log('freed', entry, host);
       return entry ?? [];
     });
--- a/packages/relay/src/quarantine/termination-tracker.ts
+++ b/packages/relay/src/quarantine/termination-tracker.ts
@@ -53,8 +53,8 @@
 
   /** Records that a server ended during an attempt. */
   onTerminated(attempt: string, end: NoticedEnd): void {
-    this.#parts.onTerminated(attempt, end);
     this.#request.onTerminated(attempt, end.server.id);
+    this.#parts.onTerminated(attempt, end);
   }
 
   /** Records that the request was served. */
