Close new connections unread while a host gets more than it can serve

What callers saw: while the balancer hands most new connections to one host, that host serves next to nobody; connections wait in its backlog until their callers have left, and it works through what they left.

Cause: a host accepts all connections, however many wait. Nothing told it: its timers run on time, as the event loop accepts one connection at a time, and nothing is refused.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,6 +7,8 @@
 import { composeBase, composeParts, composePeers, selfAddress } from './compose.js';
 import type { RelayBase } from './compose.js';
 import { ForwardingListener } from './connections/forwarding-listener.js';
+import { ConnectionAdmission } from './host/connection-admission.js';
+import { createUtilizationReader } from './host/loop-utilization.js';
 import { HostFull } from './host/host-full.js';
 import { HostMonitor } from './host/host-monitor.js';
 import { DatagramSender } from './peers/datagram-sender.js';
@@ -200,8 +202,12 @@
       void this.#directory.remove(host);
     });
     const serving = new RequestHandler(composeParts(this.#base, peers, placement));
+    const readUtilization = createUtilizationReader();
+    const admission = new ConnectionAdmission({ clock, log, metrics, readUtilization });
+    this.#onStop.push(admission.start());
     const callerListener = new CallerListener({
       clock,
+      admission,
       wire: this.ports.wire,
       maxBodyBytes: () =>
         activeConfiguration.table?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -3,6 +3,7 @@
 import { createServer, connect } from 'node:net';
 import { describe, expect, it, vi } from 'vitest';
 import { budgetSizeOf } from '../host/budget-size.js';
+import { ConnectionAdmission } from '../host/connection-admission.js';
 import { HostBudget } from '../host/host-budget.js';
 import { HostFull } from '../host/host-full.js';
 import type { RelayWire } from '../ports.js';
@@ -51,6 +52,12 @@
     isStopping: () => false,
     hostBudget,
     hostFull: new HostFull({ budget: hostBudget, log: silentLog, metrics, random: () => 0 }),
+    admission: new ConnectionAdmission({
+      clock: new SystemClock(),
+      log: silentLog,
+      metrics,
+      readUtilization: () => 0,
+    }),
     onRequest: ({ answer }) => {
       const index = answers.push(answer) - 1;
       return new Promise((resolve) => {
--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { BodyReader } from '../host/body-reader.js';
+import type { ConnectionAdmission } from '../host/connection-admission.js';
 import type { HostBudget, Reservation } from '../host/host-budget.js';
 import type { HostFull } from '../host/host-full.js';
 import type { OpenListener, RelayWire } from '../ports.js';
@@ -26,6 +27,7 @@
   readonly onRequest: (request: ReceivedRequest) => Promise<void>;
   readonly hostBudget: HostBudget;
   readonly hostFull: HostFull;
+  readonly admission: ConnectionAdmission;
 }
 
 /** The HTTP parser refuses larger heads; the limit that callers are given is smaller. */
@@ -50,6 +52,23 @@
     this.#server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
     this.#server.headersTimeout = HEADERS_TIMEOUT_MS;
     this.#server.requestTimeout = 0;
+    this.#limitConnections(parts.admission);
+  }
+
+  /**
+   * Lets Node close connections beyond the limit as it accepts them, which costs a tenth of a
+   * refusal: it does so while more than `maxConnections` are open.
+   */
+  #limitConnections(admission: ConnectionAdmission): void {
+    this.#server.on('connection', () => {
+      admission.onAccepted();
+    });
+    this.#server.on('drop', () => {
+      admission.onDropped();
+    });
+    admission.onChange((isOpen) => {
+      this.#server.maxConnections = isOpen ? Number.MAX_SAFE_INTEGER : 1;
+    });
   }
 
   listen(address: string, port: number): Promise<void> {
@@ -92,6 +111,7 @@
 
   async #read(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, wire, isStopping, maxBodyBytes, hostFull, hostBudget } = this.parts;
+    this.parts.admission.onRequest();
     const arrivedAtMs = clock.monotonicMs();
     const caller = wire.parseCallerHead(message);
     const answer = new CallerResponse(response, wire, caller, isStopping, hostBudget);
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -16,6 +16,11 @@
     help: 'Requests answered, by route kind and result code.',
     labels: ['kind', 'code'],
   },
+  poppypond_connections_dropped_total: {
+    type: 'counter',
+    help: 'New connections that were closed unread because the host gets more than it can serve.',
+    labels: [],
+  },
   poppypond_attempts_total: {
     type: 'counter',
     help: 'Attempts at backend servers, by how they ended.',
