Check the server when a response without a length ends with its connection

Cause: a response with neither a length nor chunks ends with its connection, and so does a server that crashes. A stream that ends between two events looked complete.

Change: where such a response ends, the server is probed, for at most 250 ms. If it does not listen, the attempt is broken; if that can't be told, another attempt continues it where it may be repeated, and it is no evidence that its parts are sound.

--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -29,13 +29,20 @@
  * false if only this host may not reach the server. `whole`: a complete
  * response with its body, of any status. `events_done`: an event stream ended cleanly. `broken`:
  * the connection failed or the response was invalid, and the server may have run the request.
+ * `isDelimited`: whether the response states its end itself, by a length or chunks; the end of its
+ * connection may otherwise be that of the server.
  * `not_taken`: the rest of the response was not read, as the host had no room for it or its caller
  * did not read. `cancelled`: by this host.
  */
 export type AttemptOutcome =
   | { readonly kind: 'not_sent'; readonly detail: string; readonly isServerAtFault: boolean }
-  | { readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer }
-  | { readonly kind: 'events_done'; readonly head: ResponseHead }
+  | {
+      readonly kind: 'whole';
+      readonly head: ResponseHead;
+      readonly body: Buffer;
+      readonly isDelimited: boolean;
+    }
+  | { readonly kind: 'events_done'; readonly head: ResponseHead; readonly isDelimited: boolean }
   | { readonly kind: 'broken'; readonly detail: string }
   | {
       readonly kind: 'not_taken';
@@ -73,6 +80,10 @@
   return status >= MIN_SUCCESS_STATUS && status < SUCCESS_STATUS_END;
 }
 
+function isDelimitedResponse({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /**
  * Runs one attempt on a connection of its own, so that bytes of an earlier response can't be
  * mistaken for this one, and bytes after its end are ignored.
@@ -253,7 +264,10 @@
       if (this.#isPaused && this.parts.hostBudget.isEnabled) return this.#settleNotRead();
       const isOrderly = this.#isComplete(response) && !splitter.hasPartialFrame;
       const detail = 'event stream ended early';
-      this.#settle(isOrderly ? { kind: 'events_done', head } : { kind: 'broken', detail });
+      const isDelimited = isDelimitedResponse(response);
+      this.#settle(
+        isOrderly ? { kind: 'events_done', head, isDelimited } : { kind: 'broken', detail },
+      );
     });
   }
 
@@ -269,8 +283,9 @@
         this.#settle({ kind: 'broken', detail: 'response body is too large' });
     });
     response.once('close', () => {
+      const isDelimited = isDelimitedResponse(response);
       if (this.#isComplete(response))
-        this.#settle({ kind: 'whole', head, body: Buffer.concat(chunks) });
+        this.#settle({ kind: 'whole', head, body: Buffer.concat(chunks), isDelimited });
       else this.#settle({ kind: 'broken', detail: 'response body ended early' });
     });
   }
--- a/packages/relay/src/quarantine/termination-detector.ts
+++ b/packages/relay/src/quarantine/termination-detector.ts
@@ -34,12 +34,19 @@
  * that is gone does not answer, and the retry proceeds.
  */
 const PROBE_WAIT_MS: Milliseconds = 50;
+/** Longest time for which the end of a response is held back to learn whether it is complete. */
+const END_PROBE_WAIT_MS: Milliseconds = 250;
 /**
  * A process that restarts in place is listed with its new start time by its second heartbeat,
  * within this time.
  */
 const RESTART_WATCH_MS: Milliseconds = 6000;
 
+/** Whether a server has terminated, as far as any host can tell. */
+export function isTermination(found: ServerFinding): boolean {
+  return found !== 'listening' && found !== 'unknown';
+}
+
 /** Detects which servers terminated while they ran attempts of one request. */
 export class TerminationDetector {
   /** Incarnations whose end was counted for this request. */
@@ -72,14 +79,31 @@
     why: string,
     isPrompt = false,
   ): Promise<void> {
-    const { clock, connector } = this.parts;
-    const end = { server, atMs: clock.monotonicMs(), isPrompt };
-    const probed = probeConnection(connector, server).then((state) => {
-      this.#recordFinding(attempt, end, state, why);
-      // A process that restarted at once accepts connections too.
-      if (state === 'listening' || state === 'unknown') this.#watchForRestart(attempt, end);
-    });
-    await Promise.race([probed, delay(clock, PROBE_WAIT_MS)]);
+    const probed = this.#probe(attempt, server, why, isPrompt);
+    await Promise.race([probed, delay(this.parts.clock, PROBE_WAIT_MS)]);
+  }
+
+  /**
+   * Returns what has become of a server whose connection has just ended, or `unknown` if that takes
+   * longer than `END_PROBE_WAIT_MS`; a later result is still recorded.
+   */
+  probeAtEnd(attempt: string, server: BackendServer, why: string): Promise<ServerFinding> {
+    const late = delay(this.parts.clock, END_PROBE_WAIT_MS).then((): ServerFinding => 'unknown');
+    return Promise.race([this.#probe(attempt, server, why, true), late]);
+  }
+
+  async #probe(
+    attempt: string,
+    server: BackendServer,
+    why: string,
+    isPrompt: boolean,
+  ): Promise<ServerFinding> {
+    const end = { server, atMs: this.parts.clock.monotonicMs(), isPrompt };
+    const found = await probeConnection(this.parts.connector, server);
+    this.#recordFinding(attempt, end, found, why);
+    // A process that restarted at once accepts connections too.
+    if (!isTermination(found)) this.#watchForRestart(attempt, end);
+    return found;
   }
 
   #watchForRestart(attempt: string, end: NoticedEnd): void {
@@ -108,8 +132,7 @@
   #recordFinding(attempt: string, end: NoticedEnd, found: ServerFinding, why: string): void {
     const { followed } = this;
     const { server } = end;
-    const hasTerminated = found !== 'listening' && found !== 'unknown';
-    const mayCount = hasTerminated && !this.#countedAttempts.has(attempt);
+    const mayCount = isTermination(found) && !this.#countedAttempts.has(attempt);
     if (mayCount && this.#isFirstReport(server)) {
       this.#countedAttempts.add(attempt);
       followed.onTerminated(attempt, end);
--- a/packages/relay/src/request/attempt-outcome-handler.ts
+++ b/packages/relay/src/request/attempt-outcome-handler.ts
@@ -2,7 +2,8 @@
 import type { AttemptFailure, BackendServer } from '@poppypond/fleet';
 import type { AttemptOutcome } from '../backend/server-attempt.js';
 import type { ResponseHead } from '../ports.js';
-import type { TerminationDetector } from '../quarantine/termination-detector.js';
+import { isTermination } from '../quarantine/termination-detector.js';
+import type { ServerFinding, TerminationDetector } from '../quarantine/termination-detector.js';
 import type { TerminationTracker } from '../quarantine/termination-tracker.js';
 import type { AttemptHistory } from './attempt-history.js';
 import type { CallerResponse } from './caller-response.js';
@@ -25,6 +26,8 @@
  */
 const UNPROCESSED_STATUSES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
 
+const ENDED_WITH_SERVER = 'the response may have ended with its server';
+
 /** Why this host abandoned an attempt. */
 export interface Abandonment {
   /** Whether another attempt follows. */
@@ -35,6 +38,8 @@
   readonly silentMs: Milliseconds;
 }
 
+type CompleteResponse = Extract<AttemptOutcome, { readonly kind: 'whole' | 'events_done' }>;
+
 /** Dependencies of `AttemptOutcomeHandler`. */
 export interface AttemptOutcomeHandlerParts {
   readonly relay: Pick<
@@ -57,11 +62,17 @@
 
   /** Handles the outcome of an attempt; returns true if the response is finished. */
   async handle(end: AttemptOutcome, choice: Choice, abandonment: Abandonment): Promise<boolean> {
-    if (end.kind === 'whole') return this.#handleResponse(end.head, end.body, choice);
     if (end.kind === 'cancelled') return this.#handleCancelled(choice, abandonment);
     if (end.kind === 'not_taken') return this.#handleNotTaken(end.why, end.detail);
-    if (end.kind === 'events_done') {
-      this.#onServed();
+    if (end.kind === 'whole' || end.kind === 'events_done') {
+      const found = await this.#probeUndelimited(end, choice);
+      const isKnownComplete = found === 'listening';
+      // Another attempt continues what may be incomplete, if it is allowed.
+      if (isTermination(found) || (!isKnownComplete && this.parts.history.mayRepeat))
+        return this.#handleFailure('unknown', choice, ENDED_WITH_SERVER);
+      if (end.kind === 'whole')
+        return this.#handleResponse(end.head, end.body, choice, isKnownComplete);
+      this.#onServed(isKnownComplete);
       this.parts.finalResponse.finishEvents(end.head);
       return true;
     }
@@ -78,6 +89,18 @@
     return this.#handleFailure(failure, choice, end.detail);
   }
 
+  /**
+   * Checks the server of a response that seems complete and has neither a length nor chunks: it may
+   * have ended because the server terminated. Returns `listening` for other responses.
+   */
+  async #probeUndelimited(
+    { head, isDelimited }: CompleteResponse,
+    { attemptId, server }: Choice,
+  ): Promise<ServerFinding> {
+    if (isDelimited || server.isDraining || head.word.isLeaving) return 'listening';
+    return this.parts.ends.probeAtEnd(attemptId, server, ENDED_WITH_SERVER);
+  }
+
   #isServerAtFault(
     end: Extract<AttemptOutcome, { readonly kind: 'broken' | 'not_sent' }>,
     server: BackendServer,
@@ -93,9 +116,9 @@
     telemetry.serverSuspected(server, why, forMs);
   }
 
-  #onServed(): void {
+  #onServed(isKnownComplete: boolean): void {
     this.parts.history.onAnswered();
-    this.parts.followed.onServed();
+    if (isKnownComplete) this.parts.followed.onServed();
   }
 
   #handleCancelled({ attemptId, server, plan }: Choice, abandonment: Abandonment): boolean {
@@ -122,7 +145,12 @@
     return true;
   }
 
-  #handleResponse(head: ResponseHead, body: Buffer, choice: Choice): boolean {
+  #handleResponse(
+    head: ResponseHead,
+    body: Buffer,
+    choice: Choice,
+    isKnownComplete: boolean,
+  ): boolean {
     const detail = `status ${String(head.status)}`;
     if (head.isNotExecuted) {
       if (head.status === MISDIRECTED) return this.#handleMisdirected(choice, detail);
@@ -135,7 +163,7 @@
     const isServerError = head.status >= MIN_SERVER_ERROR_STATUS;
     if (head.status === INTERNAL_SERVER_ERROR && choice.plan) this.suspect(choice.server, detail);
     if (isServerError && this.#recordFailure('failed', choice, detail)) return false;
-    if (!isServerError) this.#onServed();
+    if (!isServerError) this.#onServed(isKnownComplete);
     this.parts.finalResponse.finishResponse(head, body, isServerError ? 'backend_error' : 'ok');
     return true;
   }
--- a/packages/relay/src/request/attempt-result.test.ts
+++ b/packages/relay/src/request/attempt-result.test.ts
@@ -19,7 +19,7 @@
     forwarded: [],
     ...change,
   };
-  return { kind: 'whole', head, body: Buffer.alloc(0) };
+  return { kind: 'whole', head, body: Buffer.alloc(0), isDelimited: true };
 }
 
 describe('isServerFailure', () => {
