Log answers of planners that come after they were taken for silent

For the soak's RECOVER failures (seed 6 and others): the refusals name the roles stand_in and fallback, after planner_silent; the logs could not tell planners that are gone from planners that answer late. planner_late names the planner and the time since it was asked.

--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -330,8 +330,8 @@
     fleet,
     planner,
     engineServices: () => activeConfiguration.table?.engineServices ?? [],
-    onPlan: (attemptId, answer) => {
-      placement.onPlanAnswer(attemptId, answer);
+    onPlan: (attemptId, answer, from) => {
+      placement.onPlanAnswer(attemptId, answer, from);
     },
     syncState,
     quarantine,
--- a/packages/relay/src/peers/message-dispatcher.ts
+++ b/packages/relay/src/peers/message-dispatcher.ts
@@ -31,7 +31,7 @@
   readonly limitExchange: LimitExchange;
   readonly evacuationExchange: EvacuationExchange;
   readonly coldExchange: ColdExchange;
-  readonly onPlan: (attemptId: string, answer: PlanAnswer) => void;
+  readonly onPlan: (attemptId: string, answer: PlanAnswer, planner: string) => void;
   readonly onMembers: (members: readonly WireMember[]) => void;
   readonly onLeft: (host: string) => void;
 }
@@ -54,8 +54,8 @@
       .with({ kind: 'ask' }, ({ ask, host, incarnation }) => {
         attempts.onPlanRequest(ask, host, incarnation);
       })
-      .with({ kind: 'plan' }, ({ attempt, answer }) => {
-        this.parts.onPlan(attempt, answer);
+      .with({ kind: 'plan' }, ({ attempt, answer, host }) => {
+        this.parts.onPlan(attempt, answer, host);
       })
       .with({ kind: 'withdraw' }, ({ attempt }) => {
         planner.withdraw(attempt);
--- a/packages/relay/src/peers/mocks/mesh-network.ts
+++ b/packages/relay/src/peers/mocks/mesh-network.ts
@@ -171,9 +171,9 @@
       fleet,
       planner,
       engineServices: () => [ENGINE_SERVICE],
-      onPlan: (attemptId, answer) => {
+      onPlan: (attemptId, answer, from) => {
         answers.push({ attemptId, answer });
-        placement.onPlanAnswer(attemptId, answer);
+        placement.onPlanAnswer(attemptId, answer, from);
       },
       syncState,
       ...quarantines,
--- a/packages/relay/src/peers/peer-mesh.ts
+++ b/packages/relay/src/peers/peer-mesh.ts
@@ -52,7 +52,7 @@
   /** Names of the engine services, for which this host may be a planner or request plans. */
   readonly engineServices: () => readonly string[];
   /** Called with each answer of a planner. */
-  readonly onPlan: (attemptId: string, answer: PlanAnswer) => void;
+  readonly onPlan: (attemptId: string, answer: PlanAnswer, planner: string) => void;
   readonly syncState: StoreSyncState;
   readonly quarantine: SharedQuarantine;
   readonly partQuarantine: PartQuarantine;
--- a/packages/relay/src/planning/placement-client.test.ts
+++ b/packages/relay/src/planning/placement-client.test.ts
@@ -74,8 +74,8 @@
   it('uses the answer of the first planner', async () => {
     const { askedPlanners, placement } = askingHost(['p1', 'p2']);
     const placed = placement.place(REQUEST, () => false);
-    placement.onPlanAnswer('other', { kind: 'refuse', rule: 'no_engine' });
-    placement.onPlanAnswer('a', PLACE);
+    placement.onPlanAnswer('other', { kind: 'refuse', rule: 'no_engine' }, 'p1');
+    placement.onPlanAnswer('a', PLACE, 'p1');
     expect(await placed).toMatchObject({ kind: 'place', planner: 'p1' });
     expect(askedPlanners).toEqual(['p1']);
   });
@@ -97,11 +97,11 @@
     const { clock, askedPlanners, withdrawn, placement } = askingHost(['p1']);
     let isOver = false;
     const placed = placement.place(REQUEST, () => isOver);
-    placement.onPlanAnswer('a', { kind: 'wait', rule: 'waits_for_engine' });
+    placement.onPlanAnswer('a', { kind: 'wait', rule: 'waits_for_engine' }, 'p1');
     const waitedMs: Milliseconds = 320;
     for (let passedMs = 0; passedMs < waitedMs; passedMs += 10) await clock.advance(10);
     expect(askedPlanners).toEqual(['p1', 'p1']);
-    placement.onPlanAnswer('a', { kind: 'wait', rule: 'waits_for_engine' });
+    placement.onPlanAnswer('a', { kind: 'wait', rule: 'waits_for_engine' }, 'p1');
     isOver = true;
     await clock.advance(60);
     expect(await placed).toEqual({ kind: 'over' });
@@ -112,7 +112,7 @@
     const { clock, withdrawn, placement } = askingHost(['p1', 'p2']);
     const placed = placement.place(REQUEST, () => false);
     await clock.advance(60);
-    placement.onPlanAnswer('a', PLACE);
+    placement.onPlanAnswer('a', PLACE, 'p2');
     expect(await placed).toMatchObject({ kind: 'place', planner: 'p2' });
     expect(withdrawn).toEqual(['p1']);
   });
@@ -121,10 +121,10 @@
     const { clock, lines, placement } = askingHost(['p1']);
     const placed = placement.place(REQUEST, () => false);
     for (const rule of ['waits_for_engine', 'waits_for_engine', 'waits_for_slack'] as const) {
-      placement.onPlanAnswer('a', { kind: 'wait', rule });
+      placement.onPlanAnswer('a', { kind: 'wait', rule }, 'p1');
       for (let passedMs = 0; passedMs < 310; passedMs += 10) await clock.advance(10);
     }
-    placement.onPlanAnswer('a', PLACE);
+    placement.onPlanAnswer('a', PLACE, 'p1');
     await placed;
     const waiting = lines.filter((line) => line.includes('event=waiting'));
     expect(waiting).toHaveLength(2);
--- a/packages/relay/src/planning/placement-client.ts
+++ b/packages/relay/src/planning/placement-client.ts
@@ -49,13 +49,16 @@
  */
 export class PlacementClient {
   readonly #unresponsiveUntilMs = new Map<string, Milliseconds>();
+  /** When each planner was last found to be silent. */
+  readonly #silentAtMs = new Map<string, Milliseconds>();
   readonly #answerQueues = new Map<string, AnswerQueue>();
   readonly #localRefusals = new LocalRefusals();
 
   constructor(readonly parts: PlacementClientParts) {}
 
-  /** Delivers a planner's answer; ignored if its request no longer waits. */
-  onPlanAnswer(attemptId: string, answer: PlanAnswer): void {
+  /** Delivers the answer of `planner`; ignored if its request no longer waits. */
+  onPlanAnswer(attemptId: string, answer: PlanAnswer, planner: string): void {
+    if (this.#isUnresponsive(planner)) this.#onLateAnswer(planner);
     this.#answerQueues.get(attemptId)?.push(answer);
   }
 
@@ -119,11 +122,12 @@
 
   /** The planner of a service: the highest-ranked host that answers, or this one. */
   #plannerOf(service: string): string {
-    const { clock, host, peers } = this.parts;
-    const nowMs = clock.monotonicMs();
-    const isUnresponsive = (candidate: string) =>
-      (this.#unresponsiveUntilMs.get(candidate) ?? 0) > nowMs;
-    return peers.plannersOf(service).find((candidate) => !isUnresponsive(candidate)) ?? host;
+    const { host, peers } = this.parts;
+    return peers.plannersOf(service).find((other) => !this.#isUnresponsive(other)) ?? host;
+  }
+
+  #isUnresponsive(planner: string): boolean {
+    return (this.#unresponsiveUntilMs.get(planner) ?? 0) > this.parts.clock.monotonicMs();
   }
 
   #ask(planner: string, request: PlanRequest): void {
@@ -134,14 +138,16 @@
     }
     const isFallback = peers.plannersOf(request.service)[0] !== host;
     const onAnswer = (answer: PlanAnswer) => {
-      this.onPlanAnswer(request.attemptId, answer);
+      this.onPlanAnswer(request.attemptId, answer, host);
     };
     this.parts.planner.submit(request, onAnswer, isFallback);
   }
 
   #onSilent(planner: string, { requestId, service }: PlanRequest): void {
     const { clock, log } = this.parts;
-    this.#unresponsiveUntilMs.set(planner, clock.monotonicMs() + UNRESPONSIVE_FOR_MS);
+    const nowMs = clock.monotonicMs();
+    this.#unresponsiveUntilMs.set(planner, nowMs + UNRESPONSIVE_FOR_MS);
+    this.#silentAtMs.set(planner, nowMs);
     log.warn('planner_silent', {
       request: requestId,
       service,
@@ -151,6 +157,13 @@
     });
   }
 
+  #onLateAnswer(planner: string): void {
+    const { clock, log } = this.parts;
+    const silentAtMs = this.#silentAtMs.get(planner) ?? clock.monotonicMs();
+    const lateMs = Math.round(clock.monotonicMs() - silentAtMs);
+    log.warn('planner_late', { planner, after_ms: ANSWER_TIMEOUT_MS + lateMs });
+  }
+
   #withdraw(planners: ReadonlySet<string>, attemptId: string): void {
     const { host, peers } = this.parts;
     for (const planner of planners) {
