Add a failing test: a planner that answers after 50 ms is not asked for a second

What callers see: refusals as servers may turn cold, though the service has room: a host that does not ask the planner grants a third or a tenth of the rate by itself.

--- a/packages/relay/src/planning/placement-client.test.ts
+++ b/packages/relay/src/planning/placement-client.test.ts
@@ -93,6 +93,19 @@
     expect(askedPlanners).toEqual(['p1', 'p2', 'p1']);
   });
 
+  it('asks a planner again whose answer comes late, unless it is late again within a second', async () => {
+    const { clock, askedPlanners, placement } = askingHost(['p1', 'p2']);
+    void placement.place(REQUEST, () => false);
+    await clock.advance(50);
+    placement.onPlanAnswer('a', PLACE, 'p1');
+    void placement.place({ ...REQUEST, attemptId: 'b' }, () => false);
+    expect(askedPlanners).toEqual(['p1', 'p2', 'p1']);
+    await clock.advance(50);
+    placement.onPlanAnswer('b', PLACE, 'p1');
+    void placement.place({ ...REQUEST, attemptId: 'c' }, () => false);
+    expect(askedPlanners).toEqual(['p1', 'p2', 'p1', 'p2', 'p2']);
+  });
+
   it('repeats a waiting request, and withdraws it when the caller has disconnected', async () => {
     const { clock, askedPlanners, withdrawn, placement } = askingHost(['p1']);
     let isOver = false;
