Ask a planner again whose answer comes late

Cause: a planner that had not answered within 40 ms was not asked for a second, also if its answer arrived a moment later; the host granted permits by itself meanwhile, at a third or a tenth of the rate. The class: evidence that revokes a suspicion is dropped.

Change: the late answer ends the silence, unless the planner was silent twice within a second: one that stays slow would cost each request 40 ms.

--- a/packages/relay/src/planning/placement-client.ts
+++ b/packages/relay/src/planning/placement-client.ts
@@ -12,6 +12,13 @@
   | (PlanRefusal & { readonly planner: string })
   | { readonly kind: 'over' };
 
+/** A planner that did not answer in time. */
+interface PlannerSilence {
+  readonly atMs: Milliseconds;
+  /** Whether it followed another silence within `UNRESPONSIVE_FOR_MS`. */
+  readonly isRepeated: boolean;
+}
+
 /** Finds and contacts the hosts that plan. */
 export interface PlannerPeers {
   /** Hosts that plan for a service, highest rank first; may include this host. */
@@ -49,8 +56,8 @@
  */
 export class PlacementClient {
   readonly #unresponsiveUntilMs = new Map<string, Milliseconds>();
-  /** When each planner was last found to be silent. */
-  readonly #silentAtMs = new Map<string, Milliseconds>();
+  /** The last silence of each planner. */
+  readonly #silences = new Map<string, PlannerSilence>();
   readonly #answerQueues = new Map<string, AnswerQueue>();
   readonly #localRefusals = new LocalRefusals();
 
@@ -145,9 +152,11 @@
 
   #onSilent(planner: string, { requestId, service }: PlanRequest): void {
     const { clock, log } = this.parts;
-    const nowMs = clock.monotonicMs();
-    this.#unresponsiveUntilMs.set(planner, nowMs + UNRESPONSIVE_FOR_MS);
-    this.#silentAtMs.set(planner, nowMs);
+    const atMs = clock.monotonicMs();
+    const lastAtMs = this.#silences.get(planner)?.atMs ?? Number.NEGATIVE_INFINITY;
+    const isRepeated = atMs - lastAtMs < UNRESPONSIVE_FOR_MS;
+    this.#unresponsiveUntilMs.set(planner, atMs + UNRESPONSIVE_FOR_MS);
+    this.#silences.set(planner, { atMs, isRepeated });
     log.warn('planner_silent', {
       request: requestId,
       service,
@@ -157,11 +166,16 @@
     });
   }
 
+  /** Asks a planner again that answers late; one that stays slow would delay each request. */
   #onLateAnswer(planner: string): void {
+    const silence = this.#silences.get(planner);
+    if (!silence) return;
     const { clock, log } = this.parts;
-    const silentAtMs = this.#silentAtMs.get(planner) ?? clock.monotonicMs();
-    const lateMs = Math.round(clock.monotonicMs() - silentAtMs);
-    log.warn('planner_late', { planner, after_ms: ANSWER_TIMEOUT_MS + lateMs });
+    const lateMs = Math.round(clock.monotonicMs() - silence.atMs);
+    const isAsked = !silence.isRepeated;
+    if (isAsked) this.#unresponsiveUntilMs.delete(planner);
+    const after_ms = ANSWER_TIMEOUT_MS + lateMs;
+    log.warn('planner_late', { planner, after_ms, is_asked: isAsked });
   }
 
   #withdraw(planners: ReadonlySet<string>, attemptId: string): void {
