--- a/packages/fleet/src/part-terminations.ts
+++ b/packages/fleet/src/part-terminations.ts
@@ -15,10 +15,7 @@
   readonly parts: ReadonlyMap<string, Milliseconds>;
 }
 
-/**
- * A part that was in a complete response within this time before a termination did not cause it. On
- * simulated days with a crash every 0.4 s, 3 s halve the wrong findings of 1 s.
- */
+/** A part that was in a complete response within this time before a termination did not cause it. */
 export const SERVED_RECENTLY_MS: Milliseconds = 3000;
 /** Servers that are lost together end within this time of each other. */
 const MIN_SEPARATION_MS: Milliseconds = 150;
@@ -30,8 +27,10 @@
 const MIN_CONSECUTIVE = 3;
 /** Older terminations say nothing about a part. */
 const RETENTION_MS: Milliseconds = 60_000;
-/** More than a fleet of 700 engines loses in a minute by crashes of single engines. */
+/** Bounds the work of a search; the oldest are dropped first. */
 const MAX_TERMINATIONS_KEPT = 256;
+/** Messages carry no more parts of one termination; engines run 16 requests at once. */
+const MAX_PARTS_OF_TERMINATION = 64;
 /** Bounds memory to 0.5 MB; the parts that were served least recently are dropped first. */
 const MAX_SERVED_PARTS = 4096;
 
@@ -81,7 +80,8 @@
       this.#terminations.set(runs.incarnation, runs);
       return true;
     }
-    const news = [...runs.parts].filter(([part]) => !known.parts.has(part));
+    const room = MAX_PARTS_OF_TERMINATION - known.parts.size;
+    const news = [...runs.parts].filter(([part]) => !known.parts.has(part)).slice(0, room);
     const isMorePrompt = runs.isPrompt && !known.isPrompt;
     if (news.length === 0 && !isMorePrompt) return false;
     const { atMs, isPrompt } = isMorePrompt ? runs : known;
@@ -127,9 +127,9 @@
     return count.isFatal;
   }
 
-  /** Parts that ran on an incarnation of a server as it terminated. */
-  partsOf(incarnation: string): readonly string[] {
-    return [...(this.#terminations.get(incarnation)?.parts.keys() ?? [])];
+  /** Returns what is known of the end of an incarnation; undefined if that is nothing. */
+  find(incarnation: string): TerminatedRuns | undefined {
+    return this.#terminations.get(incarnation);
   }
 
   /** Ids of the servers that terminated while they ran a part. */
--- a/packages/relay/src/peers/part-termination-exchange.test.ts
+++ b/packages/relay/src/peers/part-termination-exchange.test.ts
@@ -25,14 +25,17 @@
   return [...hosts.values()].filter(({ quarantine }) => quarantine.isHeld(part)).length;
 }
 
+/** Ends a server under a run of `host` with some parts. */
+function endServer({ clock, partQuarantine }: Host, id: string, parts: readonly string[]): void {
+  const place = { address: '127.0.0.1', port: 9, availabilityZone: 'z', slots: 1 };
+  const server = { id, service: 'engines', isDraining: false, ...place };
+  partQuarantine.onTerminated({ server, atMs: clock.monotonicMs(), isPrompt: true }, parts, 0);
+}
+
 /** Ends five servers, 200 ms apart, each under a run of another host with both parts. */
 async function endServers(hosts: MeshNetwork): Promise<void> {
   for (let index = 0; index < 5; index += 1) {
-    const host = hostAt(hosts, index + 1);
-    const atMs = host.clock.monotonicMs();
-    const place = { address: '127.0.0.1', port: 9, availabilityZone: 'z', slots: 1 };
-    const server = { id: `i-${String(index)}`, service: 'engines', isDraining: false, ...place };
-    host.partQuarantine.onTerminated({ server, atMs, isPrompt: true }, [SHARED, FATAL], 0);
+    endServer(hostAt(hosts, index + 1), `i-${String(index)}`, [SHARED, FATAL]);
     await hosts.run(200);
   }
 }
@@ -57,6 +60,18 @@
     },
   );
 
+  it('reports the parts of all runs that end with a server, not only of the last one', async () => {
+    const hosts = await network(12, 3);
+    for (let index = 0; index < 5; index += 1) {
+      const host = hostAt(hosts, index + 1);
+      endServer(host, `other-${String(index)}`, [`part:engines/o${String(index)}`]);
+      endServer(host, `i-${String(index)}`, [FATAL]);
+      endServer(host, `i-${String(index)}`, [`part:engines/n${String(index)}`]);
+      await hosts.run(200);
+    }
+    expect(holders(hosts, FATAL)).toBe(12);
+  });
+
   it('holds no part on any host that one of the hosts serves meanwhile', async () => {
     const hosts = await network(12, 3);
     hostAt(hosts, 9).partQuarantine.onServed([SHARED]);
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -89,7 +89,9 @@
       parts: new Map(suspects.slice(0, MAX_REPORTED_PARTS).map((part) => [part, startedAtMs])),
     };
     const isNew = runs.parts.size > 0 && this.#known.record(runs);
-    if (isNew) this.#onReports({ ...NO_REPORTS, terminated: [runs] });
+    // Other requests that ran on the server are reported with it, as one report replaces another.
+    const known = this.#known.find(runs.incarnation);
+    if (isNew && known) this.#onReports({ ...NO_REPORTS, terminated: [known] });
     const changed = [...this.#holdFatal(runs), ...this.#releaseVictims(runs.incarnation)];
     this.parts.quarantine.publishEntries(changed);
   }
@@ -112,11 +114,13 @@
     }
   }
 
-  /** Merges reports of a peer and returns those that were new. */
+  /** Merges reports of a peer; returns those that were new, with what other hosts have reported. */
   mergeFromPeer({ terminated, served }: PartReports): PartReports {
     const news = {
       served: served.filter(({ part, atMs }) => this.#known.recordServed(part, atMs)),
-      terminated: terminated.filter((runs) => this.#known.record(runs)),
+      terminated: terminated
+        .filter((runs) => this.#known.record(runs))
+        .map((runs) => this.#known.find(runs.incarnation) ?? runs),
     };
     for (const runs of news.terminated) {
       this.#holdFatal(runs);
@@ -159,7 +163,7 @@
 
   /** Releases what was quarantined for the end of a server that ran a part that is held. */
   #releaseVictims(incarnation: string): readonly QuarantineEntry[] {
-    const held = this.#known.partsOf(incarnation).filter(this.#isHeld);
+    const held = [...(this.#known.find(incarnation)?.parts.keys() ?? [])].filter(this.#isHeld);
     return held.flatMap((part) => this.#releaseExplained(part));
   }
 
