--- a/packages/relay/src/host/connection-admission.ts
+++ b/packages/relay/src/host/connection-admission.ts
@@ -21,9 +21,11 @@
 const STARTUP_MS: Milliseconds = 5000;
 /** The limit ends when no connection has been closed for this many ticks. */
 const UNLIMITED_TICKS = 10;
+/** The first limit, relative to the requests that were read, many of callers that had given up. */
 const INITIAL_SHARE = 0.6;
 const DECREASE = 0.9;
 const INCREASE = 1.05;
+/** A host that is ready must always accept some connections. */
 const MIN_PER_SECOND = 10;
 const MS_PER_SECOND = 1000;
 
