--- a/packages/fleet/src/followed-request.ts
+++ b/packages/fleet/src/followed-request.ts
@@ -1,8 +1,8 @@
 import type { Milliseconds } from '@poppypond/core';
 import { ContentId } from './content-id.js';
 import type { RequestContent } from './content-id.js';
-import { NO_TERMINATIONS } from './quarantine.js';
-import type { QuarantineEntry, TerminationHistory, QuarantineVerdict } from './quarantine.js';
+import { NO_TERMINATIONS } from './quarantine-entry.js';
+import type { QuarantineEntry, TerminationHistory, QuarantineVerdict } from './quarantine-entry.js';
 
 /** The quarantine as seen by one host, which supplies its own clock and name. */
 export interface QuarantineRegistry {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -19,6 +19,7 @@
 export * from './place-call.js';
 export * from './place-stream.js';
 export * from './quarantine.js';
+export * from './quarantine-entry.js';
 export * from './rate-limits.js';
 export * from './request-bounds.js';
 export type { KnownHosts } from './host-slots.js';
--- a/packages/fleet/src/part-terminations.ts
+++ b/packages/fleet/src/part-terminations.ts
@@ -16,7 +16,7 @@
 }
 
 /** A part that was in a complete response within this time before a termination did not cause it. */
-export const SERVED_RECENTLY_MS: Milliseconds = 3000;
+const SERVED_RECENTLY_MS: Milliseconds = 3000;
 /** Servers that are lost together end within this time of each other. */
 const MIN_SEPARATION_MS: Milliseconds = 150;
 /** The same for ends that are noticed by silence or by a new entry in the list. */
@@ -29,8 +29,8 @@
 const RETENTION_MS: Milliseconds = 60_000;
 /** Bounds the work of a search; the oldest are dropped first. */
 const MAX_TERMINATIONS_KEPT = 256;
-/** Messages carry no more parts of one termination; engines run 16 requests at once. */
-const MAX_PARTS_OF_TERMINATION = 64;
+/** Bounds a message with 16 terminations to 35 KB; engines run some 16 requests at once. */
+const MAX_PARTS_OF_TERMINATION = 32;
 /** Bounds memory to 0.5 MB; the parts that were served least recently are dropped first. */
 const MAX_SERVED_PARTS = 4096;
 
--- a/packages/fleet/src/quarantine-simulation.test.ts
+++ b/packages/fleet/src/quarantine-simulation.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { EventQueue, seededRandom } from './mocks/simulation.js';
 import { Quarantine } from './quarantine.js';
-import type { QuarantineEntry, TerminationHistory } from './quarantine.js';
+import type { QuarantineEntry, TerminationHistory } from './quarantine-entry.js';
 
 /*
  * Simulates hosts in front of engines that terminate for all kinds of reasons: single engines, an
--- a/packages/fleet/src/quarantine.test.ts
+++ b/packages/fleet/src/quarantine.test.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { MAX_TERMINATIONS, Quarantine } from './quarantine.js';
-import type { QuarantineEntry } from './quarantine.js';
+import { Quarantine } from './quarantine.js';
+import { MAX_TERMINATIONS } from './quarantine-entry.js';
+import type { QuarantineEntry } from './quarantine-entry.js';
 
 const A = 'hint-a-content';
 const B = 'hint-b-content';
--- a/packages/relay/src/quarantine/followed-parts.ts
+++ b/packages/relay/src/quarantine/followed-prompt.ts
@@ -4,15 +4,15 @@
 import type { NoticedEnd, PartQuarantine } from './part-quarantine.js';
 import type { SharedQuarantine } from './shared-quarantine.js';
 
-/** Dependencies of `FollowedParts`. */
-export interface FollowedPartsParts {
+/** Dependencies of `FollowedPrompt`. */
+export interface FollowedPromptParts {
   readonly clock: Clock;
   readonly quarantine: SharedQuarantine;
   readonly partQuarantine: PartQuarantine;
 }
 
 /** Tracks the ends of servers during the attempts of one request, for the parts of its prompt. */
-export class FollowedParts {
+export class FollowedPrompt {
   readonly #keys: readonly string[];
   /** When each attempt started, by attempt id; removed once its server has ended. */
   readonly #startedAtMs = new Map<string, Milliseconds>();
@@ -20,7 +20,7 @@
   #trialParts: readonly string[] = [];
 
   constructor(
-    readonly parts: FollowedPartsParts,
+    readonly parts: FollowedPromptParts,
     service: string,
     sharedParts: readonly string[],
   ) {
--- a/packages/relay/src/quarantine/termination-tracker.ts
+++ b/packages/relay/src/quarantine/termination-tracker.ts
@@ -1,7 +1,7 @@
 import { FollowedRequest } from '@poppypond/fleet';
 import type { QuarantineHold, RequestContent } from '@poppypond/fleet';
-import { FollowedParts } from './followed-parts.js';
-import type { FollowedPartsParts } from './followed-parts.js';
+import { FollowedPrompt } from './followed-prompt.js';
+import type { FollowedPromptParts } from './followed-prompt.js';
 import type { NoticedEnd } from './part-quarantine.js';
 
 /** What the quarantine needs to know about a request. */
@@ -18,11 +18,11 @@
  */
 export class TerminationTracker {
   readonly #request: FollowedRequest;
-  readonly #parts: FollowedParts;
+  readonly #prompt: FollowedPrompt;
 
-  constructor(parts: FollowedPartsParts, { service, content, sharedParts }: TrackedRequest) {
+  constructor(parts: FollowedPromptParts, { service, content, sharedParts }: TrackedRequest) {
     this.#request = new FollowedRequest(parts.quarantine, content);
-    this.#parts = new FollowedParts(parts, service, sharedParts);
+    this.#prompt = new FollowedPrompt(parts, service, sharedParts);
   }
 
   /** Content id of the request; the body is hashed at the first access. */
@@ -40,26 +40,26 @@
    * trial.
    */
   checkHold(): QuarantineHold | undefined {
-    const held = this.#parts.checkHold() ?? this.#request.checkHold();
-    if (!held) this.#parts.takeTrials();
+    const held = this.#prompt.checkHold() ?? this.#request.checkHold();
+    if (!held) this.#prompt.takeTrials();
     return held;
   }
 
   /** Records the start of an attempt. */
   begin(attempt: string): void {
     this.#request.begin(attempt);
-    this.#parts.begin(attempt);
+    this.#prompt.begin(attempt);
   }
 
   /** Records that a server ended during an attempt. */
   onTerminated(attempt: string, end: NoticedEnd): void {
     this.#request.onTerminated(attempt, end.server.id);
-    this.#parts.onTerminated(attempt, end);
+    this.#prompt.onTerminated(attempt, end);
   }
 
   /** Records that the request was served. */
   onServed(): void {
     this.#request.onServed();
-    this.#parts.onServed();
+    this.#prompt.onServed();
   }
 }
