Name the fatal part in refusals; more cases of fatal parts

The detail of a refusal, which callers and the line answered state, said "the request or a part of its prompt".

--- a/packages/relay/src/peers/part-termination-exchange.test.ts
+++ b/packages/relay/src/peers/part-termination-exchange.test.ts
@@ -81,6 +81,14 @@
     expect(holders(hosts, SHARED)).toBe(0);
   });
 
+  it('holds the part on a host that starts or starts again later', async () => {
+    const hosts = await network(6, 1);
+    await endServers(hosts);
+    for (const port of [4, 7]) hosts.start(port, [1, 2, 3, 4, 5, 6, 7]);
+    await hosts.run(3000);
+    expect(holders(hosts, FATAL)).toBe(7);
+  });
+
   it('holds the part on all hosts although no report reaches more than one of them', async () => {
     const hosts = await network(12, 3);
     hosts.lost = ({ kind }, to) => kind === 'part_terminations' && to !== 'host-1';
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -47,6 +47,12 @@
   return content.startsWith(KEY_PREFIX);
 }
 
+/** Describes, for people, what an entry of the quarantine is about. */
+export function describeSubject(content: string): string {
+  if (!isPartKey(content)) return 'the request';
+  return `part ${content.slice(content.lastIndexOf('/') + 1)} of its prompt`;
+}
+
 /**
  * Quarantines the parts of prompts that terminate the servers that run them, whatever else the
  * requests contain. All hosts report the parts of their runs that end with a server; a part that is
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -8,6 +8,7 @@
 import type { AttemptOutcome } from '../backend/server-attempt.js';
 import { DEADLINE_SLACK_MS } from '../planning/planned-use.js';
 import type { ResponseHead, CallerHead } from '../ports.js';
+import { describeSubject } from '../quarantine/part-quarantine.js';
 import { contentOf } from '../quarantine/request-content.js';
 import { TerminationDetector } from '../quarantine/termination-detector.js';
 import { TerminationTracker } from '../quarantine/termination-tracker.js';
@@ -262,7 +263,7 @@
     if (!held) return false;
     const ended = describeTerminations(held.entry, this.parts.clock.monotonicMs());
     this.#finalResponse.giveUp(
-      `servers terminated while running the request or a part of its prompt: ${ended}`,
+      `servers terminated while running ${describeSubject(held.entry.content)}: ${ended}`,
       held.forMs,
       'quarantined',
     );
