--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -251,7 +251,8 @@
 });
 /** Part of prompts that ran on a server that ended, and the time since its latest run started. */
 const startedPartSchema = z.tuple([z.string().min(1), z.number().min(0)]);
-const MAX_REPORTED_PARTS = 64;
+/** Twice what this release sends. */
+const MAX_RECEIVED_PARTS = 64;
 /** Wire form of runs that ended with their server. */
 const terminatedRunsSchema = z.tuple([
   z.string().min(1).describe('incarnation'),
@@ -259,7 +260,7 @@
   z.string().min(1).describe('host that noticed it'),
   z.number().min(0).describe('time since the end'),
   z.boolean().describe('whether that time is when connections broke'),
-  z.array(startedPartSchema).max(MAX_REPORTED_PARTS),
+  z.array(startedPartSchema).max(MAX_RECEIVED_PARTS),
 ]);
 /** Wire form of a part that was in a complete response, and the time since. */
 const servedPartSchema = z.tuple([z.string().min(1), z.number().min(0)]);
