--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -204,7 +204,7 @@
     const serving = new RequestHandler(composeParts(this.#base, peers, placement));
     const readUtilization = createUtilizationReader();
     const admission = new ConnectionAdmission({ clock, log, metrics, readUtilization });
-    if (this.settings.limitsConnections) this.#onStop.push(admission.start());
+    this.#onStop.push(admission.start());
     const callerListener = new CallerListener({
       clock,
       admission,
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -66,11 +66,6 @@
     .describe(
       'time within which an evacuated availability zone gets no new work; evacuations are ignored if not set',
     ),
-  limitsConnections: booleanSetting
-    .default(true)
-    .describe(
-      'whether new connections are closed unread while this process gets more than it can serve; off where several relays share a process',
-    ),
   limitsColdServers: booleanSetting
     .default(false)
     .describe(
