Limit connections only when they wait, not when the event loop is busy

What callers would see: a host that is busy but keeps up closed two fifths of its new connections unread.

Cause: an event loop without idle time was taken for overload.

Change: a busy loop, three of eight ticks, only leads to a measurement: a connection of the host's own that waits in the same backlog.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,6 +7,7 @@
 import { composeBase, composeParts, composePeers, selfAddress } from './compose.js';
 import type { RelayBase } from './compose.js';
 import { ForwardingListener } from './connections/forwarding-listener.js';
+import { BacklogProbe } from './host/backlog-probe.js';
 import { ConnectionAdmission } from './host/connection-admission.js';
 import { createUtilizationReader } from './host/loop-utilization.js';
 import { HostFull } from './host/host-full.js';
@@ -203,11 +204,19 @@
     });
     const serving = new RequestHandler(composeParts(this.#base, peers, placement));
     const readUtilization = createUtilizationReader();
-    const admission = new ConnectionAdmission({ clock, log, metrics, readUtilization });
+    const backlogProbe = new BacklogProbe({ clock, ...splitAddress(this.settings.listen) });
+    const admission = new ConnectionAdmission({
+      clock,
+      log,
+      metrics,
+      readUtilization,
+      measureBacklogMs: () => backlogProbe.measure(),
+    });
     this.#onStop.push(admission.start());
     const callerListener = new CallerListener({
       clock,
       admission,
+      backlogProbe,
       wire: this.ports.wire,
       maxBodyBytes: () =>
         activeConfiguration.table?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -3,6 +3,7 @@
 import { createServer, connect } from 'node:net';
 import { describe, expect, it, vi } from 'vitest';
 import { budgetSizeOf } from '../host/budget-size.js';
+import { BacklogProbe } from '../host/backlog-probe.js';
 import { ConnectionAdmission } from '../host/connection-admission.js';
 import { HostBudget } from '../host/host-budget.js';
 import { HostFull } from '../host/host-full.js';
@@ -57,7 +58,9 @@
       log: silentLog,
       metrics,
       readUtilization: () => 0,
+      measureBacklogMs: () => Promise.resolve(0),
     }),
+    backlogProbe: new BacklogProbe({ clock: new SystemClock(), address: LOOPBACK, port: 0 }),
     onRequest: ({ answer }) => {
       const index = answers.push(answer) - 1;
       return new Promise((resolve) => {
--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { BodyReader } from '../host/body-reader.js';
+import type { BacklogProbe } from '../host/backlog-probe.js';
 import type { ConnectionAdmission } from '../host/connection-admission.js';
 import type { HostBudget, Reservation } from '../host/host-budget.js';
 import type { HostFull } from '../host/host-full.js';
@@ -28,6 +29,7 @@
   readonly hostBudget: HostBudget;
   readonly hostFull: HostFull;
   readonly admission: ConnectionAdmission;
+  readonly backlogProbe: BacklogProbe;
 }
 
 /** The HTTP parser refuses larger heads; the limit that callers are given is smaller. */
@@ -52,16 +54,16 @@
     this.#server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
     this.#server.headersTimeout = HEADERS_TIMEOUT_MS;
     this.#server.requestTimeout = 0;
-    this.#limitConnections(parts.admission);
+    this.#limitConnections(parts);
   }
 
   /**
    * Lets Node close connections beyond the limit as it accepts them, which costs a tenth of a
    * refusal: it does so while more than `maxConnections` are open.
    */
-  #limitConnections(admission: ConnectionAdmission): void {
-    this.#server.on('connection', () => {
-      admission.onAccepted();
+  #limitConnections({ admission, backlogProbe }: CallerListenerParts): void {
+    this.#server.on('connection', (socket) => {
+      if (!backlogProbe.takeAccepted(socket)) admission.onAccepted();
     });
     this.#server.on('drop', () => {
       admission.onDropped();
