--- a/packages/relay/src/host/connection-admission.ts
+++ b/packages/relay/src/host/connection-admission.ts
@@ -155,7 +155,7 @@
       accepted,
       dropped,
       requests,
-      wait_ms: waitMs && Math.round(waitMs),
+      backlog_ms: waitMs && Math.round(waitMs),
     });
   }
 }
