--- a/packages/relay/src/host/connection-admission.ts
+++ b/packages/relay/src/host/connection-admission.ts
@@ -46,9 +46,10 @@
 const NO_COUNTS: Readonly<TickCounts> = { accepted: 0, dropped: 0, requests: 0 };
 
 /**
- * Limits the new connections that a host accepts to what it can serve, while new connections wait too
- * long to be accepted. The others are closed with their requests unread, so that their callers try other hosts at
- * once: a host that accepts more works through requests whose callers have given up.
+ * Limits the new connections that a host accepts to what it can serve, while new connections wait
+ * too long to be accepted. The others are closed with their requests unread, so that their callers
+ * try other hosts at once: a host that accepts more works through requests whose callers have given
+ * up.
  */
 export class ConnectionAdmission {
   #counts: TickCounts = { ...NO_COUNTS };
@@ -155,7 +156,7 @@
       accepted,
       dropped,
       requests,
-      backlog_ms: waitMs && Math.round(waitMs),
+      backlog_ms: waitMs === undefined ? undefined : Math.round(waitMs),
     });
   }
 }
