--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -58,8 +58,8 @@
   }
 
   /**
-   * Lets Node close connections beyond the limit as it accepts them, which costs a tenth of a
-   * refusal: it does so while more than `maxConnections` are open.
+   * Lets Node close connections beyond the limit as it accepts them, while more than
+   * `maxConnections` are open: it costs the host much less than to read and refuse them.
    */
   #limitConnections({ admission, backlogProbe }: CallerListenerParts): void {
     this.#server.on('connection', (socket) => {
