--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -168,8 +168,10 @@
       this.#components?.callerListener.closeIdle();
       await delay(clock, DRAIN_POLL_PERIOD_MS);
     }
+    const afterMs = Math.round(clock.monotonicMs() - nowMs);
+    log.warn('stopped', { open: this.#unfinishedCount, after_ms: afterMs });
+    this.#components?.serving.logUnfinished();
     this.#closeAll();
-    log.warn('stopped', { open: this.#unfinishedCount });
     await output.drain(LOG_DRAIN_MS);
   }
 
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -184,6 +184,12 @@
     }
   }
 
+  /** Logs that the host stops before the response is complete. */
+  logUnfinished(): void {
+    const { sent } = this.#history;
+    this.#telemetry.unfinishedAtStop(this.#current ? sent + 1 : sent, this.answer.hasStarted);
+  }
+
   async #tryServers(): Promise<void> {
     const { parts, caller, admitted, arrivedAtMs } = this;
     const inputs = {
--- a/packages/relay/src/request/request-handler.ts
+++ b/packages/relay/src/request/request-handler.ts
@@ -12,7 +12,7 @@
 
 /** Admits or refuses requests, executes admitted ones and counts the open ones. */
 export class RequestHandler {
-  #openCount = 0;
+  readonly #executions = new Set<RequestExecution>();
   readonly #startupGrace: StartupGrace;
 
   constructor(readonly parts: RelayParts) {
@@ -24,7 +24,12 @@
 
   /** Admitted requests whose response is not finished. */
   get openCount(): number {
-    return this.#openCount;
+    return this.#executions.size;
+  }
+
+  /** Logs the requests that end without a complete response because the host stops. */
+  logUnfinished(): void {
+    for (const execution of this.#executions) execution.logUnfinished();
   }
 
   /** Serves one request; resolves when its response is finished. */
@@ -51,11 +56,19 @@
       this.#refuse(admitted.error, caller.requestId, answer);
       return;
     }
-    this.#openCount += 1;
+    const execution = new RequestExecution(
+      parts,
+      caller,
+      admitted.value,
+      body,
+      answer,
+      arrivedAtMs,
+    );
+    this.#executions.add(execution);
     try {
-      await new RequestExecution(parts, caller, admitted.value, body, answer, arrivedAtMs).run();
+      await execution.run();
     } finally {
-      this.#openCount -= 1;
+      this.#executions.delete(execution);
     }
   }
 
--- a/packages/relay/src/request/request-telemetry.ts
+++ b/packages/relay/src/request/request-telemetry.ts
@@ -224,6 +224,17 @@
     else log.warn('answered', line);
   }
 
+  /** Records that the host stops before the response is complete. */
+  unfinishedAtStop(attempts: number, hasStarted: boolean): void {
+    this.parts.log.warn('unfinished_at_stop', {
+      request: this.caller.requestId,
+      route: this.admitted.route.name,
+      age_ms: Math.round(this.#sinceArrivalMs()),
+      attempts,
+      has_started: hasStarted,
+    });
+  }
+
   #sinceArrivalMs(): Milliseconds {
     return this.parts.clock.monotonicMs() - this.arrivedAtMs;
   }
