Accept only final statuses as responses of backend servers

What callers saw: a server answered 'HTTP/1.1 000 OK'. A final status 101 without an upgrade was handed to callers as their response.

Cause: Node's client takes any three digits for a status, and reports 101 without 'Upgrade' like a final response; ServerResponse.writeHead throws below 100. Nothing checked the status in between.

Evidence: the stack on the error output (ERR_HTTP_INVALID_STATUS_CODE in CallerResponse.send).

Change: receiveResponse is the one place that decides what a final response is (200 to 599, as in RFC 9110), and which of Node's events ends a request. ServerAttempt and openHttp use it. Any other status is a broken response: its request may have run, so safe ones are tried again and unsafe ones get 502.

--- a/packages/relay/src/backend/server-attempt.test.ts
+++ b/packages/relay/src/backend/server-attempt.test.ts
@@ -145,6 +145,17 @@
     expect((await attemptAt((socket) => socket.destroy())).end.kind).toBe('broken');
   });
 
+  // Guards against passing on a status that Node refuses to write, which ended the relay.
+  it.each(['000', '099', '101', '600'])(
+    'reports a response with status %s, which no final response has, as broken',
+    async (status) => {
+      const { end } = await attemptAt((socket) =>
+        socket.end(`${HEAD.replace('200', status)}Content-Length: 0\r\n\r\n`),
+      );
+      expect(end.kind).toBe('broken');
+    },
+  );
+
   it('reports that nothing was sent if the connection is refused', async () => {
     const closed = createServer();
     const port = await listenAnywhere(closed);
--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -1,5 +1,6 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
+import { receiveResponse } from '@poppypond/web';
 import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Socket } from 'node:net';
@@ -199,23 +200,18 @@
       createConnection: () => connection,
     });
     this.#request = opened;
-    opened.once('response', (response) => {
-      this.#onResponse(response);
-    });
-    opened.on('error', (error) => {
-      this.#onError(error.message);
-    });
-    opened.once('close', () => {
-      this.#onError('connection closed without a response');
+    receiveResponse(opened, {
+      onResponse: (response) => {
+        this.#onResponse(response);
+      },
+      onFailure: (detail) => {
+        this.#settle({ kind: 'broken', detail });
+      },
     });
     const { link } = this.parts.hostBudget;
     opened.end(body, link && (() => link.onWritten(body.length)));
   }
 
-  #onError(detail: string): void {
-    if (!this.#response) this.#settle({ kind: 'broken', detail });
-  }
-
   #settle(end: AttemptOutcome): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
--- a/packages/web/src/client.ts
+++ b/packages/web/src/client.ts
@@ -3,6 +3,7 @@
 import { Agent as TlsAgent, request as startHttps } from 'node:https';
 import type { Milliseconds } from '@poppypond/core';
 import { Result } from 'true-myth';
+import { receiveResponse } from './receive-response.js';
 
 /** Why an HTTP call returned no response, or an incomplete one. */
 export interface TransportFault {
@@ -87,14 +88,15 @@
       if (socket.connecting) socket.once(connectEvent, () => (isConnected = true));
       else isConnected = true;
     });
-    outgoing.once('response', (response) => {
-      clearTimeout(timer);
-      resolve(Result.ok(response));
-    });
-    outgoing.on('error', (error) => {
-      clearTimeout(timer);
-      const detail = error.message;
-      resolve(Result.err({ reason: reasonOf(), mayHaveArrived: isConnected, detail }));
+    receiveResponse(outgoing, {
+      onResponse: (response) => {
+        clearTimeout(timer);
+        resolve(Result.ok(response));
+      },
+      onFailure: (detail) => {
+        clearTimeout(timer);
+        resolve(Result.err({ reason: reasonOf(), mayHaveArrived: isConnected, detail }));
+      },
     });
     outgoing.end(call.body);
   });
