--- a/packages/relay/src/connections/forwarded-connection.ts
+++ b/packages/relay/src/connections/forwarded-connection.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from '@poppypond/fleet';
+import { receiveResponse } from '@poppypond/web';
 import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Duplex } from 'node:stream';
@@ -76,15 +77,17 @@
       resolve(Result.err({ why, detail: `${peer.host}: ${detail}`, isServerAtFault: true }));
       outgoing.destroy();
     };
-    outgoing.on('error', ({ message }) => {
-      fail('unavailable', message);
-    });
-    outgoing.once('response', (response) => {
-      const status = response.statusCode ?? 0;
-      response.on('error', () => undefined);
-      if (status !== FORWARDING_STATUS.connected)
-        return fail(FAILURES_BY_STATUS[status] ?? 'unavailable', `status ${String(status)}`);
-      resolve(Result.ok(new ForwardedConnection(outgoing, response)));
+    receiveResponse(outgoing, {
+      onResponse: (response) => {
+        const status = response.statusCode ?? 0;
+        response.on('error', () => undefined);
+        if (status !== FORWARDING_STATUS.connected)
+          return fail(FAILURES_BY_STATUS[status] ?? 'unavailable', `status ${String(status)}`);
+        resolve(Result.ok(new ForwardedConnection(outgoing, response)));
+      },
+      onFailure: (detail) => {
+        fail('unavailable', detail);
+      },
     });
     outgoing.flushHeaders();
   });
