End only the request in which an unexpected exception occurs

Cause: requests, forwarding requests, store watches and some twenty pieces of background work are promises that nobody awaits, and listeners of sockets. Node ends the process when one of them throws, and no log line said why.

Change: UnexpectedErrors logs such an exception (unexpected_error, with operation, request, message and stack) and counts it. What ends is the operation: a request gets 502 if a server was sent it and 503 otherwise, and returns its slot, permit and memory; a message, page or forwarding request is dropped; a store watch reads everything again after its backoff; what remains is caught by the process as 'uncaughtException' or 'unhandledRejection' and logged. The process goes on.

ConnectionAdmission and MemoryReservation left a flag set, or memory reserved, after a rejection. joinMembers and UnresponsiveServers are moved to files of their own.

--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -203,6 +203,12 @@
     outcome: 'not_run',
     meaning: 'This host holds as many bytes as its memory allows.',
   },
+  internal_error: {
+    number: 2015,
+    httpStatus: 503,
+    outcome: 'not_run',
+    meaning: 'An unexpected error kept this host from starting the request.',
+  },
 
   time_limit: {
     number: 3001,
--- a/packages/relay/src/backend/memory-reservation.ts
+++ b/packages/relay/src/backend/memory-reservation.ts
@@ -65,7 +65,10 @@
     use: ReservationRequest,
   ): Promise<MemoryReservation | undefined> {
     const held = new MemoryReservation(parts, id, use);
-    const results = await held.#reserveAll();
+    const results = await held.#reserveAll().catch(async (error: unknown) => {
+      await held.release();
+      throw error;
+    });
     const isComplete = results.every((isReserved) => isReserved);
     parts.log.info('memory_held', {
       request: use.requestId,
--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -90,8 +90,10 @@
  * mistaken for this one, and bytes after its end are ignored.
  */
 export class ServerAttempt {
+  /** Rejects only for an exception that no code expects. */
   readonly done: Promise<AttemptOutcome>;
   #resolveDone: (end: AttemptOutcome) => void = () => undefined;
+  #rejectDone: (error: unknown) => void = () => undefined;
   #isFinished = false;
   readonly #connecting = new AbortController();
   #isConnected = false;
@@ -114,12 +116,15 @@
     readonly call: AttemptRequest,
     readonly parts: AttemptParts,
   ) {
-    this.done = new Promise((resolve) => {
+    this.done = new Promise((resolve, reject) => {
       this.#resolveDone = resolve;
+      this.#rejectDone = reject;
     });
     this.#held = parts.hostBudget.reserve('answer');
     this.#unread = parts.hostBudget.reserve('unread');
-    void this.#open();
+    this.#open().catch((error: unknown) => {
+      this.#fail(error);
+    });
   }
 
   /** Whether reading is paused because the caller does not read. */
@@ -202,7 +207,9 @@
     this.#request = opened;
     receiveResponse(opened, {
       onResponse: (response) => {
-        this.#onResponse(response);
+        this.#guard(() => {
+          this.#onResponse(response);
+        });
       },
       onFailure: (detail) => {
         this.#settle({ kind: 'broken', detail });
@@ -214,13 +221,33 @@
 
   #settle(end: AttemptOutcome): void {
     if (this.#isFinished) return;
+    this.#close();
+    this.#resolveDone(end);
+  }
+
+  #fail(error: unknown): void {
+    if (this.#isFinished) throw error;
+    this.#close();
+    this.#rejectDone(error);
+  }
+
+  /** Runs a listener; its exceptions fail this attempt instead of the process. */
+  #guard(listener: () => void): void {
+    try {
+      listener();
+    } catch (error) {
+      this.#fail(error);
+    }
+  }
+
+  /** Closes the connection and returns what the attempt holds. */
+  #close(): void {
     this.#isFinished = true;
     this.#cancelPauseLimit();
     this.#held.end();
     this.#unread.end();
     this.#connecting.abort();
     this.#request?.destroy();
-    this.#resolveDone(end);
   }
 
   #onResponse(response: IncomingMessage): void {
@@ -241,13 +268,21 @@
     }
   }
 
+  #onData(response: IncomingMessage, listener: (chunk: Buffer) => void): void {
+    response.on('data', (chunk: Buffer) => {
+      this.#guard(() => {
+        listener(chunk);
+      });
+    });
+  }
+
   #isComplete(response: IncomingMessage): boolean {
     return response.complete && !this.#isReset;
   }
 
   #readEvents(response: IncomingMessage, head: ResponseHead): void {
     const splitter = new EventFrameSplitter();
-    response.on('data', (chunk: Buffer) => {
+    this.#onData(response, (chunk) => {
       if (this.#isFinished) return;
       const complete = splitter.push(chunk);
       this.#held.resize(splitter.partialBytes);
@@ -270,7 +305,7 @@
   #readBody(response: IncomingMessage, head: ResponseHead): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
-    response.on('data', (chunk: Buffer) => {
+    this.#onData(response, (chunk) => {
       if (!this.parts.hostBudget.fitsAnswer(chunk.length)) return this.#settleFull();
       this.#held.add(chunk.length);
       chunks.push(chunk);
--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -56,6 +56,7 @@
 import { Evacuations } from './store/evacuations.js';
 import { KeyTrust } from './store/key-trust.js';
 import { ServerList } from './store/server-list.js';
+import { UnexpectedErrors } from './unexpected-errors.js';
 
 /** The parts of a relay process that exist before it opens a port. */
 export interface RelayBase extends ServerRates, Connections {
@@ -68,6 +69,7 @@
   readonly output: BoundedOutput;
   readonly log: Log;
   readonly metrics: PrometheusMetrics;
+  readonly unexpectedErrors: UnexpectedErrors;
   readonly activeConfiguration: ActiveConfiguration;
   readonly freshness: Freshness;
   readonly fleet: FleetView;
@@ -233,6 +235,7 @@
     output,
     log,
     metrics,
+    unexpectedErrors: new UnexpectedErrors(log, metrics),
     activeConfiguration,
     freshness,
     fleet,
@@ -383,6 +386,7 @@
     host: settings.host,
     log,
     metrics,
+    unexpectedErrors: base.unexpectedErrors,
     wire: base.ports.wire,
     memory: base.memory,
     activeConfiguration,
--- a/packages/relay/src/connections/forwarding-listener.test.ts
+++ b/packages/relay/src/connections/forwarding-listener.test.ts
@@ -10,6 +10,7 @@
 import { connectThrough } from './forwarded-connection.js';
 import { ForwardingListener } from './forwarding-listener.js';
 import { Reachability } from './reachability.js';
+import { UnexpectedErrors } from '../unexpected-errors.js';
 
 const LOOPBACK = '127.0.0.1';
 const NEVER = new AbortController().signal;
@@ -53,6 +54,7 @@
       clock,
       metrics,
       reachability,
+      unexpectedErrors: new UnexpectedErrors(silentLog, new PrometheusMetrics()),
       isPeerAddress: () => isPeer,
       findServer: (id) => (id === listed.id ? listed : undefined),
       isClosed: () => false,
--- a/packages/relay/src/connections/forwarding-listener.ts
+++ b/packages/relay/src/connections/forwarding-listener.ts
@@ -10,11 +10,13 @@
 import { connectDirectly } from './direct-connection.js';
 import { FORWARDING_PATH, FORWARDING_STATUS } from './forwarded-connection.js';
 import type { Reachability } from './reachability.js';
+import type { UnexpectedErrors } from '../unexpected-errors.js';
 
 /** Dependencies of `ForwardingListener`. */
 export interface ForwardingListenerParts {
   readonly clock: Clock;
   readonly metrics: PrometheusMetrics;
+  readonly unexpectedErrors: UnexpectedErrors;
   readonly reachability: Reachability;
   /** Whether a host with this network address is known. */
   readonly isPeerAddress: (address: string) => boolean;
@@ -46,7 +48,10 @@
 
   constructor(readonly parts: ForwardingListenerParts) {
     this.#server = createServer({ noDelay: true, keepAlive: true }, (message, response) => {
-      void this.#forward(message, response);
+      this.#forward(message, response).catch((error: unknown) => {
+        parts.unexpectedErrors.report('forwarding_request', error);
+        response.destroy();
+      });
     });
     this.#server.requestTimeout = 0;
     this.#server.timeout = IDLE_TIMEOUT_MS;
--- a/packages/relay/src/host/connection-admission.ts
+++ b/packages/relay/src/host/connection-admission.ts
@@ -128,8 +128,9 @@
 
   async #measureBacklog(requestsPerSecond: number, counts: TickCounts): Promise<void> {
     this.#isMeasuring = true;
-    const waitMs = await this.parts.measureBacklogMs();
-    this.#isMeasuring = false;
+    const waitMs = await this.parts.measureBacklogMs().finally(() => {
+      this.#isMeasuring = false;
+    });
     if (waitMs < MAX_BACKLOG_MS) return;
     this.#perSecond = Math.max(MIN_PER_SECOND, requestsPerSecond * INITIAL_SHARE);
     this.#undroppedTicks = 0;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,7 +4,7 @@
 import type { Server } from 'node:http';
 import { Result } from 'true-myth';
 import type { Unit } from 'true-myth';
-import { composeBase, composeParts, composePeers, selfAddress } from './compose.js';
+import { composeBase, composeParts, composePeers } from './compose.js';
 import type { RelayBase } from './compose.js';
 import { ForwardingListener } from './connections/forwarding-listener.js';
 import { BacklogProbe } from './host/backlog-probe.js';
@@ -13,7 +13,9 @@
 import { HostFull } from './host/host-full.js';
 import { HostMonitor } from './host/host-monitor.js';
 import { DatagramSender } from './peers/datagram-sender.js';
+import { joinMembers } from './peers/join-members.js';
 import { MemberDirectory } from './peers/member-directory.js';
+import type { PeerMessage } from './peers/peer-messages.js';
 import type { PeerMesh } from './peers/peer-mesh.js';
 import { UnreadableMessages } from './peers/unreadable-messages.js';
 import type { Planner } from './planning/planner.js';
@@ -23,9 +25,9 @@
 import { CallerListener } from './server/caller-listener.js';
 import { relayStatus, STATUS_PATH } from './server/relay-status.js';
 import { jsonPage, readinessPage, serveStatusPages, textPage } from './server/status-server.js';
+import type { StatusPages } from './server/status-server.js';
 import { splitAddress } from './settings.js';
 import type { RelaySettings } from './settings.js';
-import { ExponentialBackoff } from './store/exponential-backoff.js';
 import { startWatches } from './store/start-watches.js';
 import { StoreTurns } from './store/store-turns.js';
 
@@ -44,11 +46,6 @@
  * connection is closed while a request arrives on it.
  */
 const IDLE_FACTOR = 2;
-/**
- * Backoff between attempts to join, short at first: until it has joined, a host plans on its own.
- */
-const INITIAL_JOIN_BACKOFF_MS: Milliseconds = 100;
-const MAX_JOIN_BACKOFF_MS: Milliseconds = 1200;
 /**
  * After SIGTERM the load balancer polls readiness twice, one second apart, before it stops sending
  * requests.
@@ -120,7 +117,7 @@
       this.#base.metrics,
       (message, from) => {
         pauseDetector.check();
-        this.#components?.peers.receive(message, from);
+        this.#receive(message, from);
       },
       (datagram, from) => {
         unreadable.record(datagram, from);
@@ -141,7 +138,11 @@
     this.#handlePauses(running.peers);
     const turns = new StoreTurns(this.#base.clock, running.peers);
     this.#startWatches(running, turns);
-    void this.#join(running.peers, turns);
+    void joinMembers(this.#base, this.#directory, () => this.#isStopping).then((members) => {
+      if (!members) return;
+      running.peers.addMembers(members);
+      turns.onJoined();
+    });
     log.warn('started', {
       incarnation,
       zone: settings.availabilityZone,
@@ -150,6 +151,23 @@
     });
   }
 
+  /** Handles a message of another host; an exception ends only this message. */
+  #receive(message: PeerMessage, from: string): void {
+    try {
+      this.#components?.peers.receive(message, from);
+    } catch (error) {
+      const { kind } = message;
+      this.#base.unexpectedErrors.report('peer_message', error, { kind, from });
+    }
+  }
+
+  /**
+   * Records an exception that ended a timer's or socket's callback, or a promise that nobody awaits.
+   */
+  onUncaughtException(error: unknown, origin: string): void {
+    this.#base.unexpectedErrors.report(origin, error);
+  }
+
   /**
    * Withdraws from the load balancer, finishes the accepted requests, and resolves within the grace
    * period.
@@ -200,7 +218,7 @@
   }
 
   #compose(sender: DatagramSender): RelayComponents {
-    const { clock, activeConfiguration, hostBudget, log, metrics } = this.#base;
+    const { clock, activeConfiguration, hostBudget, log, metrics, unexpectedErrors } = this.#base;
     const { peers, placement, planner } = composePeers(this.#base, sender, (host) => {
       void this.#directory.remove(host);
     });
@@ -226,11 +244,13 @@
       onRequest: (request) => serving.serve(request),
       hostBudget,
       hostFull: new HostFull({ budget: hostBudget, log, metrics, random: Math.random }),
+      unexpectedErrors,
     });
     const { hostFullness, reachability, servers } = this.#base;
     const forwardingListener = new ForwardingListener({
       clock,
       metrics,
+      unexpectedErrors,
       reachability,
       isPeerAddress: (address) => peers.members().some((peer) => peer.address === address),
       findServer: (id) => servers.find(id),
@@ -272,23 +292,22 @@
     const { settings, ports } = this;
     const { metrics } = this.#base;
     const readiness = splitAddress(settings.readinessListen);
-    const readinessPages = {
+    await this.#serve(readiness.address, readiness.port, {
       [ports.wire.readinessPath]: readinessPage(() => this.#isReady()),
-    };
-    this.#onStop.push(
-      closerOf(await serveStatusPages(readiness.address, readiness.port, readinessPages)),
-    );
+    });
     const statusNow = () => {
       const sources = { peers, planner, openCount: this.#openCount, isReady: this.#isReady() };
       return relayStatus(this.#base, sources);
     };
-    const metricsPages = {
+    await this.#serve(settings.address, settings.metricsPort, {
       '/metrics': textPage(() => metrics.text()),
       [STATUS_PATH]: jsonPage(statusNow),
-    };
-    this.#onStop.push(
-      closerOf(await serveStatusPages(settings.address, settings.metricsPort, metricsPages)),
-    );
+    });
+  }
+
+  async #serve(address: string, port: number, pages: StatusPages): Promise<void> {
+    const server = await serveStatusPages(address, port, pages, this.#base.unexpectedErrors);
+    this.#onStop.push(closerOf(server));
   }
 
   /** Starts the store watches and the periodic gauge updates. */
@@ -307,21 +326,6 @@
     );
   }
 
-  async #join(peers: PeerMesh, turns: StoreTurns): Promise<void> {
-    const self = selfAddress(this.settings);
-    const { isFirstStart } = this.settings;
-    const backoff = new ExponentialBackoff(INITIAL_JOIN_BACKOFF_MS, MAX_JOIN_BACKOFF_MS);
-    while (!this.#isStopping) {
-      const members = await this.#directory.join(self, isFirstStart);
-      if (members) {
-        peers.addMembers(members);
-        turns.onJoined();
-        return;
-      }
-      await delay(this.#base.clock, backoff.next());
-    }
-  }
-
   #isReady(): boolean {
     this.#base.pauseDetector.check();
     const { servers } = this.#base;
--- a/packages/relay/src/request/caller-response.ts
+++ b/packages/relay/src/request/caller-response.ts
@@ -57,6 +57,11 @@
     return this.#isDisconnected;
   }
 
+  /** Whether nothing more will be written. */
+  get isFinished(): boolean {
+    return this.#isFinished;
+  }
+
   /** Whether the head of a response was sent. */
   get hasStarted(): boolean {
     return this.response.headersSent;
@@ -121,6 +126,12 @@
     this.response.destroy();
   }
 
+  /** Refuses the request, or aborts the response if it has begun. */
+  refuseOrAbort(reason: Fault): void {
+    if (this.hasStarted) this.abort();
+    else this.refuse(reason);
+  }
+
   refuse(reason: Fault): void {
     this.#isFinished = true;
     this.#writes.end(this.#writeRefusal(reason));
--- a/packages/relay/src/request/final-response.ts
+++ b/packages/relay/src/request/final-response.ts
@@ -9,6 +9,8 @@
 /** Retry delay after a refusal for want of a server, if no better one is known. */
 const DEFAULT_RETRY_DELAY_MS: Milliseconds = 250;
 
+const UNEXPECTED = 'an unexpected error in the relay';
+
 /** Dependencies of `FinalResponse`. */
 export interface FinalResponseParts {
   readonly answer: CallerResponse;
@@ -64,13 +66,25 @@
     retryAfterMs = this.parts.retryDelayMs() ?? DEFAULT_RETRY_DELAY_MS,
     refusal: 'no_backend' | 'quarantined' = 'no_backend',
   ): void {
-    const { answer } = this.parts;
     const reason = this.#reasonFor(detail, retryAfterMs, refusal);
-    if (answer.hasStarted) answer.abort();
-    else answer.refuse(reason);
+    this.parts.answer.refuseOrAbort(reason);
     this.#end(reason.code, undefined, detail);
   }
 
+  /**
+   * Ends a request by an exception that no code expects. `mayHaveRun`: whether a server was sent the
+   * request, whatever the history says, which may lack the attempt that has failed.
+   */
+  fail(error: unknown, mayHaveRun: boolean): void {
+    const { answer, telemetry } = this.parts;
+    telemetry.failed(error);
+    const reason = mayHaveRun
+      ? fault('outcome_unknown', UNEXPECTED)
+      : fault('internal_error', UNEXPECTED, { retryAfterMs: DEFAULT_RETRY_DELAY_MS });
+    answer.refuseOrAbort(reason);
+    this.#end(reason.code, undefined, UNEXPECTED);
+  }
+
   #reasonFor(detail: string, retryAfterMs: Milliseconds, refusal: ResultName): Fault {
     const { history, hasTimedOut } = this.parts;
     if (!history.mayHaveRun) return fault(refusal, detail, { retryAfterMs });
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -19,6 +19,7 @@
 import type { Evacuations } from '../store/evacuations.js';
 import type { KeyTrust } from '../store/key-trust.js';
 import type { ServerList } from '../store/server-list.js';
+import type { UnexpectedErrors } from '../unexpected-errors.js';
 
 /** Dependencies that all requests of a relay share. */
 export interface RelayParts {
@@ -26,6 +27,7 @@
   readonly host: string;
   readonly log: Log;
   readonly metrics: PrometheusMetrics;
+  readonly unexpectedErrors: UnexpectedErrors;
   readonly wire: RelayWire;
   readonly memory: EngineMemory;
   readonly activeConfiguration: ActiveConfiguration;
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -29,6 +29,7 @@
 import { isSilentServerAtFault } from './silent-server.js';
 import { FinalResponse } from './final-response.js';
 import { SpeedObserver } from './speed-observer.js';
+import { UnresponsiveServers } from './unresponsive-servers.js';
 
 /** State of the current attempt. */
 interface RunningAttempt {
@@ -40,24 +41,11 @@
   hasEvents: boolean;
 }
 
-/** A server that was reported as unresponsive while no retry was allowed. */
-interface UnresponsiveServer {
-  readonly attemptId: string;
-  readonly sinceMs: Milliseconds;
-  readonly reportedAtMs: Milliseconds;
-}
-
 /**
  * A request whose server is reported as unresponsive for this long, while no retry is allowed, is
  * ended: its caller can repeat it, which it can't after waiting until the deadline.
  */
 const DEAD_AFTER_MS: Milliseconds = 1500;
-/**
- * Reports with a longer gap do not belong to the same silence. An unresponsive server is reported
- * at least every 1.6 s.
- */
-const MAX_REPORT_GAP_MS: Milliseconds = 2000;
-
 /** Delay before another server is chosen after the send gate blocked a choice. */
 const RECHOOSE_DELAY_MS: Milliseconds = 10;
 
@@ -82,6 +70,8 @@
   /** When the last attempt started. */
   #attemptAtMs: Milliseconds = 0;
   #current: RunningAttempt | undefined;
+  /** Whether a connection to a server came up in any attempt, so that the request may have run. */
+  #hasReachedServer = false;
   readonly #blockedIds = new Set<string>();
   /** Whether the current attempt was abandoned and another follows. */
   #isRetried = false;
@@ -90,8 +80,7 @@
    */
   #failureReason: string | undefined;
   #hasTimedOut = false;
-  /** The server for which the current attempt could not be abandoned. */
-  readonly #unresponsive = new Map<string, UnresponsiveServer>();
+  readonly #unresponsive = new UnresponsiveServers();
 
   constructor(
     readonly parts: RelayParts,
@@ -178,6 +167,8 @@
     }
     try {
       await this.#tryServers();
+    } catch (error) {
+      this.#finalResponse.fail(error, this.#hasReachedServer);
     } finally {
       cancelTimeout();
       this.#watch.end();
@@ -284,7 +275,22 @@
     return this.answer.isDisconnected || this.#hasTimedOut || this.#leftMs() <= 0;
   }
 
+  /** Runs one attempt; an exception releases all that the attempt holds. */
   async #attempt(choice: Choice): Promise<AttemptOutcome> {
+    try {
+      return await this.#runAttempt(choice);
+    } catch (error) {
+      this.#hasReachedServer ||= this.#current?.attempt.isConnected ?? false;
+      this.#current?.attempt.cancel();
+      this.#current = undefined;
+      this.#watch.end();
+      this.parts.gate.onAttemptEnd(choice.server, choice.attemptId);
+      this.#releaseChoice(choice);
+      throw error;
+    }
+  }
+
+  async #runAttempt(choice: Choice): Promise<AttemptOutcome> {
     const id = choice.attemptId;
     const timeLeftMs = Math.max(1, Math.floor(this.#leftMs()));
     this.#telemetry.placed(id, choice.server, choice.plan, timeLeftMs);
@@ -298,6 +304,7 @@
     this.#current = { id, choice, attempt, startedAtMs, speed, hasEvents: false };
     this.#watch.begin(choice, this.#leftMs());
     const end = await attempt.done;
+    this.#hasReachedServer ||= attempt.isConnected;
     speed.onEnd(end);
     this.#current = undefined;
     this.#watch.end();
@@ -411,14 +418,9 @@
     // A caller gains nothing from the early end of a request that it may not repeat.
     if (!this.#history.mayRepeat || running.attempt.isPaused) return false;
     const nowMs = this.parts.clock.monotonicMs();
-    const known = this.#unresponsive.get(server.id);
-    const isContinued =
-      known?.attemptId === running.id &&
-      nowMs - known.reportedAtMs <= MAX_REPORT_GAP_MS &&
-      this.#lastEventAtMs <= known.sinceMs;
-    const sinceMs = isContinued ? known.sinceMs : nowMs;
-    this.#unresponsive.set(server.id, { attemptId: running.id, sinceMs, reportedAtMs: nowMs });
-    if (nowMs - sinceMs < DEAD_AFTER_MS) return false;
+    const lastEventAtMs = this.#lastEventAtMs;
+    const unresponsiveMs = this.#unresponsive.report(server.id, running.id, nowMs, lastEventAtMs);
+    if (unresponsiveMs < DEAD_AFTER_MS) return false;
     this.#failureReason = `a server of the request does not respond (${why}), and no retry is allowed`;
     running.attempt.cancel();
     return true;
--- a/packages/relay/src/request/request-telemetry.ts
+++ b/packages/relay/src/request/request-telemetry.ts
@@ -224,6 +224,12 @@
     else log.warn('answered', line);
   }
 
+  /** Reports an exception that no code expects and that ends the request. */
+  failed(error: unknown): void {
+    const request = this.caller.requestId;
+    this.parts.unexpectedErrors.report('request', error, { request });
+  }
+
   /** Records that the host stops before the response is complete. */
   unfinishedAtStop(attempts: number, hasStarted: boolean): void {
     this.parts.log.warn('unfinished_at_stop', {
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -10,6 +10,7 @@
 import type { RelayWire } from '../ports.js';
 import type { CallerResponse } from '../request/caller-response.js';
 import { CallerListener } from './caller-listener.js';
+import { UnexpectedErrors } from '../unexpected-errors.js';
 
 const LOOPBACK = '127.0.0.1';
 const WIRE: RelayWire = {
@@ -48,6 +49,7 @@
   const disconnected: number[] = [];
   const listener = new CallerListener({
     clock: new SystemClock(),
+    unexpectedErrors: new UnexpectedErrors(silentLog, new PrometheusMetrics()),
     wire: WIRE,
     maxBodyBytes: () => 1000,
     isStopping: () => false,
--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -1,3 +1,4 @@
+import { fault } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -8,6 +9,7 @@
 import type { HostFull } from '../host/host-full.js';
 import type { OpenListener, RelayWire } from '../ports.js';
 import { CallerResponse } from '../request/caller-response.js';
+import type { UnexpectedErrors } from '../unexpected-errors.js';
 
 /** A request that was received completely. */
 export interface ReceivedRequest {
@@ -30,6 +32,7 @@
   readonly hostFull: HostFull;
   readonly admission: ConnectionAdmission;
   readonly backlogProbe: BacklogProbe;
+  readonly unexpectedErrors: UnexpectedErrors;
 }
 
 /** The HTTP parser refuses larger heads; the limit that callers are given is smaller. */
@@ -48,7 +51,7 @@
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
       (message, response) => {
-        void this.#read(message, response);
+        void this.#handle(message, response);
       },
     );
     this.#server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
@@ -111,12 +114,30 @@
     this.#server.closeIdleConnections();
   }
 
-  async #read(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock, wire, isStopping, maxBodyBytes, hostFull, hostBudget } = this.parts;
+  /** Handles one request; an exception ends only this request. */
+  async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { clock, wire, isStopping, hostBudget, unexpectedErrors } = this.parts;
     this.parts.admission.onRequest();
     const arrivedAtMs = clock.monotonicMs();
-    const caller = wire.parseCallerHead(message);
-    const answer = new CallerResponse(response, wire, caller, isStopping, hostBudget);
+    let answer: CallerResponse | undefined;
+    try {
+      const caller = wire.parseCallerHead(message);
+      answer = new CallerResponse(response, wire, caller, isStopping, hostBudget);
+      await this.#read(message, answer, arrivedAtMs);
+    } catch (error) {
+      unexpectedErrors.report('caller_request', error, { request: answer?.caller?.requestId });
+      // No server was sent the request: `RequestExecution` handles the exceptions of others.
+      if (!answer || answer.isFinished) response.destroy();
+      else answer.refuseOrAbort(fault('internal_error', 'an unexpected error in the relay'));
+    }
+  }
+
+  async #read(
+    message: IncomingMessage,
+    answer: CallerResponse,
+    arrivedAtMs: Milliseconds,
+  ): Promise<void> {
+    const { maxBodyBytes, hostFull } = this.parts;
     if (hostFull.isFull) return hostFull.refuse(answer);
     const body = await this.#bodies.read(message, maxBodyBytes());
     // The caller disconnected before its request was complete, so there is nobody to respond to.
--- a/packages/relay/src/store/configuration-watch.test.ts
+++ b/packages/relay/src/store/configuration-watch.test.ts
@@ -11,6 +11,7 @@
 import { Evacuations } from './evacuations.js';
 import { ServerList } from './server-list.js';
 import { StoreTurns } from './store-turns.js';
+import { UnexpectedErrors } from '../unexpected-errors.js';
 
 const CONFIGURATION = {
   version: 1,
@@ -53,6 +54,7 @@
     const watch = new ConfigurationWatch({
       clock,
       log: silentLog,
+      unexpectedErrors: new UnexpectedErrors(silentLog, new PrometheusMetrics()),
       store: new CountedStore(store, new PrometheusMetrics()),
       rows: ROWS,
       activeConfiguration,
@@ -100,6 +102,7 @@
     const shared = { clock, log: silentLog, rows, freshness };
     const watch = new ConfigurationWatch({
       ...shared,
+      unexpectedErrors: new UnexpectedErrors(silentLog, new PrometheusMetrics()),
       store: new CountedStore(store, new PrometheusMetrics()),
       activeConfiguration,
       syncState: new StoreSyncState({ clock, activeConfiguration, freshness, list }),
@@ -112,4 +115,63 @@
     expect(zones.current).toEqual({ version: 1, zones: ['zone-b'] });
     expect(freshness.ageMs()).toBe(Number.POSITIVE_INFINITY);
   });
+
+  // Guards against a host that never reads the configuration again after an exception.
+  it('logs an exception and reads again', async () => {
+    const clock = new ManualClock();
+    const metrics = new PrometheusMetrics();
+    let isThrowing = true;
+    const rows: PlatformRows = {
+      ...ROWS,
+      parseConfiguration: () => {
+        if (isThrowing) throw new Error('planted');
+        return CONFIGURATION;
+      },
+    };
+    const set = { rows: [{ key: 'all', value: Buffer.from('{}') }], version: 1, storeNowMs: 0 };
+    const unused = () => Promise.reject(new Error('not used'));
+    const store: RowStore = {
+      read: () => Promise.resolve(Result.ok(set)),
+      // The configuration does not change, so only a complete read returns it again.
+      changes: (_table, _after, waitMs) =>
+        new Promise((resolve) => {
+          clock.after(waitMs, () => {
+            resolve(Result.ok({ ...set, rows: [] }));
+          });
+        }),
+      put: unused,
+      remove: unused,
+    };
+    const activeConfiguration = new ActiveConfiguration();
+    const freshness = new Freshness(clock);
+    const list = new ServerList(clock, silentLog);
+    const turns = new StoreTurns(clock, { isReader: () => true, isRankedFirst: true, turn: 0 });
+    turns.onJoined();
+    await clock.advance(100);
+    const shared = { clock, log: silentLog, rows, freshness };
+    const watch = new ConfigurationWatch({
+      ...shared,
+      unexpectedErrors: new UnexpectedErrors(silentLog, metrics),
+      store: new CountedStore(store, metrics),
+      activeConfiguration,
+      syncState: new StoreSyncState({ clock, activeConfiguration, freshness, list }),
+      evacuations: new Evacuations({ ...shared, zones: list.evacuatedZones }),
+      turns,
+      withinMs: 2000,
+      onChange: () => undefined,
+    });
+    const ended = watch.run();
+    await clock.advance(1000);
+    expect(await metrics.text()).toMatch(
+      /unexpected_errors_total{operation="configuration_watch"}/,
+    );
+    expect(activeConfiguration.table).toBeUndefined();
+    expect(freshness.ageMs()).toBe(Number.POSITIVE_INFINITY);
+    isThrowing = false;
+    await clock.advance(5000);
+    expect(activeConfiguration.version).toBe(1);
+    watch.stop();
+    await clock.advance(5000);
+    await ended;
+  });
 });
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -13,6 +13,7 @@
 import { StoreClock } from './store-clock.js';
 import type { StoreTurns } from './store-turns.js';
 import { InterruptibleSleep } from './interruptible-sleep.js';
+import type { UnexpectedErrors } from '../unexpected-errors.js';
 
 /**
  * Duration of a long poll, as a share of the time within which a new version must be active. Each
@@ -39,6 +40,7 @@
 export interface ConfigurationWatchParts {
   readonly clock: Clock;
   readonly log: Log;
+  readonly unexpectedErrors: UnexpectedErrors;
   readonly store: CountedStore;
   readonly rows: PlatformRows;
   readonly activeConfiguration: ActiveConfiguration;
@@ -80,7 +82,16 @@
 
   /** Runs until `stop` is called. */
   async run(): Promise<void> {
-    while (!this.#isStopped) await this.step();
+    while (!this.#isStopped) {
+      try {
+        await this.step();
+      } catch (error) {
+        this.parts.unexpectedErrors.report('configuration_watch', error);
+        // What was read may not have been applied, so it is read again.
+        this.#version = undefined;
+        await this.#sleeper.sleep(this.#backoff.next());
+      }
+    }
   }
 
   /** Ends `run` after the current step and its pause. */
--- a/packages/relay/src/store/server-watch.test.ts
+++ b/packages/relay/src/store/server-watch.test.ts
@@ -9,11 +9,14 @@
 import { ServerList } from './server-list.js';
 import { ServerWatch } from './server-watch.js';
 import { StoreTurns } from './store-turns.js';
+import { UnexpectedErrors } from '../unexpected-errors.js';
 
 const GOOD = Buffer.from('good');
 const BAD = Buffer.from('bad');
+const THROWS = Buffer.from('throws');
 
 function parseServer(id: string, value: Buffer): Result<ServerEntry, string> {
+  if (value.equals(THROWS)) throw new Error('planted');
   if (value.equals(BAD)) return Result.err('the value is not valid JSON');
   const place = { id, service: 's', address: '10.0.0.1', port: 1, availabilityZone: 'z' };
   return Result.ok({ server: { ...place, slots: 1, isDraining: false }, coldRemainingMs: 0 });
@@ -57,6 +60,7 @@
   const watch = new ServerWatch({
     clock,
     log,
+    unexpectedErrors: new UnexpectedErrors(log, new PrometheusMetrics()),
     store: new CountedStore(store, new PrometheusMetrics()),
     rows: ROWS,
     list,
@@ -65,13 +69,16 @@
     withinMs: 3000,
     onChange: () => undefined,
   });
-  const read = async (entries: Readonly<Record<string, Buffer>>) => {
+  const write = (entries: Readonly<Record<string, Buffer>>) => {
     rows = Object.entries(entries).map(([key, value]) => ({ key, value }));
     version += 1;
+  };
+  const read = async (entries: Readonly<Record<string, Buffer>>) => {
+    write(entries);
     await clock.advance(2000);
     await watch.step();
   };
-  return { lines, read, ids: () => list.available('s').map(({ id }) => id) };
+  return { clock, lines, read, watch, write, ids: () => list.available('s').map(({ id }) => id) };
 }
 
 describe('ServerWatch', () => {
@@ -89,6 +96,23 @@
     expect(ids()).toEqual(['b', 'c']);
   });
 
+  // Guards against a host that never reads the list again after an exception.
+  it('logs an exception and reads again', async () => {
+    const { clock, ids, lines, watch, write } = createWatch();
+    await clock.advance(100);
+    write({ a: GOOD, b: THROWS });
+    const ended = watch.run();
+    await clock.advance(100);
+    expect(lines.join('')).toContain('event=unexpected_error host=h operation=server_watch');
+    expect(ids()).toEqual([]);
+    write({ a: GOOD, b: GOOD });
+    await clock.advance(3000);
+    expect(ids()).toEqual(['a', 'b']);
+    watch.stop();
+    await clock.advance(3000);
+    await ended;
+  });
+
   it('logs one line for the first list, and one for each later change', async () => {
     const { lines, read } = createWatch();
     await read(
--- a/packages/relay/src/store/server-watch.ts
+++ b/packages/relay/src/store/server-watch.ts
@@ -11,6 +11,7 @@
 import type { StoreTurns } from './store-turns.js';
 import { UnusableEntries } from './unusable-entries.js';
 import { InterruptibleSleep } from './interruptible-sleep.js';
+import type { UnexpectedErrors } from '../unexpected-errors.js';
 
 /**
  * Interval between reads of the list, as a share of the bound within which a server's leaving must
@@ -37,6 +38,7 @@
 export interface ServerWatchParts {
   readonly clock: Clock;
   readonly log: Log;
+  readonly unexpectedErrors: UnexpectedErrors;
   readonly store: CountedStore;
   readonly rows: PlatformRows;
   readonly list: ServerList;
@@ -78,7 +80,7 @@
 
   /** Runs until `stop` is called. */
   async run(): Promise<void> {
-    while (!this.#isStopped) await this.#sleeper.sleep(await this.step());
+    while (!this.#isStopped) await this.#sleeper.sleep(await this.#tryStep());
   }
 
   /** Ends `run` after the current step and pause. */
@@ -91,6 +93,15 @@
     if (this.#reason) this.#sleeper.wake();
   }
 
+  async #tryStep(): Promise<Milliseconds> {
+    try {
+      return await this.step();
+    } catch (error) {
+      this.parts.unexpectedErrors.report('server_watch', error);
+      return this.#backoff.next();
+    }
+  }
+
   /** Reads once if due, and returns the pause until the next step. */
   async step(): Promise<Milliseconds> {
     const { store, rows, list, syncState } = this.parts;
--- a/packages/relay/src/store/start-watches.ts
+++ b/packages/relay/src/store/start-watches.ts
@@ -13,10 +13,10 @@
   onConfiguration: (table: RouteTable) => void,
 ): () => void {
   const { clock, log, syncState, activeConfiguration, evacuations, freshness, servers } = base;
-  const { coldNotices, store } = base;
+  const { coldNotices, store, unexpectedErrors } = base;
   const { rows } = base.ports;
   const { configurationWithinMs, evacuateWithinMs, leavingWithinMs } = base.settings;
-  const shared = { clock, log, store, rows, syncState, turns };
+  const shared = { clock, log, unexpectedErrors, store, rows, syncState, turns };
   const publishStoreState = () => {
     if (peers.isReader()) peers.publishStoreState();
   };
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -16,6 +16,11 @@
     help: 'Requests answered, by route kind and result code.',
     labels: ['kind', 'code'],
   },
+  poppypond_unexpected_errors_total: {
+    type: 'counter',
+    help: 'Exceptions that no code expects, by the operation that they ended.',
+    labels: ['operation'],
+  },
   poppypond_connections_dropped_total: {
     type: 'counter',
     help: 'New connections that were closed unread because the host gets more than it can serve.',
