Close a stopping connection after the last of its pipelined responses

Cause: CallerResponse decided alone whether to close its connection, and Node closes it after the first response that says so, whatever else was read.

Change: CallerConnection knows the unfinished responses of a connection. Only the last one closes it, and what is read after that, or after a request that closes it, is not served: its caller sees a connection that closes without a response, and nothing has run. The listener counts responses that are not written completely.

The three new tests of caller-listener.test.ts pass.

--- a/packages/relay/src/request/caller-response.ts
+++ b/packages/relay/src/request/caller-response.ts
@@ -1,29 +1,14 @@
 import { RESULT_CODES } from '@poppypond/core';
 import type { Fault, Milliseconds } from '@poppypond/core';
 import type { ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 import { CallerWrites } from '../host/caller-writes.js';
 import type { HostBudget } from '../host/host-budget.js';
 import type { ResponseHead, CallerHead, RelayWire } from '../ports.js';
+import type { CallerConnection } from '../server/caller-connection.js';
 
 /** A caller that sends a refused body for longer than this is disconnected. */
 const MAX_DISCARD_MS: Milliseconds = 5000;
 
-/** Unfinished responses of a connection; they share one listener. */
-const unfinishedOf = new WeakMap<Socket, Set<ServerResponse>>();
-
-/** Returns the unfinished responses of a connection, of which those that wait are told its close. */
-function unfinishedOn(socket: Socket): Set<ServerResponse> {
-  const known = unfinishedOf.get(socket);
-  if (known) return known;
-  const created = new Set<ServerResponse>();
-  unfinishedOf.set(socket, created);
-  socket.once('close', () => {
-    for (const response of created) if (!response.socket) response.emit('close');
-  });
-  return created;
-}
-
 /** The response to one caller: nothing, one complete response, or one event stream. */
 export class CallerResponse {
   #isDisconnected = false;
@@ -37,7 +22,8 @@
     readonly wire: RelayWire,
     /** Undefined if the head of the request could not be parsed. */
     readonly caller: CallerHead | undefined,
-    /** Whether the connection is closed after this response. */
+    readonly connection: CallerConnection,
+    /** Whether the connection is to be closed after its last response. */
     readonly shouldClose: () => boolean,
     /** Counts what the caller has not read yet. */
     hostBudget: HostBudget,
@@ -49,7 +35,6 @@
       this.#onDisconnect();
     });
     response.on('error', () => undefined);
-    this.#closeQueued();
   }
 
   /** Whether the caller disconnected before the response was finished. */
@@ -161,19 +146,6 @@
     req.resume();
   }
 
-  /**
-   * A response that waits for an earlier one on its connection has no socket yet, and Node does not
-   * tell it that the connection was closed: its bytes would be held forever.
-   */
-  #closeQueued(): void {
-    const { response } = this;
-    const unfinished = unfinishedOn(response.req.socket);
-    unfinished.add(response);
-    response.once('close', () => {
-      unfinished.delete(response);
-    });
-  }
-
   /** Writes the head of a refusal and returns its body. */
   #writeRefusal({ code, detail, retryAfterMs, rule }: Fault): Buffer {
     const { httpStatus, number } = RESULT_CODES[code];
@@ -187,7 +159,7 @@
   }
 
   #writeHead(status: number, headers: readonly string[]): void {
-    const close = this.shouldClose() ? ['Connection', 'close'] : [];
-    this.response.writeHead(status, [...headers, ...close]);
+    const isClosed = this.shouldClose() && this.connection.closeAfter(this.response);
+    this.response.writeHead(status, [...headers, ...(isClosed ? ['Connection', 'close'] : [])]);
   }
 }
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -41,7 +41,7 @@
 const REQUEST = 'POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody';
 
 /** A listener that answers nothing, and the answers of its requests by the order of their arrival. */
-async function startListener() {
+async function startListener(isStopping = () => false) {
   const hostBudget = new HostBudget(budgetSizeOf(602));
   const metrics = new PrometheusMetrics();
   const answers: CallerResponse[] = [];
@@ -52,7 +52,7 @@
     unexpectedErrors: new UnexpectedErrors(silentLog, new PrometheusMetrics()),
     wire: WIRE,
     maxBodyBytes: () => 1000,
-    isStopping: () => false,
+    isStopping,
     hostBudget,
     hostFull: new HostFull({ budget: hostBudget, log: silentLog, metrics, random: () => 0 }),
     admission: new ConnectionAdmission({
@@ -114,4 +114,57 @@
     expect(warnings).toEqual([]);
     listener.close();
   });
+
+  // Guards against a response that is never written because an earlier one closes the connection.
+  it('closes a stopping connection after the last of its pipelined responses', async () => {
+    let isStopping = false;
+    const { answers, listener, port } = await startListener(() => isStopping);
+    const caller = connect(port, LOOPBACK);
+    let text = '';
+    caller.on('data', (chunk: Buffer) => (text += chunk.toString('utf8')));
+    caller.write(REQUEST + REQUEST);
+    await vi.waitFor(() => expect(answers).toHaveLength(2));
+    expect(listener.unfinishedCount).toBe(2);
+    isStopping = true;
+    answers[0]?.send(RESPONSE_HEAD, Buffer.from('first'));
+    await vi.waitFor(() => expect(text).toContain('first'));
+    expect(text).not.toMatch(/connection: close/i);
+    answers[1]?.send(RESPONSE_HEAD, Buffer.from('second'));
+    await new Promise((resolve) => caller.once('close', resolve));
+    expect(text.split(/connection: close/i)).toHaveLength(2);
+    expect(text).toMatch(/second$/);
+    expect(listener.unfinishedCount).toBe(0);
+    listener.close();
+  });
+
+  // Guards against a request that runs although its connection closes before its response.
+  it('does not serve what is read after the response that closes its connection', async () => {
+    const { answers, listener, port } = await startListener(() => true);
+    const caller = connect(port, LOOPBACK);
+    caller.on('error', () => undefined);
+    caller.write(REQUEST);
+    await vi.waitFor(() => expect(answers).toHaveLength(1));
+    answers[0]?.writeEvents(RESPONSE_HEAD, Buffer.from('data: x\n\n'));
+    caller.write(REQUEST);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(answers).toHaveLength(1);
+    expect(listener.unfinishedCount).toBe(1);
+    answers[0]?.endEvents(RESPONSE_HEAD);
+    caller.resume();
+    await new Promise((resolve) => caller.once('close', resolve));
+    await vi.waitFor(() => expect(listener.unfinishedCount).toBe(0));
+    listener.close();
+  });
+
+  it('does not serve what follows a request that closes its connection', async () => {
+    const { answers, listener, port } = await startListener();
+    const caller = connect(port, LOOPBACK);
+    caller.on('error', () => undefined);
+    caller.write(REQUEST.replace('Content', 'Connection: close\r\nContent') + REQUEST);
+    await vi.waitFor(() => expect(answers).toHaveLength(1));
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(answers).toHaveLength(1);
+    caller.destroy();
+    listener.close();
+  });
 });
--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -9,6 +9,7 @@
 import type { HostFull } from '../host/host-full.js';
 import type { OpenListener, RelayWire } from '../ports.js';
 import { CallerResponse } from '../request/caller-response.js';
+import { CallerConnection } from './caller-connection.js';
 import type { UnexpectedErrors } from '../unexpected-errors.js';
 
 /** A request that was received completely. */
@@ -45,6 +46,7 @@
 export class CallerListener {
   readonly #server: Server;
   readonly #bodies: BodyReader;
+  #unfinishedCount = 0;
 
   constructor(readonly parts: CallerListenerParts) {
     this.#bodies = new BodyReader(parts.clock, parts.hostBudget);
@@ -76,6 +78,11 @@
     });
   }
 
+  /** Requests whose responses are not written completely, and those that are still received. */
+  get unfinishedCount(): number {
+    return this.#unfinishedCount;
+  }
+
   listen(address: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
@@ -119,10 +126,16 @@
     const { clock, wire, isStopping, hostBudget, unexpectedErrors } = this.parts;
     this.parts.admission.onRequest();
     const arrivedAtMs = clock.monotonicMs();
+    const connection = CallerConnection.of(message.socket);
+    if (!connection.add(response)) return void message.resume();
+    this.#unfinishedCount += 1;
+    response.once('close', () => {
+      this.#unfinishedCount -= 1;
+    });
     let answer: CallerResponse | undefined;
     try {
       const caller = wire.parseCallerHead(message);
-      answer = new CallerResponse(response, wire, caller, isStopping, hostBudget);
+      answer = new CallerResponse(response, wire, caller, connection, isStopping, hostBudget);
       await this.#read(message, answer, arrivedAtMs);
     } catch (error) {
       unexpectedErrors.report('caller_request', error, { request: answer?.caller?.requestId });
