Refuse during a stop what can't be finished in time

What callers saw: a host got SIGTERM while callers streamed on kept connections. Requests that waited for a server at that moment got no response either.

Cause: Relay.stop accepted whatever arrived before the next check for idle connections, however little was left of the grace period, and then ended the process with all that was open.

Change: PlannedStop decides what is accepted and started. Until the load balancer sends nothing more (2.5 s), that is what ends by its deadline or, going by the recent requests of its route, is expected to end in time; later only what ends by its deadline. Everything else is refused at once with 503 (stopping), which promises that it has not run, says 'Connection: close' and when to return; this includes requests that wait for a server. What is unfinished shortly before the end gets a response: 503 if it has not run, 502 if it may have, and a stream that has begun is aborted. The stop waits for responses that are not written completely, and drain is a file of its own.

--- a/packages/relay/src/compose.ts
+++ b/packages/relay/src/compose.ts
@@ -49,7 +49,9 @@
 import type { EngineMemory, PlatformPorts, ServerNotice } from './ports.js';
 import { PartQuarantine } from './quarantine/part-quarantine.js';
 import { SharedQuarantine } from './quarantine/shared-quarantine.js';
+import { PlannedStop } from './request/planned-stop.js';
 import type { RelayParts } from './request/relay-parts.js';
+import { RequestDurations } from './request/request-durations.js';
 import type { RelaySettings } from './settings.js';
 import { ConfirmedZones } from './store/confirmed-zones.js';
 import { CountedStore } from './store/counted-store.js';
@@ -73,6 +75,7 @@
   readonly activeConfiguration: ActiveConfiguration;
   readonly freshness: Freshness;
   readonly fleet: FleetView;
+  readonly stop: PlannedStop;
   readonly servers: ServerList;
   readonly memory: EngineMemory;
   readonly syncState: StoreSyncState;
@@ -161,17 +164,18 @@
   return new GatedEngineMemory(memory, handlers, gate, confirmedZones);
 }
 
-function composeLog(
+function composeTelemetry(
   { host, logLevel }: RelaySettings,
   clock: Clock,
-): Pick<RelayBase, 'log' | 'output'> {
+): Pick<RelayBase, 'log' | 'metrics' | 'output' | 'unexpectedErrors'> {
   const output = new BoundedOutput(clock, writeStandardOutput, (counts) => {
     return `${formatFields({ event: 'lines_dropped', host, ...counts })}\n`;
   });
   const log = createLog({ host }, logLevel, (line, level) => {
     output.writeLine(line, level === 'info' || level === 'debug' ? 'ordinary' : 'important');
   });
-  return { output, log };
+  const metrics = new PrometheusMetrics();
+  return { log, metrics, output, unexpectedErrors: new UnexpectedErrors(log, metrics) };
 }
 
 /** Creates the parts of a relay that need no open port. */
@@ -179,11 +183,11 @@
   const { host } = settings;
   const { incarnation } = newOwner(host);
   const clock = new SystemClock();
-  const { output, log } = composeLog(settings, clock);
+  const telemetry = composeTelemetry(settings, clock);
+  const { log, metrics } = telemetry;
   const activeConfiguration = new ActiveConfiguration();
   const freshness = new Freshness(clock);
   const fleet = new FleetView(new ServerSpeeds(settings.observesServerSpeeds));
-  const metrics = new PrometheusMetrics();
   const shared = { clock, log, metrics, activeConfiguration, freshness };
   const serverViews = composeServers(settings, ports, shared);
   const { evacuations, servers, limits, rates, bounds, coldNotices } = serverViews;
@@ -232,10 +236,8 @@
     store: new CountedStore(ports.store, metrics),
     incarnation,
     clock,
-    output,
-    log,
-    metrics,
-    unexpectedErrors: new UnexpectedErrors(log, metrics),
+    ...telemetry,
+    stop: new PlannedStop(clock, new RequestDurations()),
     activeConfiguration,
     freshness,
     fleet,
@@ -387,6 +389,7 @@
     log,
     metrics,
     unexpectedErrors: base.unexpectedErrors,
+    stop: base.stop,
     wire: base.ports.wire,
     memory: base.memory,
     activeConfiguration,
--- a/packages/relay/src/notices/send-gate.ts
+++ b/packages/relay/src/notices/send-gate.ts
@@ -185,6 +185,15 @@
     return nextUsableInMs + this.parts.random() * CALLER_RETRY_JITTER_MS;
   }
 
+  /**
+   * Returns the retry delay of a caller of a service whose servers may all be sent nothing now;
+   * undefined if one may, or none is listed.
+   */
+  retryDelayMs(service: string, allowedRegions: AllowedRegions): Milliseconds | undefined {
+    const nextUsableInMs = this.nextUsableInMs(service, allowedRegions);
+    return nextUsableInMs ? this.callerRetryDelayMs(nextUsableInMs) : undefined;
+  }
+
   /**
    * Checks an attempt right before it is sent. Returns undefined and counts the attempt as sent if
    * all of its servers may be sent it; otherwise returns the id of a server that may not, and why.
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,4 +1,3 @@
-import { delay } from '@poppypond/core';
 import type { Milliseconds } from '@poppypond/core';
 import { enableSuspensionDetection } from '@poppypond/telemetry';
 import type { Server } from 'node:http';
@@ -23,6 +22,7 @@
 import { RelayGauges } from './relay-gauges.js';
 import { RequestHandler } from './request/request-handler.js';
 import { CallerListener } from './server/caller-listener.js';
+import { drain } from './server/drain.js';
 import { relayStatus, STATUS_PATH } from './server/relay-status.js';
 import { jsonPage, readinessPage, serveStatusPages, textPage } from './server/status-server.js';
 import type { StatusPages } from './server/status-server.js';
@@ -46,15 +46,6 @@
  * connection is closed while a request arrives on it.
  */
 const IDLE_FACTOR = 2;
-/**
- * After SIGTERM the load balancer polls readiness twice, one second apart, before it stops sending
- * requests.
- */
-const BALANCER_DRAIN_MS: Milliseconds = 2500;
-/** Part of the grace period that is kept for an orderly shutdown. */
-const STOP_MARGIN_MS: Milliseconds = 600;
-/** Interval between checks for open requests. */
-const DRAIN_POLL_PERIOD_MS: Milliseconds = 50;
 /** Time limit for writing the last log lines. */
 const LOG_DRAIN_MS: Milliseconds = 100;
 /**
@@ -77,7 +68,7 @@
   readonly #base: RelayBase;
   readonly #directory: MemberDirectory;
   #components: RelayComponents | undefined;
-  #isStopping = false;
+  #stopped: Promise<void> | undefined;
   readonly #onStop: (() => void)[] = [];
 
   constructor(
@@ -170,25 +161,17 @@
 
   /**
    * Withdraws from the load balancer, finishes the accepted requests, and resolves within the grace
-   * period.
+   * period. Later calls wait for the first.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
-    const { clock, log, output } = this.#base;
-    const nowMs = clock.monotonicMs();
-    const untilMs = nowMs + this.settings.stopGraceSeconds * MS_PER_SECOND - STOP_MARGIN_MS;
-    log.warn('stopping', { open: this.#unfinishedCount, within_ms: Math.round(untilMs - nowMs) });
-    await delay(clock, BALANCER_DRAIN_MS);
-    // Requests would keep arriving on kept-alive connections, and late ones could not be finished.
-    this.#components?.callerListener.close();
-    while (this.#unfinishedCount > 0 && clock.monotonicMs() < untilMs) {
-      this.#components?.callerListener.closeIdle();
-      await delay(clock, DRAIN_POLL_PERIOD_MS);
-    }
-    const afterMs = Math.round(clock.monotonicMs() - nowMs);
-    log.warn('stopped', { open: this.#unfinishedCount, after_ms: afterMs });
-    this.#components?.serving.logUnfinished();
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
+    const { clock, log, output, stop } = this.#base;
+    const graceMs = this.settings.stopGraceSeconds * MS_PER_SECOND;
+    if (this.#components) await drain({ clock, log, stop, ...this.#components }, graceMs);
     this.#closeAll();
     await output.drain(LOG_DRAIN_MS);
   }
@@ -212,9 +195,8 @@
     return this.#components?.serving.openCount ?? 0;
   }
 
-  /** Open requests, and connections of other hosts that end with their requests. */
-  get #unfinishedCount(): number {
-    return this.#openCount + (this.#components?.forwardingListener.openCount ?? 0);
+  get #isStopping(): boolean {
+    return this.#stopped !== undefined;
   }
 
   #compose(sender: DatagramSender): RelayComponents {
--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -22,6 +22,8 @@
 const POLL_PERIOD_MS: Milliseconds = 5;
 /** Delay before another choice if this host uses its share of the connections of all servers. */
 const CONNECTION_POLL_MS: Milliseconds = 10;
+/** Longest interval between checks whether a waiting request is finished. */
+const REST_POLL_MS: Milliseconds = 50;
 const NO_CONNECTION = 'no connection to a server of the service is left';
 /** Requests a permit for any server of the service. */
 const ANY_SERVER: PermitRequest = { serverIds: [], isSent: false };
@@ -182,6 +184,15 @@
       const retryAfterMs = parts.gate.callerRetryDelayMs(nextUsableInMs);
       return { kind: 'refused', why: chosen.why, retryAfterMs };
     }
-    await delay(parts.clock, nextUsableInMs);
+    await rest(inputs, nextUsableInMs);
+  }
+}
+
+/** Waits until a server may be sent requests again, or the request is finished. */
+async function rest({ parts, isFinished }: ChoiceInputs, restMs: Milliseconds): Promise<void> {
+  const untilMs = parts.clock.monotonicMs() + restMs;
+  for (let leftMs = restMs; leftMs > 0 && !isFinished();) {
+    await delay(parts.clock, Math.min(leftMs, REST_POLL_MS));
+    leftMs = untilMs - parts.clock.monotonicMs();
   }
 }
--- a/packages/relay/src/request/final-response.ts
+++ b/packages/relay/src/request/final-response.ts
@@ -9,8 +9,18 @@
 /** Retry delay after a refusal for want of a server, if no better one is known. */
 const DEFAULT_RETRY_DELAY_MS: Milliseconds = 250;
 
+const STOPPED_RUNNING = fault('outcome_unknown', 'the host stopped while the request ran');
 const UNEXPECTED = 'an unexpected error in the relay';
 
+/** Retry delay of a caller whose next connection goes to another host. */
+const STOPPING_RETRY_DELAY_MS: Milliseconds = 50;
+
+/** Returns the fault of a request that was not started, as the host stops before it would end. */
+export function hostStopping(): Fault {
+  const detail = 'the host stops before the request could be finished';
+  return fault('stopping', detail, { retryAfterMs: STOPPING_RETRY_DELAY_MS });
+}
+
 /** Dependencies of `FinalResponse`. */
 export interface FinalResponseParts {
   readonly answer: CallerResponse;
@@ -19,6 +29,10 @@
   readonly events: ResponseEvents;
   /** Whether the time limit of the request has passed. */
   readonly hasTimedOut: () => boolean;
+  /** Whether the request ends because the host stops. */
+  readonly isStopped: () => boolean;
+  /** Called when the request was served. */
+  readonly onServed: () => void;
   /** Returns the retry delay of a caller that is refused now; undefined if it is not known. */
   readonly retryDelayMs: () => Milliseconds | undefined;
 }
@@ -29,10 +43,11 @@
 
   /** Ends a request whose caller has disconnected or whose deadline has passed. */
   finishUnserved(): void {
-    const { answer, history } = this.parts;
+    const { answer, history, isStopped } = this.parts;
     if (answer.isTooSlow) this.#end('caller_too_slow');
     else if (answer.isDisconnected)
       this.#end(history.mayHaveRun ? 'cancelled_running' : 'cancelled_waiting');
+    else if (isStopped()) this.#refuse(history.mayHaveRun ? STOPPED_RUNNING : hostStopping());
     else this.giveUp('the time limit has passed');
   }
 
@@ -66,9 +81,7 @@
     retryAfterMs = this.parts.retryDelayMs() ?? DEFAULT_RETRY_DELAY_MS,
     refusal: 'no_backend' | 'quarantined' = 'no_backend',
   ): void {
-    const reason = this.#reasonFor(detail, retryAfterMs, refusal);
-    this.parts.answer.refuseOrAbort(reason);
-    this.#end(reason.code, undefined, detail);
+    this.#refuse(this.#reasonFor(detail, retryAfterMs, refusal));
   }
 
   /**
@@ -76,13 +89,18 @@
    * request, whatever the history says, which may lack the attempt that has failed.
    */
   fail(error: unknown, mayHaveRun: boolean): void {
-    const { answer, telemetry } = this.parts;
-    telemetry.failed(error);
-    const reason = mayHaveRun
-      ? fault('outcome_unknown', UNEXPECTED)
-      : fault('internal_error', UNEXPECTED, { retryAfterMs: DEFAULT_RETRY_DELAY_MS });
-    answer.refuseOrAbort(reason);
-    this.#end(reason.code, undefined, UNEXPECTED);
+    this.parts.telemetry.failed(error);
+    const retryAfterMs = DEFAULT_RETRY_DELAY_MS;
+    this.#refuse(
+      mayHaveRun
+        ? fault('outcome_unknown', UNEXPECTED)
+        : fault('internal_error', UNEXPECTED, { retryAfterMs }),
+    );
+  }
+
+  #refuse(reason: Fault): void {
+    this.parts.answer.refuseOrAbort(reason);
+    this.#end(reason.code, undefined, reason.detail);
   }
 
   #reasonFor(detail: string, retryAfterMs: Milliseconds, refusal: ResultName): Fault {
@@ -92,7 +110,8 @@
   }
 
   #end(code: ResultName, status?: number, why?: string): void {
-    const { events, telemetry, history } = this.parts;
+    const { events, telemetry, history, onServed } = this.parts;
+    if (code === 'ok') onServed();
     telemetry.answered({
       code,
       status,
--- /dev/null
+++ b/packages/relay/src/request/planned-stop.ts
@@ -0,0 +1,57 @@
+import type { Clock, Milliseconds } from '@poppypond/core';
+import type { RequestDurations } from './request-durations.js';
+
+/** Instants of a stop, on the monotonic clock. */
+interface StopTimes {
+  /** Until then the load balancer may open new connections. */
+  readonly isBalancedUntilMs: Milliseconds;
+  /** Requests that are not finished by then are ended. */
+  readonly endsAtMs: Milliseconds;
+}
+
+/** Decides which requests a host still accepts and starts while it stops. */
+export class PlannedStop {
+  #times: StopTimes | undefined;
+
+  constructor(
+    readonly clock: Clock,
+    readonly durations: RequestDurations,
+  ) {}
+
+  get hasBegun(): boolean {
+    return this.#times !== undefined;
+  }
+
+  /** Records a request that was served, and when its first attempt started. */
+  recordServed(route: string, startedAtMs: Milliseconds): void {
+    this.durations.record(route, this.clock.monotonicMs() - startedAtMs);
+  }
+
+  begin(times: StopTimes): void {
+    this.#times = times;
+  }
+
+  /**
+   * Whether a request that has just arrived is accepted. `leftMs`: time until its deadline, by which
+   * it has a response at the latest. Once the load balancer sends this host nothing more, requests
+   * arrive only on connections that were kept, and only those are accepted that are sure to end.
+   */
+  accepts(route: string, leftMs: Milliseconds): boolean {
+    if (!this.#times || leftMs <= this.#leftMs) return true;
+    return (
+      this.clock.monotonicMs() <= this.#times.isBalancedUntilMs && this.mayStart(route, leftMs)
+    );
+  }
+
+  /** Whether a request that no server was sent yet is expected to end before the host does. */
+  mayStart(route: string, leftMs: Milliseconds): boolean {
+    if (!this.#times || leftMs <= this.#leftMs) return true;
+    const expectedMs = this.durations.expectedMs(route);
+    return expectedMs !== undefined && expectedMs <= this.#leftMs;
+  }
+
+  get #leftMs(): Milliseconds {
+    const endsAtMs = this.#times?.endsAtMs ?? Number.POSITIVE_INFINITY;
+    return endsAtMs - this.clock.monotonicMs();
+  }
+}
--- a/packages/relay/src/request/relay-parts.ts
+++ b/packages/relay/src/request/relay-parts.ts
@@ -20,6 +20,7 @@
 import type { KeyTrust } from '../store/key-trust.js';
 import type { ServerList } from '../store/server-list.js';
 import type { UnexpectedErrors } from '../unexpected-errors.js';
+import type { PlannedStop } from './planned-stop.js';
 
 /** Dependencies that all requests of a relay share. */
 export interface RelayParts {
@@ -28,6 +29,7 @@
   readonly log: Log;
   readonly metrics: PrometheusMetrics;
   readonly unexpectedErrors: UnexpectedErrors;
+  readonly stop: PlannedStop;
   readonly wire: RelayWire;
   readonly memory: EngineMemory;
   readonly activeConfiguration: ActiveConfiguration;
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -67,6 +67,8 @@
   readonly #outcomeHandler: AttemptOutcomeHandler;
   /** When the caller was sent its last event; before the first, when the request arrived. */
   #lastEventAtMs: Milliseconds;
+  /** When the first attempt started; undefined before. */
+  #firstAttemptAtMs: Milliseconds | undefined;
   /** When the last attempt started. */
   #attemptAtMs: Milliseconds = 0;
   #current: RunningAttempt | undefined;
@@ -80,6 +82,7 @@
    */
   #failureReason: string | undefined;
   #hasTimedOut = false;
+  #isStopped = false;
   readonly #unresponsive = new UnresponsiveServers();
 
   constructor(
@@ -119,7 +122,11 @@
       history: this.#history,
       events: this.#events,
       hasTimedOut: () => this.#hasTimedOut,
-      retryDelayMs: () => this.#retryDelayMs(),
+      isStopped: () => this.#isStopped || this.#isTooLateToStart(),
+      onServed: () => {
+        parts.stop.recordServed(this.#route.name, this.#firstAttemptAtMs ?? arrivedAtMs);
+      },
+      retryDelayMs: () => parts.gate.retryDelayMs(admitted.service, admitted.allowedRegions),
     });
     this.#outcomeHandler = new AttemptOutcomeHandler({
       relay: parts,
@@ -175,10 +182,12 @@
     }
   }
 
-  /** Logs that the host stops before the response is complete. */
-  logUnfinished(): void {
+  /** Ends the request, because the host stops now. */
+  endForStop(): void {
     const { sent } = this.#history;
     this.#telemetry.unfinishedAtStop(this.#current ? sent + 1 : sent, this.answer.hasStarted);
+    this.#isStopped = true;
+    this.#current?.attempt.cancel();
   }
 
   async #tryServers(): Promise<void> {
@@ -234,17 +243,6 @@
     return true;
   }
 
-  /**
-   * Retry delay if no server of the service may be sent anything now; undefined if one may, or none
-   * is listed.
-   */
-  #retryDelayMs(): Milliseconds | undefined {
-    const { gate } = this.parts;
-    const { allowedRegions, service } = this.admitted;
-    const nextUsableInMs = gate.nextUsableInMs(service, allowedRegions);
-    return nextUsableInMs ? gate.callerRetryDelayMs(nextUsableInMs) : undefined;
-  }
-
   /** Releases the slot and the memory of a choice that is not used. */
   #releaseChoice({ attemptId, held }: Choice): void {
     this.parts.peers.end(attemptId, this.#engineService);
@@ -272,7 +270,13 @@
   }
 
   #isFinished(): boolean {
-    return this.answer.isDisconnected || this.#hasTimedOut || this.#leftMs() <= 0;
+    const isEnded = this.answer.isDisconnected || this.#hasTimedOut || this.#leftMs() <= 0;
+    return isEnded || this.#isStopped || this.#isTooLateToStart();
+  }
+
+  /** Whether the host stops before a server that was sent the request now would have served it. */
+  #isTooLateToStart(): boolean {
+    return !this.#hasReachedServer && !this.parts.stop.mayStart(this.#route.name, this.#leftMs());
   }
 
   /** Runs one attempt; an exception releases all that the attempt holds. */
@@ -301,6 +305,7 @@
     const startedAtMs = clock.monotonicMs();
     const speed = new SpeedObserver(speedNotices, clock, choice, this.#route.name);
     this.#attemptAtMs = startedAtMs;
+    this.#firstAttemptAtMs ??= startedAtMs;
     this.#current = { id, choice, attempt, startedAtMs, speed, hasEvents: false };
     this.#watch.begin(choice, this.#leftMs());
     const end = await attempt.done;
--- a/packages/relay/src/request/request-handler.ts
+++ b/packages/relay/src/request/request-handler.ts
@@ -3,6 +3,7 @@
 import type { ReceivedRequest } from '../server/caller-listener.js';
 import { admit } from './admit.js';
 import type { CallerResponse } from './caller-response.js';
+import { hostStopping } from './final-response.js';
 import type { RelayParts } from './relay-parts.js';
 import { RequestExecution } from './request-execution.js';
 import { StartupGrace } from './startup-grace.js';
@@ -27,9 +28,9 @@
     return this.#executions.size;
   }
 
-  /** Logs the requests that end without a complete response because the host stops. */
-  logUnfinished(): void {
-    for (const execution of this.#executions) execution.logUnfinished();
+  /** Ends all open requests, because the host stops now. */
+  endAll(): void {
+    for (const execution of this.#executions) execution.endForStop();
   }
 
   /** Serves one request; resolves when its response is finished. */
@@ -56,6 +57,13 @@
       this.#refuse(admitted.error, caller.requestId, answer);
       return;
     }
+    const { route } = admitted.value;
+    const timeLimitMs = Math.min(caller.timeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+    const leftMs = arrivedAtMs + timeLimitMs - clock.monotonicMs();
+    if (!parts.stop.accepts(route.name, leftMs)) {
+      this.#refuse(hostStopping(), caller.requestId, answer);
+      return;
+    }
     const execution = new RequestExecution(
       parts,
       caller,
