Open an attempt after all that could throw before it is tracked

An attempt connects by itself once it exists; an exception between its creation and the assignment that tracks it could have left it running after its request was refused as not run. Also names: newConnectionsUntilMs, and a plainer loop for the wait of a resting service.

--- a/packages/relay/src/request/choose-server.ts
+++ b/packages/relay/src/request/choose-server.ts
@@ -190,9 +190,11 @@
 
 /** Waits until a server may be sent requests again, or the request is finished. */
 async function rest({ parts, isFinished }: ChoiceInputs, restMs: Milliseconds): Promise<void> {
-  const untilMs = parts.clock.monotonicMs() + restMs;
-  for (let leftMs = restMs; leftMs > 0 && !isFinished();) {
-    await delay(parts.clock, Math.min(leftMs, REST_POLL_MS));
-    leftMs = untilMs - parts.clock.monotonicMs();
+  const { clock } = parts;
+  const untilMs = clock.monotonicMs() + restMs;
+  let leftMs = restMs;
+  while (leftMs > 0 && !isFinished()) {
+    await delay(clock, Math.min(leftMs, REST_POLL_MS));
+    leftMs = untilMs - clock.monotonicMs();
   }
 }
--- a/packages/relay/src/request/planned-stop.test.ts
+++ b/packages/relay/src/request/planned-stop.test.ts
@@ -3,7 +3,7 @@
 import { PlannedStop } from './planned-stop.js';
 import { RequestDurations } from './request-durations.js';
 
-const BALANCED_MS = 2500;
+const NEW_CONNECTIONS_MS = 2500;
 const GRACE_MS = 7400;
 const LONG_MS = 10_000;
 
@@ -14,7 +14,7 @@
   for (let index = 1; index <= 20; index += 1) durations.record('usual', (usualMs * index) / 20);
   const stop = new PlannedStop(clock, durations);
   const nowMs = clock.monotonicMs();
-  stop.begin({ isBalancedUntilMs: nowMs + BALANCED_MS, endsAtMs: nowMs + GRACE_MS });
+  stop.begin({ newConnectionsUntilMs: nowMs + NEW_CONNECTIONS_MS, endsAtMs: nowMs + GRACE_MS });
   return { clock, stop };
 }
 
@@ -38,7 +38,7 @@
     const { clock, stop } = beginStop(4000);
     expect(stop.accepts('usual', LONG_MS)).toBe(true);
     expect(stop.accepts('unknown', LONG_MS)).toBe(false);
-    await clock.advance(BALANCED_MS);
+    await clock.advance(NEW_CONNECTIONS_MS);
     expect(stop.accepts('usual', LONG_MS)).toBe(true);
     await clock.advance(1);
     expect(stop.accepts('usual', LONG_MS)).toBe(false);
--- a/packages/relay/src/request/planned-stop.ts
+++ b/packages/relay/src/request/planned-stop.ts
@@ -3,8 +3,8 @@
 
 /** Instants of a stop, on the monotonic clock. */
 interface StopTimes {
-  /** Until then the load balancer may open new connections. */
-  readonly isBalancedUntilMs: Milliseconds;
+  /** Until then the load balancer may send new connections. */
+  readonly newConnectionsUntilMs: Milliseconds;
   /** Requests that are not finished by then are ended. */
   readonly endsAtMs: Milliseconds;
 }
@@ -18,11 +18,7 @@
     readonly durations: RequestDurations,
   ) {}
 
-  get hasBegun(): boolean {
-    return this.#times !== undefined;
-  }
-
-  /** Whether open requests are ended now. */
+  /** Whether requests that are not finished are ended now. */
   get isOver(): boolean {
     return this.#leftMs <= 0;
   }
@@ -44,7 +40,7 @@
   accepts(route: string, leftMs: Milliseconds): boolean {
     if (!this.#times || leftMs <= this.#leftMs) return true;
     return (
-      this.clock.monotonicMs() <= this.#times.isBalancedUntilMs && this.mayStart(route, leftMs)
+      this.clock.monotonicMs() <= this.#times.newConnectionsUntilMs && this.mayStart(route, leftMs)
     );
   }
 
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -300,12 +300,12 @@
     this.#telemetry.placed(id, choice.server, choice.plan, timeLeftMs);
     this.#followed.begin(id);
     this.#announce(choice);
-    const attempt = this.#open(choice, timeLeftMs);
     const { clock, speedNotices } = this.parts;
     const startedAtMs = clock.monotonicMs();
     const speed = new SpeedObserver(speedNotices, clock, choice, this.#route.name);
     this.#attemptAtMs = startedAtMs;
     this.#firstAttemptAtMs ??= startedAtMs;
+    const attempt = this.#open(choice, timeLeftMs);
     this.#current = { id, choice, attempt, startedAtMs, speed, hasEvents: false };
     this.#watch.begin(choice, this.#leftMs());
     const end = await attempt.done;
--- a/packages/relay/src/server/drain.ts
+++ b/packages/relay/src/server/drain.ts
@@ -36,7 +36,7 @@
 export async function drain(parts: DrainParts, graceMs: Milliseconds): Promise<void> {
   const { clock, log, stop, callerListener, serving, forwardingListener } = parts;
   const startedAtMs = clock.monotonicMs();
-  const isBalancedUntilMs = startedAtMs + BALANCER_DRAIN_MS;
+  const newConnectionsUntilMs = startedAtMs + BALANCER_DRAIN_MS;
   const endsAtMs = startedAtMs + graceMs - STOP_MARGIN_MS;
   const openCount = () => callerListener.unfinishedCount + forwardingListener.openCount;
   const waitUntilIdle = async (untilMs: Milliseconds) => {
@@ -45,7 +45,7 @@
       await delay(clock, POLL_PERIOD_MS);
     }
   };
-  stop.begin({ isBalancedUntilMs, endsAtMs });
+  stop.begin({ newConnectionsUntilMs, endsAtMs });
   log.warn('stopping', { open: openCount(), within_ms: Math.round(endsAtMs - startedAtMs) });
   await delay(clock, BALANCER_DRAIN_MS);
   callerListener.close();
