Close a stopping connection only after its last response if a later request closes it

Of two pipelined requests of which the second said 'Connection: close', the first response closed the connection during a stop, as the connection was known to close and not after which response.

Failing before: 'closes a connection after the last of two pipelined responses of which the second closes it'.

--- a/packages/relay/src/server/caller-connection.ts
+++ b/packages/relay/src/server/caller-connection.ts
@@ -44,7 +44,8 @@
    * get none. Returns whether it is closed, so that the response can say so.
    */
   closeAfter(response: ServerResponse): boolean {
-    this.#isClosing ||= [...this.#unfinished].at(-1) === response;
-    return this.#isClosing;
+    const isLast = [...this.#unfinished].at(-1) === response;
+    this.#isClosing ||= isLast;
+    return isLast;
   }
 }
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -116,13 +116,16 @@
   });
 
   // Guards against a response that is never written because an earlier one closes the connection.
-  it('closes a stopping connection after the last of its pipelined responses', async () => {
+  it.each([
+    ['that both keep it', REQUEST],
+    ['of which the second closes it', REQUEST.replace('Content', 'Connection: close\r\nContent')],
+  ])('closes a connection after the last of two pipelined responses %s', async (_name, second) => {
     let isStopping = false;
     const { answers, listener, port } = await startListener(() => isStopping);
     const caller = connect(port, LOOPBACK);
     let text = '';
     caller.on('data', (chunk: Buffer) => (text += chunk.toString('utf8')));
-    caller.write(REQUEST + REQUEST);
+    caller.write(REQUEST + second);
     await vi.waitFor(() => expect(answers).toHaveLength(2));
     expect(listener.unfinishedCount).toBe(2);
     isStopping = true;
