Copy the chunks of bodies into blocks as they arrive

Callers saw 503 (host_full) for a single complete body of 1 MB in chunks of one byte, on a host of 202 MB without other load, and no response at all when a server answered so.

Cause: ReceivedBytes, and arrays like it for servers' responses and JSON calls, kept one Buffer a chunk. Node makes an object of some hundred bytes for a chunk of one byte; the budget counted the byte.

Now chunks are copied into blocks of 1 to 64 KB, so that a body takes its bytes and a constant, however it is cut.

--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -1,6 +1,6 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
-import { receiveResponse } from '@poppypond/web';
+import { ReceivedBytes, receiveResponse } from '@poppypond/web';
 import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Socket } from 'node:net';
@@ -303,20 +303,20 @@
   }
 
   #readBody(response: IncomingMessage, head: ResponseHead): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const declaredBytes = Number(response.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+    const isKnown = declaredBytes <= MAX_RESPONSE_BYTES;
+    const received = new ReceivedBytes(isKnown ? declaredBytes : undefined);
     this.#onData(response, (chunk) => {
       if (!this.parts.hostBudget.fitsAnswer(chunk.length)) return this.#settleFull();
       this.#held.add(chunk.length);
-      chunks.push(chunk);
-      bytes += chunk.length;
-      if (bytes > MAX_RESPONSE_BYTES)
+      received.push(chunk);
+      if (received.length > MAX_RESPONSE_BYTES)
         this.#settle({ kind: 'broken', detail: 'response body is too large' });
     });
     response.once('close', () => {
       const isDelimited = isDelimitedResponse(response);
       if (this.#isComplete(response))
-        this.#settle({ kind: 'whole', head, body: Buffer.concat(chunks), isDelimited });
+        this.#settle({ kind: 'whole', head, body: received.take(), isDelimited });
       else this.#settle({ kind: 'broken', detail: 'response body ended early' });
     });
   }
--- a/packages/relay/src/host/body-reader.ts
+++ b/packages/relay/src/host/body-reader.ts
@@ -1,8 +1,9 @@
 import { fault } from '@poppypond/core';
 import type { Clock, Fault, Milliseconds } from '@poppypond/core';
+import { ReceivedBytes } from '@poppypond/web';
 import type { IncomingMessage } from 'node:http';
 import type { HostBudget, Reservation } from './host-budget.js';
-import { ReceivedBytes } from './received-bytes.js';
+
 import { unreadBytesOf } from './unread-bytes.js';
 
 /** A body that was received completely, with the bytes that it holds. */
--- a/packages/web/src/body.ts
+++ b/packages/web/src/body.ts
@@ -3,6 +3,7 @@
 import type { Fault, Milliseconds } from '@poppypond/core';
 import { Result } from 'true-myth';
 import type { z } from 'zod';
+import { ReceivedBytes } from './received-bytes.js';
 
 /** Reads a complete request body of at most `maxBytes` within `timeoutMs`. */
 export function readBody(
@@ -11,19 +12,14 @@
   timeoutMs: Milliseconds,
 ): Promise<Result<Buffer, Fault>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const received = new ReceivedBytes();
     const finish = (result: Result<Buffer, Fault>) => {
       clearTimeout(timer);
       request.removeListener('data', onData);
       resolve(result);
     };
     const onData = (chunk: Buffer) => {
-      length += chunk.length;
-      if (length <= maxBytes) {
-        chunks.push(chunk);
-        return;
-      }
+      if (received.length + chunk.length <= maxBytes) return received.push(chunk);
       request.resume();
       finish(Result.err(fault('body_too_large', `the body exceeds ${String(maxBytes)} bytes`)));
     };
@@ -36,7 +32,7 @@
     }, timeoutMs);
     request.on('data', onData);
     request.once('end', () => {
-      finish(Result.ok(Buffer.concat(chunks)));
+      finish(Result.ok(received.take()));
     });
     request.once('close', () => {
       finish(Result.err(fault('cancelled_waiting', 'the caller closed the connection')));
--- a/packages/web/src/client.ts
+++ b/packages/web/src/client.ts
@@ -3,6 +3,7 @@
 import { Agent as TlsAgent, request as startHttps } from 'node:https';
 import type { Milliseconds } from '@poppypond/core';
 import { Result } from 'true-myth';
+import { ReceivedBytes } from './received-bytes.js';
 import { receiveResponse } from './receive-response.js';
 
 /** Why an HTTP call returned no response, or an incomplete one. */
@@ -110,7 +111,7 @@
   const response = opened.value;
   const remainingMs = Math.max(1, call.timeoutMs - (performance.now() - started));
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const received = new ReceivedBytes();
     const fail = (reason: TransportFault['reason']) => {
       clearTimeout(timer);
       resolve(
@@ -121,7 +122,9 @@
       response.destroy();
       fail('timeout');
     }, remainingMs);
-    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    response.on('data', (chunk: Buffer) => {
+      received.push(chunk);
+    });
     response.once('error', () => {
       fail('closed');
     });
@@ -130,7 +133,7 @@
     });
     response.once('end', () => {
       clearTimeout(timer);
-      const body = Buffer.concat(chunks).toString('utf8');
+      const body = received.take().toString('utf8');
       resolve(Result.ok({ status: response.statusCode ?? 0, headers: response.headers, body }));
     });
   });
--- a/packages/web/src/index.ts
+++ b/packages/web/src/index.ts
@@ -2,6 +2,7 @@
 export * from './body.js';
 export * from './client.js';
 export * from './receive-response.js';
+export * from './received-bytes.js';
 export * from './response.js';
 export * from './retry-after.js';
 export * from './router.js';
