Search each byte of an event once

Callers saw 504 for an event of 1 MB that its server sent in chunks of one byte, and the host served nobody meanwhile.

Cause: EventFrameSplitter joined the incomplete event with each chunk and searched all of it again, so that the work grew with the square of the event's size.

Now chunks are appended to a buffer that doubles in size, and the search goes on where it ended.

--- a/packages/relay/src/backend/event-frames.ts
+++ b/packages/relay/src/backend/event-frames.ts
@@ -7,9 +7,13 @@
 const LF_SEPARATOR = Buffer.from('\n\n');
 const CRLF_SEPARATOR = Buffer.from('\r\n\r\n');
 
-function endOfFrame(bytes: Buffer): number {
-  const lfIndex = bytes.indexOf(LF_SEPARATOR);
-  const crlfIndex = bytes.indexOf(CRLF_SEPARATOR);
+/** Size of the first buffer of an incomplete event; a full one is replaced by one of twice its size. */
+const MIN_BUFFER_BYTES = 1024;
+
+/** Returns the end of the first event whose separator ends after `from`; infinity if there is none. */
+function endOfFrame(bytes: Buffer, from: number): number {
+  const lfIndex = bytes.indexOf(LF_SEPARATOR, from);
+  const crlfIndex = bytes.indexOf(CRLF_SEPARATOR, from);
   const lfEnd = lfIndex < 0 ? Number.POSITIVE_INFINITY : lfIndex + LF_SEPARATOR.length;
   const crlfEnd = crlfIndex < 0 ? Number.POSITIVE_INFINITY : crlfIndex + CRLF_SEPARATOR.length;
   return Math.min(lfEnd, crlfEnd);
@@ -26,30 +30,56 @@
 
 /**
  * Splits a byte stream into complete events without changing a byte; buffers an incomplete event.
+ * Each byte is copied and searched a few times at most, however small the chunks are.
  */
 export class EventFrameSplitter {
-  #partial: Buffer = Buffer.alloc(0);
+  #buffer: Buffer = Buffer.alloc(0);
+  #partialBytes = 0;
 
   /** Whether an incomplete event is buffered. */
   get hasPartialFrame(): boolean {
-    return this.#partial.length > 0;
+    return this.#partialBytes > 0;
   }
 
   /** Size of the incomplete event that is buffered; 0 if there is none. */
   get partialBytes(): number {
-    return this.#partial.length;
+    return this.#partialBytes;
   }
 
   /** Appends bytes and returns the events that they complete. */
   push(chunk: Buffer): readonly EventFrame[] {
-    let bytes = this.#partial.length > 0 ? Buffer.concat([this.#partial, chunk]) : chunk;
     const frames: EventFrame[] = [];
-    for (let end = endOfFrame(bytes); end <= bytes.length; end = endOfFrame(bytes)) {
-      const frame = bytes.subarray(0, end);
+    const searchFrom = Math.max(0, this.#partialBytes - CRLF_SEPARATOR.length + 1);
+    const bytes = this.#partialBytes > 0 ? this.#append(chunk) : chunk;
+    let start = 0;
+    let end = endOfFrame(bytes, searchFrom);
+    while (end <= bytes.length) {
+      const frame = bytes.subarray(start, end);
       frames.push({ bytes: frame, id: idOf(frame) });
-      bytes = bytes.subarray(end);
+      start = end;
+      end = endOfFrame(bytes, start);
     }
-    this.#partial = bytes;
+    if (start > 0 || this.#partialBytes === 0) this.#keep(bytes.subarray(start));
     return frames;
   }
+
+  /** Appends bytes to the incomplete event and returns all of it. */
+  #append(chunk: Buffer): Buffer {
+    const length = this.#partialBytes + chunk.length;
+    if (length > this.#buffer.length) this.#keep(this.#partial, 2 * length);
+    chunk.copy(this.#buffer, this.#partialBytes);
+    this.#partialBytes = length;
+    return this.#partial;
+  }
+
+  get #partial(): Buffer {
+    return this.#buffer.subarray(0, this.#partialBytes);
+  }
+
+  /** Copies an incomplete event into a new buffer, as events refer to the present one. */
+  #keep(partial: Buffer, bytes = Math.max(MIN_BUFFER_BYTES, partial.length)): void {
+    this.#partialBytes = partial.length;
+    this.#buffer = partial.length > 0 ? Buffer.allocUnsafeSlow(bytes) : Buffer.alloc(0);
+    partial.copy(this.#buffer);
+  }
 }
