End bodies that do not get on instead of waiting for them

What callers saw: beside bodies that stopped short of their end, ordinary requests got 503 after 15 s; bodies that stopped stayed open for good, whatever time their callers had given them; a crowd of them used up the whole grace of a stop; 12 bodies in chunks of one byte took the process above its memory.

Causes: above the first watermark the four oldest bodies were read on and all others paused, small ones too, until 15 s were over, also if the four had stopped. Below it nothing ended a body. A paused message queues each chunk that is still parsed as an object of its own, so that a paused body of tiny chunks grew by 64 KB of chunks, uncounted.

Now a body of which nothing arrives for twice the idle timeout of the configuration, or which is not complete in its caller's own time, gets 408 (caller_slow, not run); above the first watermark and during a stop 2 s (stalledUnderPressureMs) are enough, with 503. Only bodies with more than 64 KB to come take one of the four places; the kernel would hold as much of smaller ones while they are paused. The connection is paused, not the message. Time in which the process does not run does not count against callers.

--- a/packages/relay/src/host/body-reader.test.ts
+++ b/packages/relay/src/host/body-reader.test.ts
@@ -2,16 +2,19 @@
 import { createServer, request } from 'node:http';
 import type { ClientRequest, Server } from 'node:http';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { CallerMessage } from '../server/caller-message.js';
 import { BodyReader } from './body-reader.js';
 import { HostBudget } from './host-budget.js';
 import type { Reservation } from './host-budget.js';
 
-const HALF_BYTES = 20_000;
+const HALF_BYTES = 80_000;
+/** Longer than the tests take. */
+const STALLED_MS = 60_000;
 /** Below the halves of eight bodies, and above those of four. */
 const SIZE = {
-  firstWatermarkBytes: 100_000,
-  secondWatermarkBytes: 1_000_000,
-  limitBytes: 1_200_000,
+  firstWatermarkBytes: 400_000,
+  secondWatermarkBytes: 4_000_000,
+  limitBytes: 4_800_000,
   responseBytes: 1000,
   processBytes: 0,
 };
@@ -26,9 +29,13 @@
   budget = new HostBudget(SIZE);
   complete = [];
   refused = [];
-  const reader = new BodyReader(new SystemClock(), budget);
-  server = createServer((message, response) => {
-    void reader.read(message, 4 * HALF_BYTES).then((body) => {
+  const reader = new BodyReader(new SystemClock(), budget, {
+    stalledAfterMs: () => STALLED_MS,
+    stalledUnderPressureMs: STALLED_MS,
+    stopping: () => undefined,
+  });
+  server = createServer({ IncomingMessage: CallerMessage }, (message, response) => {
+    void reader.read(message, { maxBytes: 4 * HALF_BYTES }).then((body) => {
       if (body && 'held' in body) complete.push(body.held);
       else refused.push(body?.code ?? 'disconnected');
       response.end();
--- a/packages/relay/src/host/body-reader.ts
+++ b/packages/relay/src/host/body-reader.ts
@@ -1,10 +1,11 @@
 import { fault } from '@poppypond/core';
 import type { Clock, Fault, Milliseconds } from '@poppypond/core';
 import { ReceivedBytes } from '@poppypond/web';
-import type { IncomingMessage } from 'node:http';
 import type { HostBudget, Reservation } from './host-budget.js';
-
-import { unreadBytesOf } from './unread-bytes.js';
+import { CallerConnection } from '../server/caller-connection.js';
+import type { CallerMessage } from '../server/caller-message.js';
+import { RunningTime } from './running-time.js';
+import { MAX_UNREAD_BYTES, unreadBytesOf } from './unread-bytes.js';
 
 /** A body that was received completely, with the bytes that it holds. */
 export interface HeldBody {
@@ -12,22 +13,44 @@
   readonly held: Reservation;
 }
 
+/** Limits of one body. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Time after which its caller waits no longer; undefined if the request states none. */
+  readonly timeLimitMs?: Milliseconds | undefined;
+}
+
+/** Limits of all bodies. */
+export interface BodyReaderOptions {
+  /** A body of which nothing arrives for this long is refused. */
+  readonly stalledAfterMs: () => Milliseconds;
+  /** The same above the first watermark, and during a stop. */
+  readonly stalledUnderPressureMs: Milliseconds;
+  /** Returns the fault of requests that are not complete when the host stops, during a stop. */
+  readonly stopping: () => Fault | undefined;
+}
+
 /** A body that is being received. */
 interface OpenBody {
   readonly startedAtMs: Milliseconds;
+  readonly dueAtMs: Milliseconds;
+  /** Running time at which a part of it arrived last, or reading went on; undefined while paused. */
+  readonly progressAtMs: () => Milliseconds | undefined;
+  /** Whether it holds more when it is complete than what the system holds of it while it is paused. */
+  readonly isLarge: () => boolean;
   readonly pause: () => void;
   readonly resume: () => void;
   readonly refuse: (reason: Fault) => void;
 }
 
 /**
- * Bodies that are read on above the first watermark, the oldest ones: if all were paused, none
+ * Large bodies that are read on above the first watermark, the oldest ones: if all were paused, none
  * would become complete and the bytes that they hold would never be returned.
  */
 const PROGRESSING_BODIES = 4;
 /** Callers that stay behind for this long have given up; a paused connection does not show it. */
 const MAX_PAUSED_MS: Milliseconds = 15_000;
-const SWEEP_PERIOD_MS: Milliseconds = 1000;
+const SWEEP_PERIOD_MS: Milliseconds = 250;
 
 /**
  * Returns the fault of a request that the host has no room for; the listener adds the retry time.
@@ -36,21 +59,34 @@
   return fault('host_full', 'the host holds as many bytes as its memory allows');
 }
 
+/** Returns the fault of a request whose body is larger than allowed. */
+export function bodyTooLarge(): Fault {
+  return fault('body_too_large', 'the request body is larger than the limit');
+}
+
+/** Returns the fault of a request whose caller does not send the rest of it. */
+function callerSlow(detail: string): Fault {
+  return fault('caller_slow', detail);
+}
+
 /** Receives the bodies of callers' requests as far as the budget of the host allows. */
 export class BodyReader {
   /** In order of arrival. */
   readonly #open = new Set<OpenBody>();
+  readonly #time: RunningTime;
+  #pausedCount = 0;
 
   constructor(
     readonly clock: Clock,
     readonly budget: HostBudget,
+    readonly options: BodyReaderOptions,
   ) {
-    if (!budget.isEnabled) return;
+    this.#time = new RunningTime(clock);
     budget.onLevel(() => {
       this.#pauseOrResume();
     });
     clock.every(SWEEP_PERIOD_MS, () => {
-      this.#refuseOutdated();
+      this.#refuseOverdue();
     });
   }
 
@@ -58,14 +94,26 @@
    * Reads the body of a message. Resolves with the fault if it is refused, and with undefined if
    * the caller disconnects before it is complete.
    */
-  read(message: IncomingMessage, maxBytes: number): Promise<HeldBody | Fault | undefined> {
-    const held = this.budget.reserve('body');
-    const unread = this.budget.reserve('unread');
+  read(
+    message: CallerMessage,
+    { maxBytes, timeLimitMs = Number.POSITIVE_INFINITY }: BodyLimits,
+  ): Promise<HeldBody | Fault | undefined> {
+    const { clock, budget } = this;
+    const connection = CallerConnection.of(message.socket);
+    const held = budget.reserve('body');
+    const unread = budget.reserve('unread');
     const declaredBytes = Number(message.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+    const startedAtMs = clock.monotonicMs();
+    let progressAtMs: Milliseconds | undefined = this.#time.nowMs;
     return new Promise((resolve) => {
       const received = new ReceivedBytes(declaredBytes <= maxBytes ? declaredBytes : undefined);
+      const isLarge = () =>
+        declaredBytes < Number.POSITIVE_INFINITY
+          ? declaredBytes - received.length > MAX_UNREAD_BYTES
+          : received.length > MAX_UNREAD_BYTES;
       const end = (result: HeldBody | Fault | undefined) => {
         if (!this.#open.delete(body)) return;
+        body.resume();
         unread.end();
         message.off('data', onData);
         if (!result || !('held' in result)) held.end();
@@ -76,24 +124,34 @@
         this.#pauseOrResume();
       };
       const body: OpenBody = {
-        startedAtMs: this.clock.monotonicMs(),
+        startedAtMs,
+        dueAtMs: startedAtMs + timeLimitMs,
+        progressAtMs: () => (connection.isHeld ? undefined : progressAtMs),
+        isLarge,
         pause: () => {
-          if (message.isPaused()) return;
-          message.pause();
+          if (progressAtMs === undefined) return;
+          progressAtMs = undefined;
+          this.#pausedCount += 1;
+          connection.hold('body');
           unread.resize(unreadBytesOf(declaredBytes - held.bytes));
         },
         resume: () => {
+          if (progressAtMs !== undefined) return;
+          progressAtMs = this.#time.nowMs;
+          this.#pausedCount -= 1;
           unread.resize(0);
-          if (message.isPaused()) message.resume();
+          connection.release('body');
         },
         refuse: end,
       };
       const onData = (chunk: Buffer) => {
-        if (held.bytes + chunk.length > maxBytes)
-          return end(fault('body_too_large', 'the request body is larger than the limit'));
-        if (!this.budget.fitsRequest(chunk.length)) return end(hostFull());
+        if (held.bytes + chunk.length > maxBytes) return end(bodyTooLarge());
+        if (!budget.fitsRequest(chunk.length)) return end(hostFull());
+        const wasLarge = isLarge();
         received.push(chunk);
         held.add(chunk.length);
+        if (progressAtMs !== undefined) progressAtMs = this.#time.nowMs;
+        if (!wasLarge && isLarge()) this.#pauseOrResume();
       };
       this.#open.add(body);
       message.on('data', onData);
@@ -106,26 +164,39 @@
       message.once('close', () => {
         end(undefined);
       });
-      if (this.budget.level !== 'free') this.#pauseOrResume();
+      this.#pauseOrResume();
     });
   }
 
   #pauseOrResume(): void {
     const isFree = this.budget.level === 'free';
-    let position = 0;
+    if (isFree && this.#pausedCount === 0) return;
+    let largeCount = 0;
     for (const body of [...this.#open]) {
-      if (isFree || position < PROGRESSING_BODIES) body.resume();
+      if (body.isLarge()) largeCount += 1;
+      if (isFree || !body.isLarge() || largeCount <= PROGRESSING_BODIES) body.resume();
       else body.pause();
-      position += 1;
     }
   }
 
-  /** Refuses bodies that have waited for too long for the level to fall. */
-  #refuseOutdated(): void {
-    if (this.budget.level === 'free') return;
-    const beforeMs = this.clock.monotonicMs() - MAX_PAUSED_MS;
+  /** Refuses bodies that do not arrive, and those that have waited too long for the level to fall. */
+  #refuseOverdue(): void {
+    const nowMs = this.clock.monotonicMs();
+    const runningMs = this.#time.advance();
+    const stopping = this.options.stopping();
+    const isFree = this.budget.level === 'free';
+    const hasPressure = !isFree || stopping !== undefined;
+    const { stalledAfterMs, stalledUnderPressureMs } = this.options;
+    const stalledMs = hasPressure ? stalledUnderPressureMs : stalledAfterMs();
     for (const body of [...this.#open]) {
-      if (body.startedAtMs < beforeMs) body.refuse(hostFull());
+      const stalledForMs = runningMs - (body.progressAtMs() ?? runningMs);
+      if (nowMs > body.dueAtMs)
+        body.refuse(callerSlow('the time limit of the request has passed before its body arrived'));
+      else if (stalledForMs > stalledMs)
+        body.refuse(
+          stopping ?? (isFree ? callerSlow('the request body does not arrive') : hostFull()),
+        );
+      else if (!isFree && body.startedAtMs < nowMs - MAX_PAUSED_MS) body.refuse(hostFull());
     }
   }
 }
--- a/packages/relay/src/host/host-full.ts
+++ b/packages/relay/src/host/host-full.ts
@@ -30,11 +30,14 @@
     return this.parts.budget.level === 'second';
   }
 
-  /** Refuses a request whose body was not read, or not completely. */
+  /**
+   * Refuses a request whose body was not read, or not completely. `reason` is that the host is full,
+   * unless it was its caller that did not get on with the body.
+   */
   refuse(answer: CallerResponse, reason: Fault = hostFull()): void {
     const { budget, log, metrics, random } = this.parts;
     const retryAfterMs = MIN_RETRY_MS + random() * RETRY_SPREAD_MS;
-    answer.refuseUnread({ ...reason, retryAfterMs });
+    answer.refuseUnread({ retryAfterMs, ...reason }, reason.code !== 'host_full');
     metrics.count('poppypond_requests_total', { kind: 'none', code: reason.code });
     metrics.count('poppypond_host_refusals_total', { why: reason.code });
     // Not a warning: a flood of requests must not displace the lines about its cause.
--- a/packages/relay/src/host/unread-bytes.ts
+++ b/packages/relay/src/host/unread-bytes.ts
@@ -2,7 +2,7 @@
  * What the kernel takes in on a connection that is not read: Linux offers half of its initial
  * receive buffer of 128 KiB as the window, and enlarges it only for programs that read.
  */
-const MAX_UNREAD_BYTES = 64 * 1024;
+export const MAX_UNREAD_BYTES = 64 * 1024;
 
 /** Estimates the bytes that have arrived, or will, on a connection that is not read. */
 export function unreadBytesOf(expectedBytes: number): number {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@poppypond/core';
+import type { CallerLimits } from '@poppypond/routing';
 import { enableSuspensionDetection } from '@poppypond/telemetry';
 import type { Server } from 'node:http';
 import { Result } from 'true-myth';
@@ -40,12 +41,18 @@
   readonly forwardingListener: ForwardingListener;
 }
 
-const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+/** Limits of callers until the first configuration is loaded. */
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 15_000,
+  idleTimeoutMs: 30_000,
+};
 /**
- * Idle connections stay open for twice the keep-alive timeout that callers are told, so that no
- * connection is closed while a request arrives on it.
+ * Callers get twice the time that they are told, so that no connection is closed while the request
+ * of one that keeps to it arrives.
  */
-const IDLE_FACTOR = 2;
+const TIMEOUT_FACTOR = 2;
 /** Time limit for writing the last log lines. */
 const LOG_DRAIN_MS: Milliseconds = 100;
 /**
@@ -200,7 +207,7 @@
   }
 
   #compose(sender: DatagramSender): RelayComponents {
-    const { clock, activeConfiguration, hostBudget, log, metrics, unexpectedErrors } = this.#base;
+    const { clock, hostBudget, log, metrics, unexpectedErrors } = this.#base;
     const { peers, placement, planner } = composePeers(this.#base, sender, (host) => {
       void this.#directory.remove(host);
     });
@@ -215,13 +222,15 @@
       measureBacklogMs: () => backlogProbe.measure(),
     });
     this.#onStop.push(admission.start());
+    const limits = () => this.#callerLimits;
     const callerListener = new CallerListener({
       clock,
       admission,
       backlogProbe,
       wire: this.ports.wire,
-      maxBodyBytes: () =>
-        activeConfiguration.table?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
+      limits,
+      stalledAfterMs: () => limits().idleTimeoutMs * TIMEOUT_FACTOR,
+      stalledUnderPressureMs: this.settings.stalledUnderPressureMs,
       isStopping: () => this.#isStopping,
       onRequest: (request) => serving.serve(request),
       hostBudget,
@@ -241,6 +250,10 @@
     return { peers, planner, serving, callerListener, forwardingListener };
   }
 
+  get #callerLimits(): CallerLimits {
+    return this.#base.activeConfiguration.table?.configuration.limits ?? DEFAULT_LIMITS;
+  }
+
   /** After a process pause, refreshes what this host knows before it decides anything by it. */
   #handlePauses(peers: PeerMesh): void {
     const { log, pauseDetector } = this.#base;
@@ -296,7 +309,7 @@
   #startWatches({ peers, planner, callerListener }: RelayComponents, turns: StoreTurns): void {
     const gauges = new RelayGauges(this.#base);
     const stopWatches = startWatches(this.#base, peers, turns, ({ configuration }) => {
-      callerListener.setIdleTimeout(configuration.limits.idleTimeoutMs * IDLE_FACTOR);
+      callerListener.setIdleTimeout(configuration.limits.idleTimeoutMs * TIMEOUT_FACTOR);
     });
     const cancelGauges = this.#base.clock.every(GAUGE_PERIOD_MS, () => {
       gauges.set(this.#openCount, peers, planner);
--- a/packages/relay/src/request/caller-response.ts
+++ b/packages/relay/src/request/caller-response.ts
@@ -8,6 +8,8 @@
 
 /** A caller that sends a refused body for longer than this is disconnected. */
 const MAX_DISCARD_MS: Milliseconds = 5000;
+/** The same for a caller that has sent nothing of it for a while: it only has to read the refusal. */
+const MAX_STALLED_DISCARD_MS: Milliseconds = 500;
 
 /** The response to one caller: nothing, one complete response, or one event stream. */
 export class CallerResponse {
@@ -125,19 +127,23 @@
   /**
    * Refuses a request whose body has not arrived completely, and discards the rest of it. The
    * response is complete at once, but the connection is not closed before the rest has arrived: a
-   * caller whose connection is reset while it sends does not read the response.
+   * caller whose connection is reset while it sends does not read the response. `isStalled`: whether
+   * the caller has stopped sending.
    */
-  refuseUnread(reason: Fault): void {
+  refuseUnread(reason: Fault, isStalled = false): void {
     const { req, socket } = this.response;
     this.#isFinished = true;
-    const body = this.#writeRefusal(reason);
+    const body = this.#writeRefusal(reason, isStalled);
     const end = () => {
       clearTimeout(limit);
       this.#writes.end();
     };
-    const limit = setTimeout(() => {
-      socket?.destroy();
-    }, MAX_DISCARD_MS);
+    const limit = setTimeout(
+      () => {
+        socket?.destroy();
+      },
+      isStalled ? MAX_STALLED_DISCARD_MS : MAX_DISCARD_MS,
+    );
     this.response.write(body);
     // The rest may have arrived together with the part for which the request is refused.
     if (req.readableEnded) return end();
@@ -147,19 +153,18 @@
   }
 
   /** Writes the head of a refusal and returns its body. */
-  #writeRefusal({ code, detail, retryAfterMs, rule }: Fault): Buffer {
+  #writeRefusal({ code, detail, retryAfterMs, rule }: Fault, mustClose = false): Buffer {
     const { httpStatus, number } = RESULT_CODES[code];
     const body = Buffer.from(JSON.stringify({ code, number, detail, rule, retryAfterMs }));
     const length = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
-    this.#writeHead(httpStatus, [
-      ...this.wire.refusalHeaders(this.caller, retryAfterMs),
-      ...length,
-    ]);
+    const headers = [...this.wire.refusalHeaders(this.caller, retryAfterMs), ...length];
+    this.#writeHead(httpStatus, headers, mustClose);
     return body;
   }
 
-  #writeHead(status: number, headers: readonly string[]): void {
-    const isClosed = this.shouldClose() && this.connection.closeAfter(this.response);
+  #writeHead(status: number, headers: readonly string[], mustClose = false): void {
+    const shouldClose = mustClose || this.shouldClose();
+    const isClosed = shouldClose && this.connection.closeAfter(this.response);
     this.response.writeHead(status, [...headers, ...(isClosed ? ['Connection', 'close'] : [])]);
   }
 }
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -22,6 +22,12 @@
   refusalHeaders: () => [],
   readinessPath: '/ready',
 };
+const LIMITS = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 1000,
+  headerTimeoutMs: 30_000,
+  idleTimeoutMs: 60_000,
+};
 const HEAD = { status: 200, forwarded: [], requestId: undefined, isSigned: true } as const;
 const RESPONSE_HEAD = {
   ...HEAD,
@@ -51,7 +57,9 @@
     clock: new SystemClock(),
     unexpectedErrors: new UnexpectedErrors(silentLog, new PrometheusMetrics()),
     wire: WIRE,
-    maxBodyBytes: () => 1000,
+    limits: () => LIMITS,
+    stalledAfterMs: () => LIMITS.idleTimeoutMs,
+    stalledUnderPressureMs: LIMITS.idleTimeoutMs,
     isStopping,
     hostBudget,
     hostFull: new HostFull({ budget: hostBudget, log: silentLog, metrics, random: () => 0 }),
--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -1,15 +1,19 @@
 import { fault } from '@poppypond/core';
 import type { Clock, Milliseconds } from '@poppypond/core';
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import { BodyReader } from '../host/body-reader.js';
+import type { CallerLimits } from '@poppypond/routing';
 import type { BacklogProbe } from '../host/backlog-probe.js';
 import type { ConnectionAdmission } from '../host/connection-admission.js';
 import type { HostBudget, Reservation } from '../host/host-budget.js';
 import type { HostFull } from '../host/host-full.js';
 import type { OpenListener, RelayWire } from '../ports.js';
 import { CallerResponse } from '../request/caller-response.js';
+import { hostStopping } from '../request/final-response.js';
 import { CallerConnection } from './caller-connection.js';
+import { CallerMessage } from './caller-message.js';
 import type { UnexpectedErrors } from '../unexpected-errors.js';
 
 /** A request that was received completely. */
@@ -24,7 +28,11 @@
 export interface CallerListenerParts {
   readonly clock: Clock;
   readonly wire: RelayWire;
-  readonly maxBodyBytes: () => number;
+  readonly limits: () => CallerLimits;
+  /** A body of which nothing arrives for this long is refused. */
+  readonly stalledAfterMs: () => Milliseconds;
+  /** The same while the host is short of memory, or stops. */
+  readonly stalledUnderPressureMs: Milliseconds;
   /** Whether connections are closed after their next response. */
   readonly isStopping: () => boolean;
   /** Resolves when the response is finished; the body is then no longer held. */
@@ -49,9 +57,19 @@
   #unfinishedCount = 0;
 
   constructor(readonly parts: CallerListenerParts) {
-    this.#bodies = new BodyReader(parts.clock, parts.hostBudget);
+    const { clock, hostBudget, isStopping, stalledAfterMs, stalledUnderPressureMs } = parts;
+    this.#bodies = new BodyReader(clock, hostBudget, {
+      stalledAfterMs,
+      stalledUnderPressureMs,
+      stopping: () => (isStopping() ? hostStopping() : undefined),
+    });
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
+      {
+        IncomingMessage: CallerMessage,
+        ServerResponse,
+        maxHeaderSize: MAX_HEADER_BYTES,
+        noDelay: true,
+      },
       (message, response) => {
         void this.#handle(message, response);
       },
@@ -122,7 +140,7 @@
   }
 
   /** Handles one request; an exception ends only this request. */
-  async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #handle(message: CallerMessage, response: ServerResponse): Promise<void> {
     const { clock, wire, isStopping, hostBudget, unexpectedErrors } = this.parts;
     this.parts.admission.onRequest();
     const arrivedAtMs = clock.monotonicMs();
@@ -146,18 +164,22 @@
   }
 
   async #read(
-    message: IncomingMessage,
+    message: CallerMessage,
     answer: CallerResponse,
     arrivedAtMs: Milliseconds,
   ): Promise<void> {
-    const { maxBodyBytes, hostFull } = this.parts;
+    const { hostFull, limits } = this.parts;
     if (hostFull.isFull) return hostFull.refuse(answer);
-    const body = await this.#bodies.read(message, maxBodyBytes());
+    const { maxBodyBytes: maxBytes } = limits();
+    const body = await this.#bodies.read(message, {
+      maxBytes,
+      timeLimitMs: answer.caller?.timeoutMs,
+    });
     // The caller disconnected before its request was complete, so there is nobody to respond to.
     if (!body) return;
     if ('held' in body) await this.#serve({ body: body.bytes, answer, arrivedAtMs }, body.held);
-    else if (body.code === 'host_full') hostFull.refuse(answer, body);
-    else answer.refuse(body);
+    else if (body.code === 'body_too_large') answer.refuse(body);
+    else hostFull.refuse(answer, body);
   }
 
   async #serve(request: ReceivedRequest, held: Reservation): Promise<void> {
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -91,6 +91,11 @@
   linkMegabitsPerSecond: numberSetting
     .default(0)
     .describe('bandwidth of the link of this host; unknown if 0'),
+  stalledUnderPressureMs: cappedDurationSetting
+    .default(2000)
+    .describe(
+      'a request body of which nothing arrives for this long is refused while the host is short of memory or stops',
+    ),
   isFirstStart: booleanSetting
     .default(false)
     .describe('the whole fleet starts for the first time, so that no host is listed yet'),
