Refuse at the head what the head decides, and end bodies refused as too large

What callers saw: a request with an unknown key or route got its refusal only after its body, which need not come; a body that went on after its 413 was read for as long as it went on.

Cause: admission ran after the body was complete, and the refusal of a body that is too large was that for complete requests, after which Node discards the rest without a limit.

Now unknown keys, unknown routes, missing request ids and declared lengths above the limit are refused at the head, and the rest of the body is discarded for 5 s at most, as for other refusals before the end of a body. A host without a confirmed configuration still waits as before.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -231,6 +231,7 @@
       limits,
       stalledAfterMs: () => limits().idleTimeoutMs * TIMEOUT_FACTOR,
       stalledUnderPressureMs: this.settings.stalledUnderPressureMs,
+      refusalOf: (caller) => serving.refusalAtHead(caller),
       isStopping: () => this.#isStopping,
       onRequest: (request) => serving.serve(request),
       hostBudget,
--- a/packages/relay/src/request/request-handler.ts
+++ b/packages/relay/src/request/request-handler.ts
@@ -1,5 +1,6 @@
 import { fault } from '@poppypond/core';
-import type { Fault } from '@poppypond/core';
+import type { Fault, ResultName } from '@poppypond/core';
+import type { CallerHead } from '../ports.js';
 import type { ReceivedRequest } from '../server/caller-listener.js';
 import { admit } from './admit.js';
 import type { CallerResponse } from './caller-response.js';
@@ -11,6 +12,10 @@
 /** A request that was not admitted at once waits at least this long for the next check. */
 const MIN_COUNTED_WAIT_MS = 5;
 
+const NO_REQUEST_ID = fault('bad_field', 'the request head has no request id');
+/** Refusals that the head of a request alone determines. */
+const FINAL_AT_HEAD: readonly ResultName[] = ['unknown_route', 'unauthenticated'];
+
 /** Admits or refuses requests, executes admitted ones and counts the open ones. */
 export class RequestHandler {
   readonly #executions = new Set<RequestExecution>();
@@ -33,13 +38,29 @@
     for (const execution of this.#executions) execution.endForStop();
   }
 
+  /**
+   * Returns why a request is refused whatever its body is, and records that; undefined if it depends
+   * on its body, or on what this host has yet to learn.
+   */
+  refusalAtHead(caller: CallerHead | undefined): Fault | undefined {
+    const reason = caller ? this.#finalRefusal(caller) : NO_REQUEST_ID;
+    if (reason && caller) this.#record(reason, caller.requestId);
+    return reason;
+  }
+
+  #finalRefusal(caller: CallerHead): Fault | undefined {
+    const admitted = admit(this.parts, caller);
+    const isFinal = admitted.isErr && FINAL_AT_HEAD.includes(admitted.error.code);
+    return isFinal ? admitted.error : undefined;
+  }
+
   /** Serves one request; resolves when its response is finished. */
   async serve({ body, answer, arrivedAtMs }: ReceivedRequest): Promise<void> {
     const { parts } = this;
     parts.pauseDetector.check();
     const { caller } = answer;
     if (!caller) {
-      answer.refuse(fault('bad_field', 'the request head has no request id'));
+      answer.refuse(NO_REQUEST_ID);
       return;
     }
     const { clock, metrics } = parts;
@@ -81,8 +102,12 @@
   }
 
   #refuse(reason: Fault, request: string, answer: CallerResponse): void {
-    const { freshness, activeConfiguration, log, metrics } = this.parts;
     answer.refuse(reason);
+    this.#record(reason, request);
+  }
+
+  #record(reason: Fault, request: string): void {
+    const { freshness, activeConfiguration, log, metrics } = this.parts;
     metrics.count('poppypond_requests_total', { kind: 'none', code: reason.code });
     log.warn('refused', {
       request,
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -60,6 +60,7 @@
     limits: () => LIMITS,
     stalledAfterMs: () => LIMITS.idleTimeoutMs,
     stalledUnderPressureMs: LIMITS.idleTimeoutMs,
+    refusalOf: () => undefined,
     isStopping,
     hostBudget,
     hostFull: new HostFull({ budget: hostBudget, log: silentLog, metrics, random: () => 0 }),
--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -1,15 +1,15 @@
 import { fault } from '@poppypond/core';
-import type { Clock, Milliseconds } from '@poppypond/core';
+import type { Clock, Fault, Milliseconds } from '@poppypond/core';
 import { createServer } from 'node:http';
 import { ServerResponse } from 'node:http';
 import type { Server } from 'node:http';
-import { BodyReader } from '../host/body-reader.js';
+import { bodyTooLarge, BodyReader } from '../host/body-reader.js';
 import type { CallerLimits } from '@poppypond/routing';
 import type { BacklogProbe } from '../host/backlog-probe.js';
 import type { ConnectionAdmission } from '../host/connection-admission.js';
 import type { HostBudget, Reservation } from '../host/host-budget.js';
 import type { HostFull } from '../host/host-full.js';
-import type { OpenListener, RelayWire } from '../ports.js';
+import type { CallerHead, OpenListener, RelayWire } from '../ports.js';
 import { CallerResponse } from '../request/caller-response.js';
 import { hostStopping } from '../request/final-response.js';
 import { CallerConnection } from './caller-connection.js';
@@ -33,6 +33,8 @@
   readonly stalledAfterMs: () => Milliseconds;
   /** The same while the host is short of memory, or stops. */
   readonly stalledUnderPressureMs: Milliseconds;
+  /** Returns why a request is refused whatever its body is; undefined if it is not. */
+  readonly refusalOf: (caller: CallerHead | undefined) => Fault | undefined;
   /** Whether connections are closed after their next response. */
   readonly isStopping: () => boolean;
   /** Resolves when the response is finished; the body is then no longer held. */
@@ -168,9 +170,12 @@
     answer: CallerResponse,
     arrivedAtMs: Milliseconds,
   ): Promise<void> {
-    const { hostFull, limits } = this.parts;
+    const { hostFull, limits, refusalOf } = this.parts;
     if (hostFull.isFull) return hostFull.refuse(answer);
     const { maxBodyBytes: maxBytes } = limits();
+    const isTooLarge = Number(message.headers['content-length'] ?? 0) > maxBytes;
+    const refusal = refusalOf(answer.caller) ?? (isTooLarge ? bodyTooLarge() : undefined);
+    if (refusal) return answer.refuseUnread(refusal);
     const body = await this.#bodies.read(message, {
       maxBytes,
       timeLimitMs: answer.caller?.timeoutMs,
@@ -178,7 +183,7 @@
     // The caller disconnected before its request was complete, so there is nobody to respond to.
     if (!body) return;
     if ('held' in body) await this.#serve({ body: body.bytes, answer, arrivedAtMs }, body.held);
-    else if (body.code === 'body_too_large') answer.refuse(body);
+    else if (body.code === 'body_too_large') answer.refuseUnread(body);
     else hostFull.refuse(answer, body);
   }
 
