Bound the connections of callers and what they cost

What callers saw: 3,000 heads in short lines that do not end, or 60 connections that pipeline 3,000 calls each and read no answer, ended the process (V8 heap); connections that send nothing took all descriptors, and nobody else could connect.

Cause: incomplete heads, pipelined requests and idle connections counted nowhere. The budget knows the memory of the host, but objects meet the heap of V8, which is smaller. Nothing knew max_fds.

Now CallerConnections watches all connections of callers: - Their number is at most two thirds of maxDescriptors less 300 (2,533 of 4,100). Beyond, a new connection closes one without a request, one whose request does not arrive or one that rests, by the time since their last progress. - What their objects take is estimated. Beyond callerHeapShare (0.2) of the heap the costliest are closed, not those with one ordinary request. Until Node has released them nothing is read: closing alone was not enough, as one turn of the event loop reads hundreds of heads. - One connection is served maxPipelinedRequests (4) requests at a time, and is not read while as many are unfinished. - Heads have twice header_timeout_ms; first bytes twice idle_timeout_ms. - A connection whose read took over 5 ms to parse rests, so that a crowd of tiny chunks leaves the processor to others.

The host listens to the data of the sockets for this, which Node otherwise passes to its parser directly.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -9,6 +9,7 @@
 import { ForwardingListener } from './connections/forwarding-listener.js';
 import { BacklogProbe } from './host/backlog-probe.js';
 import { ConnectionAdmission } from './host/connection-admission.js';
+import { connectionLimitsOf } from './host/connection-limits.js';
 import { createUtilizationReader } from './host/loop-utilization.js';
 import { HostFull } from './host/host-full.js';
 import { HostMonitor } from './host/host-monitor.js';
@@ -22,6 +23,7 @@
 import type { PlatformPorts } from './ports.js';
 import { RelayGauges } from './relay-gauges.js';
 import { RequestHandler } from './request/request-handler.js';
+import { CallerConnections } from './server/caller-connections.js';
 import { CallerListener } from './server/caller-listener.js';
 import { drain } from './server/drain.js';
 import { relayStatus, STATUS_PATH } from './server/relay-status.js';
@@ -223,10 +225,20 @@
     });
     this.#onStop.push(admission.start());
     const limits = () => this.#callerLimits;
+    const connections = new CallerConnections({
+      clock,
+      log,
+      metrics,
+      limits: connectionLimitsOf(this.settings),
+      headTimeoutMs: () => limits().headerTimeoutMs * TIMEOUT_FACTOR,
+      idleTimeoutMs: () => limits().idleTimeoutMs * TIMEOUT_FACTOR,
+    });
+    this.#onStop.push(connections.start());
     const callerListener = new CallerListener({
       clock,
       admission,
       backlogProbe,
+      connections,
       wire: this.ports.wire,
       limits,
       stalledAfterMs: () => limits().idleTimeoutMs * TIMEOUT_FACTOR,
--- /dev/null
+++ b/packages/relay/src/server/caller-connections.ts
@@ -0,0 +1,253 @@
+import type { CancelTimer, Milliseconds } from '@poppypond/core';
+import type { Socket } from 'node:net';
+import { RunningTime } from '../host/running-time.js';
+import { CallerConnection, ORDINARY_COST_BYTES } from './caller-connection.js';
+import type { ReadReport } from './caller-connection.js';
+import { ClosedConnections } from './closed-connections.js';
+import type { ClosedConnectionsParts, CloseReason } from './closed-connections.js';
+import { ParsingRest } from './parsing-rest.js';
+
+/** Bounds of what callers' connections may take. */
+export interface ConnectionLimits {
+  /** Connections that may be open. */
+  readonly maxConnections: number;
+  /** Requests of one connection that are served at a time. */
+  readonly maxPipelined: number;
+  /** Estimated bytes that unfinished heads and requests of all connections may take. */
+  readonly maxCostBytes: number;
+}
+
+/** Dependencies of `CallerConnections`. */
+export interface CallerConnectionsParts extends ClosedConnectionsParts {
+  readonly limits: ConnectionLimits;
+  /** Time in which a head must be complete. */
+  readonly headTimeoutMs: () => Milliseconds;
+  /** Time for which a connection may do nothing. */
+  readonly idleTimeoutMs: () => Milliseconds;
+}
+
+/** Times are running times. */
+interface Watched {
+  readonly connection: CallerConnection;
+  costBytes: number;
+  isClosing: boolean;
+  /** When a head or a part of a body was last read; at first, when it was accepted. */
+  progressAtMs: Milliseconds;
+  /** When a head began that is not complete yet; undefined if there is none. */
+  headAtMs: Milliseconds | undefined;
+  /** Bytes that the system had taken to send when that was last checked, and when they changed. */
+  sentBytes: number;
+  sentAtMs: Milliseconds;
+}
+
+const SWEEP_PERIOD_MS: Milliseconds = 250;
+/** Costs are reduced to this share of their bound, so that not every read closes a connection. */
+const REDUCED_SHARE = 0.8;
+/** A connection may be closed for another if nothing has come on it for this long. */
+const MIN_QUIET_MS: Milliseconds = 1000;
+/** A connection to which nothing could be sent for this long is closed. */
+const UNREAD_TIMEOUT_MS: Milliseconds = 300_000;
+/** As Node responds when a head is late. */
+const HEAD_TIMEOUT_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n';
+
+function findFirst(
+  connections: ReadonlySet<Watched>,
+  condition: (watched: Watched) => boolean,
+): Watched | undefined {
+  for (const watched of connections) if (condition(watched)) return watched;
+  return undefined;
+}
+
+/**
+ * All open connections of callers. Bounds their number and what they cost, and closes those that
+ * get no further: the ones without a complete request before the others.
+ */
+export class CallerConnections {
+  /** Connections that have sent no request yet, and the others; longest without progress first. */
+  readonly #unused = new Set<Watched>();
+  readonly #used = new Set<Watched>();
+  /** Costs of all connections, also of those that are being closed. */
+  #totalCostBytes = 0;
+  /** Costs of connections that are being closed: Node releases what they hold somewhat later. */
+  #closingCostBytes = 0;
+  #isHolding = false;
+  readonly #closed: ClosedConnections;
+  readonly #parsingRest: ParsingRest;
+  readonly #time: RunningTime;
+
+  constructor(readonly parts: CallerConnectionsParts) {
+    this.#closed = new ClosedConnections(parts);
+    this.#parsingRest = new ParsingRest(parts.clock);
+    this.#time = new RunningTime(parts.clock);
+  }
+
+  start(): CancelTimer {
+    return this.parts.clock.every(SWEEP_PERIOD_MS, () => {
+      this.#sweep();
+    });
+  }
+
+  /** Whether new requests must be refused, as the accepted ones take all that is allowed. */
+  get isFull(): boolean {
+    return this.#totalCostBytes - this.#closingCostBytes > this.parts.limits.maxCostBytes;
+  }
+
+  /** Watches a new connection; it may be closed at once if too many are open. */
+  add(socket: Socket): void {
+    const { limits } = this.parts;
+    const { nowMs } = this.#time;
+    const connection = CallerConnection.of(socket);
+    const watched: Watched = {
+      connection,
+      costBytes: 0,
+      isClosing: false,
+      progressAtMs: nowMs,
+      headAtMs: undefined,
+      sentBytes: 0,
+      sentAtMs: nowMs,
+    };
+    this.#unused.add(watched);
+    connection.watch(
+      this.parts.clock,
+      limits.maxPipelined,
+      (report) => {
+        this.#onRead(watched, report);
+      },
+      () => {
+        this.#updateCost(watched);
+      },
+    );
+    this.#updateCost(watched);
+    if (this.#isHolding) connection.hold('cost');
+    socket.once('close', () => {
+      this.#onClosed(watched);
+    });
+    if (this.#count > limits.maxConnections) this.#closeOldest(watched);
+  }
+
+  get #count(): number {
+    return this.#unused.size + this.#used.size;
+  }
+
+  #onRead(watched: Watched, { hasProgressed, parsingMs }: ReadReport): void {
+    const { nowMs } = this.#time;
+    this.#parsingRest.onRead(watched.connection, parsingMs);
+    if (!hasProgressed) {
+      watched.headAtMs ??= nowMs;
+      return;
+    }
+    watched.headAtMs = undefined;
+    watched.progressAtMs = nowMs;
+    this.#unused.delete(watched);
+    this.#used.delete(watched);
+    if (watched.connection.socket.destroyed) return;
+    (watched.connection.hasRequested ? this.#used : this.#unused).add(watched);
+  }
+
+  #updateCost(watched: Watched): void {
+    if (watched.connection.socket.destroyed) return;
+    const { costBytes } = watched.connection;
+    this.#totalCostBytes += costBytes - watched.costBytes;
+    watched.costBytes = costBytes;
+    if (!this.isFull) return;
+    this.#reduceCosts();
+    this.#holdOrRelease();
+  }
+
+  #onClosed(watched: Watched): void {
+    if (watched.isClosing) this.#closingCostBytes -= watched.costBytes;
+    this.#totalCostBytes -= watched.costBytes;
+    this.#unused.delete(watched);
+    this.#used.delete(watched);
+    this.#holdOrRelease();
+  }
+
+  /**
+   * Reads nothing while closed connections still take what others may take: many may have sent
+   * something by then.
+   */
+  #holdOrRelease(): void {
+    const mustHold =
+      this.#closingCostBytes > 0 && this.#totalCostBytes > this.parts.limits.maxCostBytes;
+    if (mustHold === this.#isHolding) return;
+    this.#isHolding = mustHold;
+    for (const { connection } of [...this.#unused, ...this.#used])
+      if (mustHold) connection.hold('cost');
+      else connection.release('cost');
+  }
+
+  /** Closes the connections that cost most, except those with one ordinary request. */
+  #reduceCosts(): void {
+    const wantedBytes = this.parts.limits.maxCostBytes * REDUCED_SHARE;
+    const costly = [...this.#unused, ...this.#used]
+      .filter(({ connection, costBytes }) => {
+        return connection.hasOpenHead || costBytes > ORDINARY_COST_BYTES;
+      })
+      .sort((one, other) => other.costBytes - one.costBytes);
+    for (const watched of costly) {
+      if (this.#totalCostBytes - this.#closingCostBytes <= wantedBytes) return;
+      this.#close(watched, 'cost');
+    }
+  }
+
+  /**
+   * Closes a connection for a new one: the one that has been without progress for longest, of those
+   * that have sent no request, rest, or whose request is not complete. Those that wait for a response
+   * stay; if there are no others, the new one is closed unread.
+   */
+  #closeOldest(added: Watched): void {
+    const isQuiet = ({ progressAtMs }: Watched) => this.#time.nowMs - progressAtMs >= MIN_QUIET_MS;
+    const isReceiving = ({ connection }: Watched) => connection.isReceiving;
+    const oldest =
+      findFirst(this.#unused, isQuiet) ??
+      findFirst(this.#used, (watched) => isQuiet(watched) && isReceiving(watched)) ??
+      findFirst(this.#unused, (watched) => watched !== added) ??
+      findFirst(this.#used, ({ connection }) => connection.isIdle) ??
+      findFirst(this.#used, isReceiving);
+    this.#close(oldest ?? added, 'limit');
+  }
+
+  #sweep(): void {
+    const { limits, metrics } = this.parts;
+    this.#time.advance();
+    for (const watched of [...this.#unused, ...this.#used]) {
+      const reason = this.#findOverdue(watched);
+      if (reason === 'head_timeout') watched.connection.socket.write(HEAD_TIMEOUT_RESPONSE);
+      if (reason) this.#close(watched, reason);
+    }
+    metrics.set('poppypond_caller_connections', this.#count);
+    metrics.set('poppypond_caller_connections_cost_bytes', this.#totalCostBytes);
+    this.#closed.report({
+      open: this.#count,
+      max_open: limits.maxConnections,
+      cost_bytes: Math.round(this.#totalCostBytes),
+      max_cost_bytes: Math.round(limits.maxCostBytes),
+    });
+  }
+
+  #findOverdue(watched: Watched): CloseReason | undefined {
+    const { headTimeoutMs, idleTimeoutMs } = this.parts;
+    const { connection, headAtMs, progressAtMs } = watched;
+    const { socket } = connection;
+    const { nowMs } = this.#time;
+    const sentBytes = socket.bytesWritten - socket.writableLength;
+    if (sentBytes !== watched.sentBytes || socket.writableLength === 0) {
+      watched.sentBytes = sentBytes;
+      watched.sentAtMs = nowMs;
+    }
+    if (nowMs - watched.sentAtMs > UNREAD_TIMEOUT_MS) return 'unread_timeout';
+    if (!connection.isIdle) return undefined;
+    if (headAtMs !== undefined && nowMs - headAtMs > headTimeoutMs()) return 'head_timeout';
+    if (!connection.hasRequested && nowMs - progressAtMs > idleTimeoutMs()) return 'idle_timeout';
+    return undefined;
+  }
+
+  #close(watched: Watched, reason: CloseReason): void {
+    watched.isClosing = true;
+    this.#closingCostBytes += watched.costBytes;
+    watched.connection.socket.destroy();
+    this.#unused.delete(watched);
+    this.#used.delete(watched);
+    this.#closed.count(reason);
+  }
+}
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -9,6 +9,7 @@
 import { HostFull } from '../host/host-full.js';
 import type { RelayWire } from '../ports.js';
 import type { CallerResponse } from '../request/caller-response.js';
+import { CallerConnections } from './caller-connections.js';
 import { CallerListener } from './caller-listener.js';
 import { UnexpectedErrors } from '../unexpected-errors.js';
 
@@ -61,6 +62,14 @@
     stalledAfterMs: () => LIMITS.idleTimeoutMs,
     stalledUnderPressureMs: LIMITS.idleTimeoutMs,
     refusalOf: () => undefined,
+    connections: new CallerConnections({
+      clock: new SystemClock(),
+      log: silentLog,
+      metrics,
+      limits: { maxConnections: 100, maxPipelined: 100, maxCostBytes: 100_000_000 },
+      headTimeoutMs: () => LIMITS.headerTimeoutMs,
+      idleTimeoutMs: () => LIMITS.idleTimeoutMs,
+    }),
     isStopping,
     hostBudget,
     hostFull: new HostFull({ budget: hostBudget, log: silentLog, metrics, random: () => 0 }),
--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -13,6 +13,7 @@
 import { CallerResponse } from '../request/caller-response.js';
 import { hostStopping } from '../request/final-response.js';
 import { CallerConnection } from './caller-connection.js';
+import type { CallerConnections } from './caller-connections.js';
 import { CallerMessage } from './caller-message.js';
 import type { UnexpectedErrors } from '../unexpected-errors.js';
 
@@ -42,6 +43,7 @@
   readonly hostBudget: HostBudget;
   readonly hostFull: HostFull;
   readonly admission: ConnectionAdmission;
+  readonly connections: CallerConnections;
   readonly backlogProbe: BacklogProbe;
   readonly unexpectedErrors: UnexpectedErrors;
 }
@@ -86,9 +88,11 @@
    * Lets Node close connections beyond the limit as it accepts them, while more than
    * `maxConnections` are open: it costs the host much less than to read and refuse them.
    */
-  #limitConnections({ admission, backlogProbe }: CallerListenerParts): void {
+  #limitConnections({ admission, backlogProbe, connections }: CallerListenerParts): void {
     this.#server.on('connection', (socket) => {
-      if (!backlogProbe.takeAccepted(socket)) admission.onAccepted();
+      if (backlogProbe.takeAccepted(socket)) return;
+      admission.onAccepted();
+      connections.add(socket);
     });
     this.#server.on('drop', () => {
       admission.onDropped();
@@ -170,8 +174,8 @@
     answer: CallerResponse,
     arrivedAtMs: Milliseconds,
   ): Promise<void> {
-    const { hostFull, limits, refusalOf } = this.parts;
-    if (hostFull.isFull) return hostFull.refuse(answer);
+    const { connections, hostFull, limits, refusalOf } = this.parts;
+    if (hostFull.isFull || connections.isFull) return hostFull.refuse(answer);
     const { maxBodyBytes: maxBytes } = limits();
     const isTooLarge = Number(message.headers['content-length'] ?? 0) > maxBytes;
     const refusal = refusalOf(answer.caller) ?? (isTooLarge ? bodyTooLarge() : undefined);
@@ -188,8 +192,10 @@
   }
 
   async #serve(request: ReceivedRequest, held: Reservation): Promise<void> {
+    const { connection, response } = request.answer;
     try {
-      await this.parts.onRequest(request);
+      await connection.waitForTurn(response);
+      if (!request.answer.isDisconnected) await this.parts.onRequest(request);
     } finally {
       held.end();
     }
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,6 +1,7 @@
 import { DEFAULT_COLD_ALLOWANCE } from '@poppypond/fleet';
 import {
   cappedDurationSetting,
+  countSetting,
   externalNameSetting,
   numberSetting,
   portSetting,
@@ -91,6 +92,15 @@
   linkMegabitsPerSecond: numberSetting
     .default(0)
     .describe('bandwidth of the link of this host; unknown if 0'),
+  maxDescriptors: numberSetting
+    .default(0)
+    .describe('open descriptors that this process may have; as the system says if 0'),
+  maxPipelinedRequests: countSetting
+    .default(4)
+    .describe('requests of one connection that are served at a time'),
+  callerHeapShare: numberSetting
+    .default(0.2)
+    .describe("share of V8's heap that unfinished heads and requests of callers may take"),
   stalledUnderPressureMs: cappedDurationSetting
     .default(2000)
     .describe(
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -26,6 +26,21 @@
     help: 'New connections that were closed unread because the host gets more than it can serve.',
     labels: [],
   },
+  poppypond_caller_connections: {
+    type: 'gauge',
+    help: 'Open connections of callers.',
+    labels: [],
+  },
+  poppypond_caller_connections_cost_bytes: {
+    type: 'gauge',
+    help: 'Estimated memory of unfinished heads and requests on all connections of callers.',
+    labels: [],
+  },
+  poppypond_caller_connections_closed_total: {
+    type: 'counter',
+    help: 'Connections of callers that were closed because they did not get on or took too much.',
+    labels: ['why'],
+  },
   poppypond_attempts_total: {
     type: 'counter',
     help: 'Attempts at backend servers, by how they ended.',
