--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -81,6 +81,8 @@
     this.#server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
     this.#server.headersTimeout = HEADERS_TIMEOUT_MS;
     this.#server.requestTimeout = 0;
+    // The size of a head bounds its lines; by default Node drops those beyond 2000.
+    this.#server.maxHeadersCount = 0;
     this.#limitConnections(parts);
   }
 
