Keep connections that rest after a chunked request, and do not let small reads rest

The end of a chunked body that arrives by itself counted as a head that had begun, so that the connection was closed after the time of a head although its caller may rest longer; the new test fails without the change. On a slow host an ordinary request may take over 5 ms together with its first steps; its connection would rest, and the loss of its caller would be noticed late; reads below 16 KB no longer count. Before a refusal at the head, a pause of the process is now noticed as before other refusals, so that no key is refused by what the host knew before it.

--- a/packages/relay/src/request/request-handler.ts
+++ b/packages/relay/src/request/request-handler.ts
@@ -49,6 +49,7 @@
   }
 
   #finalRefusal(caller: CallerHead): Fault | undefined {
+    this.parts.pauseDetector.check();
     const admitted = admit(this.parts, caller);
     const isFinal = admitted.isErr && FINAL_AT_HEAD.includes(admitted.error.code);
     return isFinal ? admitted.error : undefined;
--- a/packages/relay/src/server/caller-connection.ts
+++ b/packages/relay/src/server/caller-connection.ts
@@ -26,7 +26,8 @@
 
 /** What is told about one read. */
 export interface ReadReport {
-  /** Whether the parser has reported a head or a part of a body. */
+  readonly bytes: number;
+  /** Whether the parser has reported a head, a part of a body or its end. */
   readonly hasProgressed: boolean;
   /** Time that its parsing took, with what was done at once with the requests in it. */
   readonly parsingMs: Milliseconds;
@@ -55,8 +56,8 @@
   #requestsBytes = 0;
   /** Bytes of the last reads that the parser has not reported as part of a head or body. */
   #openBytes = 0;
-  /** Bytes that the parser has reported in the present read. */
-  #reportedBytes = 0;
+  /** Bytes that the parser has reported in the present read; undefined if it has reported nothing. */
+  #reportedBytes: number | undefined;
   #onChange: () => void = () => undefined;
   #isWatched = false;
   #unflushed: Flushable | undefined;
@@ -127,15 +128,16 @@
     this.socket.prependListener('data', () => {
       startedAtMs = clock.monotonicMs();
     });
-    this.socket.on('data', ({ length }: Buffer) => {
+    this.socket.on('data', ({ length: bytes }: Buffer) => {
       this.#unflushed?.flush();
       this.#unflushed = undefined;
-      const hasProgressed = this.#reportedBytes > 0;
+      const reportedBytes = this.#reportedBytes;
+      this.#reportedBytes = undefined;
+      const hasProgressed = reportedBytes !== undefined;
       this.#openBytes = hasProgressed
-        ? Math.max(0, length - this.#reportedBytes)
-        : this.#openBytes + length;
-      this.#reportedBytes = 0;
-      onRead({ hasProgressed, parsingMs: clock.monotonicMs() - startedAtMs });
+        ? Math.max(0, bytes - reportedBytes)
+        : this.#openBytes + bytes;
+      onRead({ bytes, hasProgressed, parsingMs: clock.monotonicMs() - startedAtMs });
       onChange();
     });
   }
@@ -146,9 +148,9 @@
     return this.#isWatched;
   }
 
-  /** Records that the parser has passed on a part of a body. */
-  onBody(bytes: number): void {
-    this.#reportedBytes += bytes;
+  /** Records that the parser has passed on `bytes` of a head or body; 0 at the end of a body. */
+  onParsed(bytes: number): void {
+    this.#reportedBytes = (this.#reportedBytes ?? 0) + bytes;
   }
 
   /**
@@ -157,7 +159,7 @@
    */
   add(response: ServerResponse): boolean {
     const headBytes = headBytesOf(response);
-    this.#reportedBytes += headBytes;
+    this.onParsed(headBytes);
     if (this.#isClosing || this.socket.destroyed) return false;
     this.#hasRequested = true;
     const strings = response.req.rawHeaders.length;
--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -127,6 +127,20 @@
     }
   });
 
+  it('keeps a connection that rests after a chunked request whose end arrived by itself', async () => {
+    const caller = await call(
+      'POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n',
+    );
+    await vi.waitFor(() => expect(responses).toHaveLength(1));
+    caller.write('0\r\n\r\n');
+    await vi.waitFor(() => expect(responses[0]?.req.complete).toBe(true));
+    responses[0]?.end('ok');
+    await new Promise((resolve) => responses[0]?.once('close', resolve));
+    await clock.advance(2 * HEAD_TIMEOUT_MS);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(caller.destroyed).toBe(false);
+  });
+
   it('closes connections whose heads or first bytes do not arrive', async () => {
     const used = await call(REQUEST);
     await vi.waitFor(() => expect(responses).toHaveLength(1));
--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -129,10 +129,10 @@
     return this.#unused.size + this.#used.size;
   }
 
-  #onRead(watched: Watched, { hasProgressed, parsingMs }: ReadReport): void {
+  #onRead(watched: Watched, report: ReadReport): void {
     const { nowMs } = this.#time;
-    this.#parsingRest.onRead(watched.connection, parsingMs);
-    if (!hasProgressed) {
+    this.#parsingRest.onRead(watched.connection, report);
+    if (!report.hasProgressed) {
       watched.headAtMs ??= nowMs;
       return;
     }
--- a/packages/relay/src/server/caller-message.ts
+++ b/packages/relay/src/server/caller-message.ts
@@ -20,12 +20,12 @@
   }
 
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk instanceof Buffer) {
-      this.#connection.onBody(chunk.length);
-      if (chunk.length < MIN_CHUNK_BYTES && this.#connection.flushAfterRead(this)) {
-        this.#smallChunks.push(chunk);
-        return true;
-      }
+    const bytes = chunk instanceof Buffer ? chunk.length : 0;
+    this.#connection.onParsed(bytes);
+    const isSmall = chunk instanceof Buffer && bytes < MIN_CHUNK_BYTES;
+    if (isSmall && this.#connection.flushAfterRead(this)) {
+      this.#smallChunks.push(chunk);
+      return true;
     }
     this.flush();
     return super.push(chunk, encoding);
--- a/packages/relay/src/server/parsing-rest.ts
+++ b/packages/relay/src/server/parsing-rest.ts
@@ -1,7 +1,9 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { CallerConnection } from './caller-connection.js';
+import type { CallerConnection, ReadReport } from './caller-connection.js';
 
-/** Parsing an ordinary request takes less than a millisecond. */
+/** An ordinary request is smaller; on a slow host it takes long together with its first steps. */
+const MIN_COUNTED_BYTES = 16 * 1024;
+/** Parsing 64 KB of a body in chunks of some size takes less than a millisecond. */
 const MIN_COUNTED_MS: Milliseconds = 5;
 /** A read of 64 KB takes less; more time means that the process was paused. */
 const MAX_COUNTED_MS: Milliseconds = 50;
@@ -17,9 +19,9 @@
 
   constructor(readonly clock: Clock) {}
 
-  /** Lets the connection rest if its last read took `parsingMs` and that is long. */
-  onRead(connection: CallerConnection, parsingMs: Milliseconds): void {
-    if (parsingMs <= MIN_COUNTED_MS) return;
+  /** Lets the connection rest if its last read was large and took long. */
+  onRead(connection: CallerConnection, { bytes, parsingMs }: ReadReport): void {
+    if (bytes < MIN_COUNTED_BYTES || parsingMs <= MIN_COUNTED_MS) return;
     this.#restingCount += 1;
     connection.hold('parsing');
     const countedMs = Math.min(parsingMs, MAX_COUNTED_MS);
