Count what Node reads from a paused connection, and refuse paused bodies without room

A trial of 2,000 connections that send bodies in chunks of 64 KB came to a resident size of 319 MB of 350, beside what waited in the kernel.

Cause: the blocks of a body of unknown length took up to 64 KB more than its bytes, and a paused connection holds one more read of 64 KB in the process, since the host listens to the data of the sockets; neither counted. Now blocks have 16 KB at most, a paused body counts 128 KB, and bodies for which there is no room even so are refused at once.

--- a/packages/relay/src/host/body-reader.ts
+++ b/packages/relay/src/host/body-reader.ts
@@ -5,7 +5,7 @@
 import { CallerConnection } from '../server/caller-connection.js';
 import type { CallerMessage } from '../server/caller-message.js';
 import { RunningTime } from './running-time.js';
-import { MAX_UNREAD_BYTES, unreadBytesOf } from './unread-bytes.js';
+import { MAX_UNREAD_BYTES } from './unread-bytes.js';
 
 /** A body that was received completely, with the bytes that it holds. */
 export interface HeldBody {
@@ -48,6 +48,8 @@
  * would become complete and the bytes that they hold would never be returned.
  */
 const PROGRESSING_BODIES = 4;
+/** What arrives on a paused connection: Node reads once more, and the system takes in as much. */
+const MAX_PAUSED_BYTES = 2 * MAX_UNREAD_BYTES;
 /** Callers that stay behind for this long have given up; a paused connection does not show it. */
 const MAX_PAUSED_MS: Milliseconds = 15_000;
 const SWEEP_PERIOD_MS: Milliseconds = 250;
@@ -75,6 +77,7 @@
   readonly #open = new Set<OpenBody>();
   readonly #time: RunningTime;
   #pausedCount = 0;
+  #isUpdating = false;
 
   constructor(
     readonly clock: Clock,
@@ -133,7 +136,7 @@
           progressAtMs = undefined;
           this.#pausedCount += 1;
           connection.hold('body');
-          unread.resize(unreadBytesOf(declaredBytes - held.bytes));
+          unread.resize(Math.min(MAX_PAUSED_BYTES, declaredBytes - held.bytes));
         },
         resume: () => {
           if (progressAtMs !== undefined) return;
@@ -168,15 +171,21 @@
     });
   }
 
+  /** Pauses large bodies above the first watermark, and refuses those for which there is no room. */
   #pauseOrResume(): void {
     const isFree = this.budget.level === 'free';
-    if (isFree && this.#pausedCount === 0) return;
+    if (this.#isUpdating || (isFree && this.#pausedCount === 0)) return;
+    this.#isUpdating = true;
     let largeCount = 0;
     for (const body of [...this.#open]) {
       if (body.isLarge()) largeCount += 1;
       if (isFree || !body.isLarge() || largeCount <= PROGRESSING_BODIES) body.resume();
-      else body.pause();
+      else {
+        body.pause();
+        if (!this.budget.fitsAnswer(0)) body.refuse(hostFull());
+      }
     }
+    this.#isUpdating = false;
   }
 
   /** Refuses bodies that do not arrive, and those that have waited too long for the level to fall. */
--- a/packages/web/src/received-bytes.ts
+++ b/packages/web/src/received-bytes.ts
@@ -1,7 +1,9 @@
 const EMPTY = Buffer.alloc(0);
 /** Blocks of a body of unknown length double in size between these. */
 const MIN_BLOCK_BYTES = 1024;
-const MAX_BLOCK_BYTES = 64 * 1024;
+const MAX_BLOCK_BYTES = 16 * 1024;
+/** From this size on, a body of known length is kept in one block. */
+const MIN_JOINED_BYTES = 64 * 1024;
 
 /**
  * Collects the chunks of a body whose length may be known before. Chunks are copied into blocks, so
@@ -55,7 +57,7 @@
   #addBlock(): void {
     const wanted = Math.max(MIN_BLOCK_BYTES, 2 * this.#block.length);
     const expected = this.expected ?? 0;
-    if (wanted >= MAX_BLOCK_BYTES && expected > this.#length) return this.#join(expected);
+    if (this.#length >= MIN_JOINED_BYTES && expected > this.#length) return this.#join(expected);
     if (this.#block.length > 0) this.#fullBlocks.push(this.#block);
     this.#block = Buffer.allocUnsafeSlow(Math.min(MAX_BLOCK_BYTES, wanted));
     this.#blockLength = 0;
