Let a single connection that takes long to parse go on

A single complete body of 4 MB in chunks of one byte is inside the limits; resting for twice the time of each read would have tripled its time. Connections rest only for others that also take long to parse.

Also names and comments that stopped a reader.

--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -26,7 +26,7 @@
   readonly idleTimeoutMs: () => Milliseconds;
 }
 
-/** Times are running times. */
+/** A connection and when it got on; all times are those of `RunningTime`. */
 interface Watched {
   readonly connection: CallerConnection;
   costBytes: number;
@@ -35,7 +35,7 @@
   progressAtMs: Milliseconds;
   /** When a head began that is not complete yet; undefined if there is none. */
   headAtMs: Milliseconds | undefined;
-  /** Bytes that the system had taken to send when that was last checked, and when they changed. */
+  /** Bytes that the system had taken to send at the last sweep, and when that last changed. */
   sentBytes: number;
   sentAtMs: Milliseconds;
 }
@@ -163,8 +163,8 @@
   }
 
   /**
-   * Reads nothing while closed connections still take what others may take: many may have sent
-   * something by then.
+   * Stops reading from all connections until Node has released what closed ones hold: one turn of the
+   * event loop may read from hundreds more.
    */
   #holdOrRelease(): void {
     const mustHold =
--- a/packages/relay/src/server/caller-listener.ts
+++ b/packages/relay/src/server/caller-listener.ts
@@ -1,10 +1,9 @@
 import { fault } from '@poppypond/core';
 import type { Clock, Fault, Milliseconds } from '@poppypond/core';
-import { createServer } from 'node:http';
-import { ServerResponse } from 'node:http';
+import type { CallerLimits } from '@poppypond/routing';
+import { createServer, ServerResponse } from 'node:http';
 import type { Server } from 'node:http';
 import { bodyTooLarge, BodyReader } from '../host/body-reader.js';
-import type { CallerLimits } from '@poppypond/routing';
 import type { BacklogProbe } from '../host/backlog-probe.js';
 import type { ConnectionAdmission } from '../host/connection-admission.js';
 import type { HostBudget, Reservation } from '../host/host-budget.js';
@@ -81,7 +80,7 @@
     this.#server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
     this.#server.headersTimeout = HEADERS_TIMEOUT_MS;
     this.#server.requestTimeout = 0;
-    // The size of a head bounds its lines; by default Node drops those beyond 2000.
+    // The size of a head bounds its lines; by default Node drops those beyond 1,000.
     this.#server.maxHeadersCount = 0;
     this.#limitConnections(parts);
   }
--- a/packages/relay/src/server/parsing-rest.ts
+++ b/packages/relay/src/server/parsing-rest.ts
@@ -7,26 +7,33 @@
 const MIN_COUNTED_MS: Milliseconds = 5;
 /** A read of 64 KB takes less; more time means that the process was paused. */
 const MAX_COUNTED_MS: Milliseconds = 50;
-/** Time for which a connection rests, relative to its parsing. */
+/** Time for which a connection rests for each other one, relative to its parsing. */
 const REST_FACTOR = 2;
+/** A connection counts for this long after its rest. */
+const RECENT_MS: Milliseconds = 1000;
 
 /**
- * Stops reading for a while from connections that take long to parse, so that all of them together
- * leave the larger part of the processor to others.
+ * Stops reading for a while from connections that take long to parse, so that several of them leave
+ * a good part of the processor to others. A single one does not rest.
  */
 export class ParsingRest {
-  #restingCount = 0;
+  /** Connections that take long to parse, and until when they count. */
+  readonly #recent = new Map<CallerConnection, Milliseconds>();
 
   constructor(readonly clock: Clock) {}
 
   /** Lets the connection rest if its last read was large and took long. */
   onRead(connection: CallerConnection, { bytes, parsingMs }: ReadReport): void {
     if (bytes < MIN_COUNTED_BYTES || parsingMs <= MIN_COUNTED_MS) return;
-    this.#restingCount += 1;
-    connection.hold('parsing');
+    const nowMs = this.clock.monotonicMs();
+    for (const [other, untilMs] of this.#recent) if (untilMs < nowMs) this.#recent.delete(other);
+    this.#recent.delete(connection);
     const countedMs = Math.min(parsingMs, MAX_COUNTED_MS);
-    this.clock.after(countedMs * REST_FACTOR * this.#restingCount, () => {
-      this.#restingCount -= 1;
+    const restMs = countedMs * REST_FACTOR * this.#recent.size;
+    this.#recent.set(connection, nowMs + restMs + RECENT_MS);
+    if (restMs === 0) return;
+    connection.hold('parsing');
+    this.clock.after(restMs, () => {
       connection.release('parsing');
     });
   }
