Do not keep closed connections for the sake of their parsing time

Cause: since ParsingRest kept the connections that take long to parse for a second after their rest, closed ones too, and with them all their requests.

A connection that pipelines rests also if it is the only one. A hold outlasts Node's own resume of the socket, which follows when queued responses are written. A request counts 16 KB, as the objects of the relay come to those of Node.

--- a/packages/relay/src/server/caller-connection.ts
+++ b/packages/relay/src/server/caller-connection.ts
@@ -7,7 +7,7 @@
 
 /** Objects of Node and of the relay that each connection and each request takes, in bytes. */
 const CONNECTION_BYTES = 4096;
-const REQUEST_BYTES = 8192;
+const REQUEST_BYTES = 16_384;
 /** A name or value of a header, besides its characters: the string, and its places in lists. */
 const HEADER_STRING_BYTES = 48;
 /** The same for a head that is not complete, by its bytes: its lines may have a few bytes each. */
@@ -89,6 +89,11 @@
     return this.#unfinished.size === 0;
   }
 
+  /** Whether several of its requests are unfinished. */
+  get isPipelining(): boolean {
+    return this.#unfinished.size > 1;
+  }
+
   /** Whether its only request is not complete. */
   get isReceiving(): boolean {
     const [response] = this.#unfinished.keys();
@@ -123,6 +128,10 @@
     this.#maxPipelined = maxPipelined;
     this.#onChange = onChange;
     this.#isWatched = true;
+    // Node resumes the socket when the responses that it has queued are written.
+    this.socket.on('resume', () => {
+      if (this.isHeld) this.socket.pause();
+    });
     let startedAtMs: Milliseconds = 0;
     // Between these listeners, Node's own passes the chunk to the parser.
     this.socket.prependListener('data', () => {
--- a/packages/relay/src/server/parsing-rest.ts
+++ b/packages/relay/src/server/parsing-rest.ts
@@ -12,25 +12,39 @@
 /** A connection counts for this long after its rest. */
 const RECENT_MS: Milliseconds = 1000;
 
+/** Until when a connection counts. */
+interface Entry {
+  untilMs: Milliseconds;
+}
+
 /**
  * Stops reading for a while from connections that take long to parse, so that several of them leave
- * a good part of the processor to others. A single one does not rest.
+ * a good part of the processor to others. A single one that sends one body does not rest.
  */
 export class ParsingRest {
-  /** Connections that take long to parse, and until when they count. */
-  readonly #recent = new Map<CallerConnection, Milliseconds>();
+  /**
+   * Of the connections that take long to parse. They do not refer to them: closed connections would
+   * stay in memory with all their requests.
+   */
+  readonly #entries = new Set<Entry>();
+  readonly #entryOf = new WeakMap<CallerConnection, Entry>();
 
   constructor(readonly clock: Clock) {}
 
   /** Lets the connection rest if its last read was large and took long. */
   onRead(connection: CallerConnection, { bytes, parsingMs }: ReadReport): void {
     if (bytes < MIN_COUNTED_BYTES || parsingMs <= MIN_COUNTED_MS) return;
+    if (connection.socket.destroyed) return;
     const nowMs = this.clock.monotonicMs();
-    for (const [other, untilMs] of this.#recent) if (untilMs < nowMs) this.#recent.delete(other);
-    this.#recent.delete(connection);
+    const entry = this.#entryOf.get(connection) ?? { untilMs: nowMs };
+    this.#entryOf.set(connection, entry);
+    this.#entries.delete(entry);
+    for (const other of this.#entries) if (other.untilMs < nowMs) this.#entries.delete(other);
     const countedMs = Math.min(parsingMs, MAX_COUNTED_MS);
-    const restMs = countedMs * REST_FACTOR * this.#recent.size;
-    this.#recent.set(connection, nowMs + restMs + RECENT_MS);
+    const count = this.#entries.size + (connection.isPipelining ? 1 : 0);
+    const restMs = countedMs * REST_FACTOR * count;
+    entry.untilMs = nowMs + restMs + RECENT_MS;
+    this.#entries.add(entry);
     if (restMs === 0) return;
     connection.hold('parsing');
     this.clock.after(restMs, () => {
