Refuse the newest bodies first when there is no room

In a burst of 60 bodies of 4 MB on a host of 202 MB, bodies that were nearly complete were refused because a chunk of theirs found no room, while others that had just begun kept theirs.

Now a body that gets on takes the room of newer ones, the newest first.

--- a/packages/relay/src/host/body-reader.ts
+++ b/packages/relay/src/host/body-reader.ts
@@ -149,6 +149,7 @@
       };
       const onData = (chunk: Buffer) => {
         if (held.bytes + chunk.length > maxBytes) return end(bodyTooLarge());
+        this.#makeRoom(body, chunk.length);
         if (!budget.fitsRequest(chunk.length)) return end(hostFull());
         const wasLarge = isLarge();
         received.push(chunk);
@@ -188,6 +189,18 @@
     this.#isUpdating = false;
   }
 
+  /**
+   * Refuses newer bodies, the newest first, until `bytes` more of this one can be held: otherwise
+   * bodies that are nearly complete would be refused for others that have just begun.
+   */
+  #makeRoom(body: OpenBody, bytes: number): void {
+    if (this.budget.fitsAnswer(bytes)) return;
+    for (const newer of [...this.#open].reverse()) {
+      if (newer === body || this.budget.fitsAnswer(bytes)) return;
+      newer.refuse(hostFull());
+    }
+  }
+
   /** Refuses bodies that do not arrive, and those that have waited too long for the level to fall. */
   #refuseOverdue(): void {
     const nowMs = this.clock.monotonicMs();
