Watch single reads of callers only in crowds

The host listened to the data of every caller's socket, so that Node allocated a buffer for each read instead of passing it to its parser.

Single reads are watched where more than 128 connections are open, as the heads of so many fit into the heap whatever they cost, and where very many chunks come in one turn of the event loop. Small chunks are joined by turn instead of by read. A connection whose request has stopped for a second may be closed when costs are at their bound, so that 3,500 bodies that stop do not keep ordinary requests out.

The unit tests of CallerConnections set the bound of unwatched connections to 0; else they are unchanged.

--- a/packages/relay/src/host/connection-limits.ts
+++ b/packages/relay/src/host/connection-limits.ts
@@ -1,8 +1,21 @@
 import { readFileSync } from 'node:fs';
 import { getHeapStatistics } from 'node:v8';
-import type { ConnectionLimits } from '../server/caller-connections.js';
 import type { RelaySettings } from '../settings.js';
 
+/** Bounds of what callers' connections may take. */
+export interface ConnectionLimits {
+  /** Connections that may be open. */
+  readonly maxConnections: number;
+  /** Connections up to which single reads need not be watched. */
+  readonly maxUnwatched: number;
+  /** Requests of one connection that are served at a time. */
+  readonly maxPipelined: number;
+  /** Estimated bytes that unfinished heads and requests of all connections may take. */
+  readonly maxCostBytes: number;
+}
+
+/** The heads of so many connections fit into the heap, whatever they cost. */
+const MAX_UNWATCHED = 128;
 /** Descriptors for files, and for connections to the store, other hosts and the readiness port. */
 const RESERVED_DESCRIPTORS = 300;
 /** However few descriptors there are, some callers can connect. */
@@ -37,6 +50,7 @@
 }: RelaySettings): ConnectionLimits {
   return {
     maxConnections: maxConnectionsOf(maxDescriptors),
+    maxUnwatched: MAX_UNWATCHED,
     maxPipelined: Math.max(1, maxPipelinedRequests),
     maxCostBytes: callerHeapShare * getHeapStatistics().heap_size_limit,
   };
--- a/packages/relay/src/server/caller-connection.ts
+++ b/packages/relay/src/server/caller-connection.ts
@@ -1,48 +1,35 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import {
+  CONNECTION_BYTES,
+  headBytesOf,
+  openHeadCostBytes,
+  requestCostBytes,
+} from './caller-costs.js';
 
 /** Why no more is read from a connection. */
 type HoldReason = 'body' | 'cost' | 'parsing' | 'pipelined';
 
-/** Objects of Node and of the relay that each connection and each request takes, in bytes. */
-const CONNECTION_BYTES = 4096;
-const REQUEST_BYTES = 16_384;
-/** A name or value of a header, besides its characters: the string, and its places in lists. */
-const HEADER_STRING_BYTES = 48;
-/** The same for a head that is not complete, by its bytes: its lines may have a few bytes each. */
-const OPEN_HEAD_FACTOR = 16;
-/** Separators of a header line, and of a request line with its version. */
-const LINE_BYTES = 4;
-const REQUEST_LINE_BYTES = 14;
-
-/** Most that a connection with one request of the usual size costs. */
-export const ORDINARY_COST_BYTES = 2 * (CONNECTION_BYTES + REQUEST_BYTES);
-
-/** A message that collects small chunks. */
-interface Flushable {
-  flush(): void;
-}
-
 /** What is told about one read. */
 export interface ReadReport {
   readonly bytes: number;
-  /** Whether the parser has reported a head, a part of a body or its end. */
-  readonly hasProgressed: boolean;
   /** Time that its parsing took, with what was done at once with the requests in it. */
   readonly parsingMs: Milliseconds;
 }
 
-const connections = new WeakMap<Socket, CallerConnection>();
-
-function headBytesOf({ req }: ServerResponse): number {
-  const { method = '', rawHeaders, url = '' } = req;
-  let bytes = method.length + url.length + REQUEST_LINE_BYTES;
-  bytes += (rawHeaders.length / 2) * LINE_BYTES;
-  for (const text of rawHeaders) bytes += text.length;
-  return bytes;
+/** What the owner of a connection is told. */
+export interface ConnectionObserver {
+  /** A request was read. */
+  readonly onRequest: () => void;
+  /** The cost may have changed. */
+  readonly onCost: () => void;
+  /** A read has brought very many chunks of a body. */
+  readonly onManyChunks: () => void;
 }
 
+const connections = new WeakMap<Socket, CallerConnection>();
+
 /** A caller's connection, on which several requests may be pipelined. */
 export class CallerConnection {
   /** Costs of the requests whose responses have not ended, in the order of the requests. */
@@ -58,9 +45,12 @@
   #openBytes = 0;
   /** Bytes that the parser has reported in the present read; undefined if it has reported nothing. */
   #reportedBytes: number | undefined;
-  #onChange: () => void = () => undefined;
+  #observer: ConnectionObserver | undefined;
   #isWatched = false;
-  #unflushed: Flushable | undefined;
+  /** Whether the parser has reported anything since the last call of `takeProgress`. */
+  #hasProgressed = false;
+  /** Bytes that had been read at the last call of `takeProgress` with progress. */
+  #progressBytes = 0;
 
   /** Returns the connection of a socket, which all requests on it share. */
   static of(socket: Socket): CallerConnection {
@@ -112,67 +102,83 @@
 
   /** Estimate of the memory that the connection and its unfinished requests take, without bodies. */
   get costBytes(): number {
-    return CONNECTION_BYTES + this.#requestsBytes + this.#openBytes * OPEN_HEAD_FACTOR;
+    return CONNECTION_BYTES + this.#requestsBytes + openHeadCostBytes(this.#openBytes);
   }
 
-  /**
-   * Watches the connection: `onRead` is called after each read, and `onChange` when the cost may have
-   * changed.
-   */
-  watch(
-    clock: Clock,
-    maxPipelined: number,
-    onRead: (report: ReadReport) => void,
-    onChange: () => void,
-  ): void {
+  observe(maxPipelined: number, observer: ConnectionObserver): void {
     this.#maxPipelined = maxPipelined;
-    this.#onChange = onChange;
-    this.#isWatched = true;
+    this.#observer = observer;
     // Node resumes the socket when the responses that it has queued are written.
     this.socket.on('resume', () => {
       if (this.isHeld) this.socket.pause();
     });
+  }
+
+  /**
+   * Calls `onRead` after each read, and counts what it costs at once. Node then no longer passes the
+   * data of the socket to its parser directly, which takes more memory for large bodies.
+   */
+  watchReads(clock: Clock, onRead: (report: ReadReport) => void): void {
+    if (this.#isWatched) return;
+    this.#isWatched = true;
     let startedAtMs: Milliseconds = 0;
+    this.socket.on('data', ({ length: bytes }: Buffer) => {
+      const reportedBytes = this.#reportedBytes;
+      this.#reportedBytes = undefined;
+      this.#openBytes =
+        reportedBytes === undefined ? this.#openBytes + bytes : Math.max(0, bytes - reportedBytes);
+      onRead({ bytes, parsingMs: clock.monotonicMs() - startedAtMs });
+      this.#observer?.onCost();
+    });
     // Between these listeners, Node's own passes the chunk to the parser.
     this.socket.prependListener('data', () => {
       startedAtMs = clock.monotonicMs();
-    });
-    this.socket.on('data', ({ length: bytes }: Buffer) => {
-      this.#unflushed?.flush();
-      this.#unflushed = undefined;
-      const reportedBytes = this.#reportedBytes;
       this.#reportedBytes = undefined;
-      const hasProgressed = reportedBytes !== undefined;
-      this.#openBytes = hasProgressed
-        ? Math.max(0, bytes - reportedBytes)
-        : this.#openBytes + bytes;
-      onRead({ bytes, hasProgressed, parsingMs: clock.monotonicMs() - startedAtMs });
-      onChange();
     });
   }
 
-  /** Flushes a message after the present read; returns false if reads are not watched. */
-  flushAfterRead(message: Flushable): boolean {
-    if (this.#isWatched) this.#unflushed = message;
-    return this.#isWatched;
+  /**
+   * Returns whether a head, a part of a body or its end was read since the last call, and updates what
+   * a head that is not complete costs, if reads are not watched.
+   */
+  takeProgress(): boolean {
+    const hasProgressed = this.#hasProgressed;
+    this.#hasProgressed = false;
+    const { bytesRead } = this.socket;
+    if (hasProgressed) this.#progressBytes = bytesRead;
+    if (!this.#isWatched) {
+      this.#openBytes = bytesRead - this.#progressBytes;
+      this.#observer?.onCost();
+    }
+    return hasProgressed;
+  }
+
+  /** Whether bytes were read after the last progress that `takeProgress` has returned. */
+  get hasUnreportedBytes(): boolean {
+    return this.socket.bytesRead > this.#progressBytes;
   }
 
   /** Records that the parser has passed on `bytes` of a head or body; 0 at the end of a body. */
   onParsed(bytes: number): void {
+    this.#hasProgressed = true;
     this.#reportedBytes = (this.#reportedBytes ?? 0) + bytes;
   }
 
+  /** Records that one read has brought very many chunks of a body. */
+  onManyChunks(): void {
+    this.#observer?.onManyChunks();
+  }
+
   /**
    * Adds the response to a request that was read. Returns false if the connection is closed after an
    * earlier response, so that this request must not be served.
    */
   add(response: ServerResponse): boolean {
-    const headBytes = headBytesOf(response);
+    const headBytes = headBytesOf(response.req);
     this.onParsed(headBytes);
     if (this.#isClosing || this.socket.destroyed) return false;
     this.#hasRequested = true;
-    const strings = response.req.rawHeaders.length;
-    const cost = REQUEST_BYTES + headBytes + strings * HEADER_STRING_BYTES;
+    const cost = requestCostBytes(response.req, headBytes);
     this.#unfinished.set(response, cost);
     this.#requestsBytes += cost;
     response.once('close', () => {
@@ -180,7 +186,8 @@
     });
     this.#isClosing = !response.shouldKeepAlive;
     if (this.#unfinished.size >= this.#maxPipelined) this.hold('pipelined');
-    this.#onChange();
+    this.#observer?.onRequest();
+    this.#observer?.onCost();
     return true;
   }
 
@@ -232,6 +239,6 @@
       this.#waiting.delete(started);
     }
     if (this.#unfinished.size < this.#maxPipelined) this.release('pipelined');
-    this.#onChange();
+    this.#observer?.onCost();
   }
 }
--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -13,7 +13,7 @@
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n';
 const HEAD_TIMEOUT_MS = 3000;
 const IDLE_TIMEOUT_MS = 10_000;
-const LIMITS = { maxConnections: 4, maxPipelined: 2, maxCostBytes: 400_000 };
+const LIMITS = { maxConnections: 4, maxUnwatched: 0, maxPipelined: 2, maxCostBytes: 400_000 };
 
 let clock: ManualClock;
 let connections: CallerConnections;
--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -1,21 +1,14 @@
 import type { CancelTimer, Milliseconds } from '@poppypond/core';
 import type { Socket } from 'node:net';
+import type { ConnectionLimits } from '../host/connection-limits.js';
 import { RunningTime } from '../host/running-time.js';
-import { CallerConnection, ORDINARY_COST_BYTES } from './caller-connection.js';
-import type { ReadReport } from './caller-connection.js';
+import { CallerConnection } from './caller-connection.js';
+import { ORDINARY_COST_BYTES } from './caller-costs.js';
 import { ClosedConnections } from './closed-connections.js';
 import type { ClosedConnectionsParts, CloseReason } from './closed-connections.js';
 import { ParsingRest } from './parsing-rest.js';
-
-/** Bounds of what callers' connections may take. */
-export interface ConnectionLimits {
-  /** Connections that may be open. */
-  readonly maxConnections: number;
-  /** Requests of one connection that are served at a time. */
-  readonly maxPipelined: number;
-  /** Estimated bytes that unfinished heads and requests of all connections may take. */
-  readonly maxCostBytes: number;
-}
+import { findFirst } from './watched-connection.js';
+import type { Watched } from './watched-connection.js';
 
 /** Dependencies of `CallerConnections`. */
 export interface CallerConnectionsParts extends ClosedConnectionsParts {
@@ -26,20 +19,6 @@
   readonly idleTimeoutMs: () => Milliseconds;
 }
 
-/** A connection and when it got on; all times are those of `RunningTime`. */
-interface Watched {
-  readonly connection: CallerConnection;
-  costBytes: number;
-  isClosing: boolean;
-  /** When a head or a part of a body was last read; at first, when it was accepted. */
-  progressAtMs: Milliseconds;
-  /** When a head began that is not complete yet; undefined if there is none. */
-  headAtMs: Milliseconds | undefined;
-  /** Bytes that the system had taken to send at the last sweep, and when that last changed. */
-  sentBytes: number;
-  sentAtMs: Milliseconds;
-}
-
 const SWEEP_PERIOD_MS: Milliseconds = 250;
 /** Costs are reduced to this share of their bound, so that not every read closes a connection. */
 const REDUCED_SHARE = 0.8;
@@ -50,14 +29,6 @@
 /** As Node responds when a head is late. */
 const HEAD_TIMEOUT_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n';
 
-function findFirst(
-  connections: ReadonlySet<Watched>,
-  condition: (watched: Watched) => boolean,
-): Watched | undefined {
-  for (const watched of connections) if (condition(watched)) return watched;
-  return undefined;
-}
-
 /**
  * All open connections of callers. Bounds their number and what they cost, and closes those that
  * get no further: the ones without a complete request before the others.
@@ -107,16 +78,18 @@
       sentAtMs: nowMs,
     };
     this.#unused.add(watched);
-    connection.watch(
-      this.parts.clock,
-      limits.maxPipelined,
-      (report) => {
-        this.#onRead(watched, report);
+    connection.observe(limits.maxPipelined, {
+      onRequest: () => {
+        this.#onProgress(watched);
       },
-      () => {
+      onCost: () => {
         this.#updateCost(watched);
       },
-    );
+      onManyChunks: () => {
+        this.#watchReads(connection);
+      },
+    });
+    if (this.#count > limits.maxUnwatched) this.#watchReads(connection);
     this.#updateCost(watched);
     if (this.#isHolding) connection.hold('cost');
     socket.once('close', () => {
@@ -129,15 +102,15 @@
     return this.#unused.size + this.#used.size;
   }
 
-  #onRead(watched: Watched, report: ReadReport): void {
-    const { nowMs } = this.#time;
-    this.#parsingRest.onRead(watched.connection, report);
-    if (!report.hasProgressed) {
-      watched.headAtMs ??= nowMs;
-      return;
-    }
+  #watchReads(connection: CallerConnection): void {
+    connection.watchReads(this.parts.clock, (report) => {
+      this.#parsingRest.onRead(connection, report);
+    });
+  }
+
+  #onProgress(watched: Watched): void {
     watched.headAtMs = undefined;
-    watched.progressAtMs = nowMs;
+    watched.progressAtMs = this.#time.nowMs;
     this.#unused.delete(watched);
     this.#used.delete(watched);
     if (watched.connection.socket.destroyed) return;
@@ -176,12 +149,14 @@
       else connection.release('cost');
   }
 
-  /** Closes the connections that cost most, except those with one ordinary request. */
+  /** Closes the connections that cost most, except those with one ordinary request that gets on. */
   #reduceCosts(): void {
     const wantedBytes = this.parts.limits.maxCostBytes * REDUCED_SHARE;
     const costly = [...this.#unused, ...this.#used]
-      .filter(({ connection, costBytes }) => {
-        return connection.hasOpenHead || costBytes > ORDINARY_COST_BYTES;
+      .filter((watched) => {
+        const { hasOpenHead, isReceiving } = watched.connection;
+        if (hasOpenHead || (isReceiving && this.#isQuiet(watched))) return true;
+        return watched.costBytes > ORDINARY_COST_BYTES;
       })
       .sort((one, other) => other.costBytes - one.costBytes);
     for (const watched of costly) {
@@ -190,13 +165,17 @@
     }
   }
 
+  #isQuiet({ progressAtMs }: Watched): boolean {
+    return this.#time.nowMs - progressAtMs >= MIN_QUIET_MS;
+  }
+
   /**
    * Closes a connection for a new one: the one that has been without progress for longest, of those
    * that have sent no request, rest, or whose request is not complete. Those that wait for a response
    * stay; if there are no others, the new one is closed unread.
    */
   #closeOldest(added: Watched): void {
-    const isQuiet = ({ progressAtMs }: Watched) => this.#time.nowMs - progressAtMs >= MIN_QUIET_MS;
+    const isQuiet = (watched: Watched) => this.#isQuiet(watched);
     const isReceiving = ({ connection }: Watched) => connection.isReceiving;
     const oldest =
       findFirst(this.#unused, isQuiet) ??
@@ -211,6 +190,8 @@
     const { limits, metrics } = this.parts;
     this.#time.advance();
     for (const watched of [...this.#unused, ...this.#used]) {
+      if (watched.connection.takeProgress()) this.#onProgress(watched);
+      else if (watched.connection.hasUnreportedBytes) watched.headAtMs ??= this.#time.nowMs;
       const reason = this.#findOverdue(watched);
       if (reason === 'head_timeout') watched.connection.socket.write(HEAD_TIMEOUT_RESPONSE);
       if (reason) this.#close(watched, reason);
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -66,7 +66,12 @@
       clock: new SystemClock(),
       log: silentLog,
       metrics,
-      limits: { maxConnections: 100, maxPipelined: 100, maxCostBytes: 100_000_000 },
+      limits: {
+        maxConnections: 100,
+        maxUnwatched: 0,
+        maxPipelined: 100,
+        maxCostBytes: 100_000_000,
+      },
       headTimeoutMs: () => LIMITS.headerTimeoutMs,
       idleTimeoutMs: () => LIMITS.idleTimeoutMs,
     }),
--- a/packages/relay/src/server/caller-message.ts
+++ b/packages/relay/src/server/caller-message.ts
@@ -2,8 +2,10 @@
 import { IncomingMessage } from 'node:http';
 import { CallerConnection } from './caller-connection.js';
 
-/** Smaller chunks of one read are passed on together. */
+/** Smaller chunks that are parsed in the same turn of the event loop are passed on together. */
 const MIN_CHUNK_BYTES = 4096;
+/** More small chunks in one turn take the processor for milliseconds. */
+const MANY_CHUNKS = 1000;
 
 /**
  * A caller's request. A message that is paused keeps every chunk that is still parsed as an object of
@@ -13,6 +15,7 @@
 export class CallerMessage extends IncomingMessage {
   readonly #connection = CallerConnection.of(this.socket);
   readonly #smallChunks = new ReceivedBytes();
+  #smallChunkCount = 0;
 
   override _read(size: number): void {
     // The method of the base class resumes the socket.
@@ -22,17 +25,27 @@
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
     const bytes = chunk instanceof Buffer ? chunk.length : 0;
     this.#connection.onParsed(bytes);
-    const isSmall = chunk instanceof Buffer && bytes < MIN_CHUNK_BYTES;
-    if (isSmall && this.#connection.flushAfterRead(this)) {
-      this.#smallChunks.push(chunk);
+    if (chunk instanceof Buffer && bytes < MIN_CHUNK_BYTES) {
+      this.#pushSmall(chunk);
       return true;
     }
-    this.flush();
+    this.#flush();
     return super.push(chunk, encoding);
   }
 
+  #pushSmall(chunk: Buffer): void {
+    this.#smallChunks.push(chunk);
+    this.#smallChunkCount += 1;
+    if (this.#smallChunkCount > 1) return;
+    setImmediate(() => {
+      if (this.#smallChunkCount > MANY_CHUNKS) this.#connection.onManyChunks();
+      this.#flush();
+    });
+  }
+
   /** Passes on the small chunks that were parsed. */
-  flush(): void {
+  #flush(): void {
+    this.#smallChunkCount = 0;
     if (this.#smallChunks.length > 0) super.push(this.#smallChunks.take());
   }
 }
--- /dev/null
+++ b/packages/relay/src/server/watched-connection.ts
@@ -0,0 +1,25 @@
+import type { Milliseconds } from '@poppypond/core';
+import type { CallerConnection } from './caller-connection.js';
+
+/** A connection and when it got on; all times are those of `RunningTime`. */
+export interface Watched {
+  readonly connection: CallerConnection;
+  costBytes: number;
+  isClosing: boolean;
+  /** When a head or a part of a body was last read; at first, when it was accepted. */
+  progressAtMs: Milliseconds;
+  /** When a head began that is not complete yet; undefined if there is none. */
+  headAtMs: Milliseconds | undefined;
+  /** Bytes that the system had taken to send at the last sweep, and when that last changed. */
+  sentBytes: number;
+  sentAtMs: Milliseconds;
+}
+
+/** Returns the first connection that fulfils a condition. */
+export function findFirst(
+  connections: ReadonlySet<Watched>,
+  condition: (watched: Watched) => boolean,
+): Watched | undefined {
+  for (const watched of connections) if (condition(watched)) return watched;
+  return undefined;
+}
