Join small chunks of servers' responses, and pause their connections

Twelve answers of 400 KB alike got 504, too.

Cause: each chunk was searched, counted against the budget and passed on by itself. A paused response also kept every chunk of what was still parsed as an object.

Now ChunkJoiner, which the requests of callers share, joins the small chunks that are parsed in one turn of the event loop. The connection is paused, not the response.

--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -1,6 +1,6 @@
 import type { CancelTimer, Clock, Milliseconds } from '@poppypond/core';
 import type { BackendServer } from '@poppypond/fleet';
-import { ReceivedBytes, receiveResponse } from '@poppypond/web';
+import { ChunkJoiner, ReceivedBytes, receiveResponse } from '@poppypond/web';
 import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Socket } from 'node:net';
@@ -109,8 +109,8 @@
   readonly #unread: Reservation;
   #isPaused = false;
   #cancelPauseLimit: CancelTimer = () => undefined;
+  #connection: Duplex | undefined;
   #request: ClientRequest | undefined;
-  #response: IncomingMessage | undefined;
 
   constructor(
     readonly call: AttemptRequest,
@@ -152,13 +152,18 @@
     this.#isPaused = false;
     this.#cancelPauseLimit();
     this.#unread.resize(0);
-    this.#response?.resume();
+    this.#connection?.resume();
   }
 
-  #pause(response: IncomingMessage): void {
+  /**
+   * Pauses the connection. A paused response would keep every chunk that is still parsed as an object
+   * of its own; what is parsed after this is passed on.
+   */
+  #pause(): void {
     const { clock, hostBudget } = this.parts;
+    if (this.#isPaused) return;
     this.#isPaused = true;
-    response.pause();
+    this.#connection?.pause();
     if (!hostBudget.isEnabled) return;
     this.#unread.resize(unreadBytesOf(MAX_RESPONSE_BYTES));
     this.#cancelPauseLimit = clock.after(MAX_PAUSE_MS, () => {
@@ -186,8 +191,13 @@
 
   #send(connection: Duplex): void {
     const { method, path, headers, body } = this.call;
+    this.#connection = connection;
     this.#isConnected = true;
     this.#isDirect = connection instanceof Socket;
+    // Node resumes the connection whenever the response takes data.
+    connection.on('resume', () => {
+      if (this.#isPaused) connection.pause();
+    });
     connection.once('error', () => {
       this.#isReset = true;
     });
@@ -251,7 +261,6 @@
   }
 
   #onResponse(response: IncomingMessage): void {
-    this.#response = response;
     const head = this.parts.parseResponseHead(response);
     response.on('error', () => undefined);
     // Error responses may lack a request id; a response with another id answers another request.
@@ -268,12 +277,21 @@
     }
   }
 
-  #onData(response: IncomingMessage, listener: (chunk: Buffer) => void): void {
-    response.on('data', (chunk: Buffer) => {
+  /** Calls `onBytes` with the body as it arrives, and `onEnd` after that. */
+  #receive(response: IncomingMessage, onBytes: (bytes: Buffer) => void, onEnd: () => void): void {
+    const joiner = new ChunkJoiner((bytes) => {
+      if (this.#isFinished) return;
       this.#guard(() => {
-        listener(chunk);
+        onBytes(bytes);
       });
     });
+    response.on('data', (chunk: Buffer) => {
+      joiner.push(chunk);
+    });
+    response.once('close', () => {
+      joiner.flush();
+      onEnd();
+    });
   }
 
   #isComplete(response: IncomingMessage): boolean {
@@ -282,15 +300,14 @@
 
   #readEvents(response: IncomingMessage, head: ResponseHead): void {
     const splitter = new EventFrameSplitter();
-    this.#onData(response, (chunk) => {
-      if (this.#isFinished) return;
-      const complete = splitter.push(chunk);
+    const onBytes = (bytes: Buffer) => {
+      const complete = splitter.push(bytes);
       this.#held.resize(splitter.partialBytes);
-      if (complete.length > 0 && !this.parts.onFrames(complete, head)) this.#pause(response);
+      if (complete.length > 0 && !this.parts.onFrames(complete, head)) this.#pause();
       else if (this.parts.hostBudget.isEnabled && splitter.partialBytes > MAX_RESPONSE_BYTES)
         this.#settle({ kind: 'broken', detail: 'event is too large' });
-    });
-    response.once('close', () => {
+    };
+    this.#receive(response, onBytes, () => {
       // A server that aborts an answer which stays unread has not failed.
       if (this.#isPaused && this.parts.hostBudget.isEnabled) return this.#settleNotRead();
       const isOrderly = this.#isComplete(response) && !splitter.hasPartialFrame;
@@ -306,14 +323,14 @@
     const declaredBytes = Number(response.headers['content-length'] ?? Number.POSITIVE_INFINITY);
     const isKnown = declaredBytes <= MAX_RESPONSE_BYTES;
     const received = new ReceivedBytes(isKnown ? declaredBytes : undefined);
-    this.#onData(response, (chunk) => {
-      if (!this.parts.hostBudget.fitsAnswer(chunk.length)) return this.#settleFull();
-      this.#held.add(chunk.length);
-      received.push(chunk);
+    const onBytes = (bytes: Buffer) => {
+      if (!this.parts.hostBudget.fitsAnswer(bytes.length)) return this.#settleFull();
+      this.#held.add(bytes.length);
+      received.push(bytes);
       if (received.length > MAX_RESPONSE_BYTES)
         this.#settle({ kind: 'broken', detail: 'response body is too large' });
-    });
-    response.once('close', () => {
+    };
+    this.#receive(response, onBytes, () => {
       const isDelimited = isDelimitedResponse(response);
       if (this.#isComplete(response))
         this.#settle({ kind: 'whole', head, body: received.take(), isDelimited });
--- a/packages/relay/src/server/caller-message.ts
+++ b/packages/relay/src/server/caller-message.ts
@@ -1,10 +1,8 @@
-import { ReceivedBytes } from '@poppypond/web';
+import { ChunkJoiner } from '@poppypond/web';
 import { IncomingMessage } from 'node:http';
 import { CallerConnection } from './caller-connection.js';
 
-/** Smaller chunks that are parsed in the same turn of the event loop are passed on together. */
-const MIN_CHUNK_BYTES = 4096;
-/** More small chunks in one turn take the processor for milliseconds. */
+/** More small chunks in one turn of the event loop take the processor for milliseconds. */
 const MANY_CHUNKS = 1000;
 
 /**
@@ -14,8 +12,10 @@
  */
 export class CallerMessage extends IncomingMessage {
   readonly #connection = CallerConnection.of(this.socket);
-  readonly #smallChunks = new ReceivedBytes();
-  #smallChunkCount = 0;
+  readonly #joiner = new ChunkJoiner((bytes, chunkCount) => {
+    if (chunkCount > MANY_CHUNKS) this.#connection.onManyChunks();
+    super.push(bytes);
+  });
 
   override _read(size: number): void {
     // The method of the base class resumes the socket.
@@ -23,29 +23,13 @@
   }
 
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    const bytes = chunk instanceof Buffer ? chunk.length : 0;
-    this.#connection.onParsed(bytes);
-    if (chunk instanceof Buffer && bytes < MIN_CHUNK_BYTES) {
-      this.#pushSmall(chunk);
-      return true;
+    if (chunk instanceof Buffer) {
+      this.#connection.onParsed(chunk.length);
+      this.#joiner.push(chunk);
+      return this.readableLength < this.readableHighWaterMark;
     }
-    this.#flush();
+    this.#connection.onParsed(0);
+    this.#joiner.flush();
     return super.push(chunk, encoding);
   }
-
-  #pushSmall(chunk: Buffer): void {
-    this.#smallChunks.push(chunk);
-    this.#smallChunkCount += 1;
-    if (this.#smallChunkCount > 1) return;
-    setImmediate(() => {
-      if (this.#smallChunkCount > MANY_CHUNKS) this.#connection.onManyChunks();
-      this.#flush();
-    });
-  }
-
-  /** Passes on the small chunks that were parsed. */
-  #flush(): void {
-    this.#smallChunkCount = 0;
-    if (this.#smallChunks.length > 0) super.push(this.#smallChunks.take());
-  }
 }
--- a/packages/web/src/index.ts
+++ b/packages/web/src/index.ts
@@ -1,5 +1,6 @@
 export * from './bearer-key.js';
 export * from './body.js';
+export * from './chunk-joiner.js';
 export * from './client.js';
 export * from './receive-response.js';
 export * from './received-bytes.js';
