Leave each caller a descriptor for the connection to its server

A crowd of 4,000 callers with ordinary requests to a slow server took all 4,100 descriptors; 326 requests got 502, as no connection to the server could be opened, and new callers were reset.

Cause: callers could have two thirds of the descriptors, but each request that runs needs one more for its server. Now they have half.

--- a/packages/relay/src/host/connection-limits.ts
+++ b/packages/relay/src/host/connection-limits.ts
@@ -20,8 +20,8 @@
 const RESERVED_DESCRIPTORS = 300;
 /** However few descriptors there are, some callers can connect. */
 const MIN_CONNECTIONS = 16;
-/** The rest is for connections to backend servers: a caller that waits for a server needs two. */
-const CALLER_SHARE = 2 / 3;
+/** A caller whose request runs needs a second descriptor for the connection to its server. */
+const DESCRIPTORS_PER_CALLER = 2;
 
 /** Returns the limit that the system sets to this process; undefined if it is not known. */
 function descriptorsOfSystem(): number | undefined {
@@ -38,7 +38,7 @@
 function maxConnectionsOf(maxDescriptors: number): number {
   const descriptors = maxDescriptors > 0 ? maxDescriptors : descriptorsOfSystem();
   if (descriptors === undefined) return Number.POSITIVE_INFINITY;
-  const forCallers = Math.floor((descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE);
+  const forCallers = Math.floor((descriptors - RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CALLER);
   return Math.max(MIN_CONNECTIONS, forCallers);
 }
 
