Count what waits unread on callers' connections, and bound it

Causes: the kernel holds 64 to 146 KB of each connection that is not read. Only paused bodies counted it, and as if it were resident. Connections that were held for another reason, or that the process had not come to in a long turn of the event loop, counted nowhere. One turn read from all connections and took 12 s.

Now: - Unread bytes count on top of the resident size. - A connection whose last read filled Node's buffer, or that is held, counts 128 KiB. It is closed (memory) if it has more while the host is above its limit. Single reads are watched only beyond 128 connections, as before. - Connections that do not only wait for a response are bounded by unreadMemoryShare (0.2) of the memory: 534 on a host of 350 MB. Beyond, the ones without a request are closed first, then those that do not get on, then idle ones. - A turn reads for 100 ms at most. - Connections of very small chunks that would rest for longer than maxParsingRestMs (2 s) are closed (small_chunks): all of a crowd rested, with what they had sent in memory.

--- a/packages/relay/src/host/body-reader.ts
+++ b/packages/relay/src/host/body-reader.ts
@@ -5,7 +5,7 @@
 import { CallerConnection } from '../server/caller-connection.js';
 import type { CallerMessage } from '../server/caller-message.js';
 import { RunningTime } from './running-time.js';
-import { MAX_UNREAD_BYTES } from './unread-bytes.js';
+import { MAX_PAUSED_BYTES, MAX_UNREAD_BYTES } from './unread-bytes.js';
 
 /** A body that was received completely, with the bytes that it holds. */
 export interface HeldBody {
@@ -48,8 +48,6 @@
  * would become complete and the bytes that they hold would never be returned.
  */
 const PROGRESSING_BODIES = 4;
-/** What arrives on a paused connection: Node reads once more, and the system takes in as much. */
-const MAX_PAUSED_BYTES = 2 * MAX_UNREAD_BYTES;
 /** Callers that stay behind for this long have given up; a paused connection does not show it. */
 const MAX_PAUSED_MS: Milliseconds = 15_000;
 const SWEEP_PERIOD_MS: Milliseconds = 250;
--- a/packages/relay/src/host/connection-limits.test.ts
+++ b/packages/relay/src/host/connection-limits.test.ts
@@ -19,4 +19,9 @@
     const { maxConnections } = limitsOf({ maxDescriptors });
     expect(2 * maxConnections + 200).toBeLessThan(maxDescriptors);
   });
+
+  it('bounds what may wait unread by the memory', () => {
+    expect(limitsOf({ memoryMegabytes: 350 }).maxReceiving).toBe(534);
+    expect(limitsOf({ memoryMegabytes: 0 }).maxReceiving).toBe(Number.POSITIVE_INFINITY);
+  });
 });
--- a/packages/relay/src/host/host-budget.ts
+++ b/packages/relay/src/host/host-budget.ts
@@ -57,10 +57,13 @@
     return this.size !== undefined;
   }
 
-  /** Bytes that are held: counted, or resident in the process beyond what it needs itself. */
+  /**
+   * Bytes that are held: counted, or resident in the process beyond what it needs itself, with what is
+   * unread on top, as that is not resident.
+   */
   get usedBytes(): number {
     const aboveProcess = this.#residentBytes - (this.size?.processBytes ?? 0);
-    return Math.max(this.#totalBytes, aboveProcess);
+    return Math.max(this.#totalBytes, aboveProcess + this.held('unread'));
   }
 
   /** Resident set size of the process when it was last compared. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -230,6 +230,7 @@
       log,
       metrics,
       limits: connectionLimitsOf(this.settings),
+      hostBudget,
       headTimeoutMs: () => limits().headerTimeoutMs * TIMEOUT_FACTOR,
       idleTimeoutMs: () => limits().idleTimeoutMs * TIMEOUT_FACTOR,
     });
--- a/packages/relay/src/server/caller-connection.ts
+++ b/packages/relay/src/server/caller-connection.ts
@@ -9,11 +9,13 @@
 } from './caller-costs.js';
 
 /** Why no more is read from a connection. */
-type HoldReason = 'body' | 'cost' | 'parsing' | 'pipelined';
+type HoldReason = 'body' | 'cost' | 'parsing' | 'pipelined' | 'turn';
 
 /** What is told about one read. */
 export interface ReadReport {
   readonly bytes: number;
+  /** Heads and chunks of bodies in it. */
+  readonly partCount: number;
   /** Time that its parsing took, with what was done at once with the requests in it. */
   readonly parsingMs: Milliseconds;
 }
@@ -45,6 +47,8 @@
   #openBytes = 0;
   /** Bytes that the parser has reported in the present read; undefined if it has reported nothing. */
   #reportedBytes: number | undefined;
+  /** Heads and chunks of bodies that the parser has reported in the present read. */
+  #partCount = 0;
   #observer: ConnectionObserver | undefined;
   #isWatched = false;
   /** Whether the parser has reported anything since the last call of `takeProgress`. */
@@ -90,6 +94,12 @@
     return this.#unfinished.size === 1 && response?.req.complete === false;
   }
 
+  /** Whether nothing is expected on it before the response to its only request. */
+  get isWaiting(): boolean {
+    const [response] = this.#unfinished.keys();
+    return this.#unfinished.size === 1 && response?.req.complete === true && !this.isHeld;
+  }
+
   /** Whether it rests but for a head that is not complete. */
   get hasOpenHead(): boolean {
     return this.isIdle && this.#openBytes > 0;
@@ -100,6 +110,11 @@
     return this.#holds.size > 0;
   }
 
+  /** Whether reading is stopped, but not for a body, whose reader counts what is unread of it. */
+  get hasUncountedUnread(): boolean {
+    return this.isHeld && !this.#holds.has('body');
+  }
+
   /** Estimate of the memory that the connection and its unfinished requests take, without bodies. */
   get costBytes(): number {
     return CONNECTION_BYTES + this.#requestsBytes + openHeadCostBytes(this.#openBytes);
@@ -127,13 +142,15 @@
       this.#reportedBytes = undefined;
       this.#openBytes =
         reportedBytes === undefined ? this.#openBytes + bytes : Math.max(0, bytes - reportedBytes);
-      onRead({ bytes, parsingMs: clock.monotonicMs() - startedAtMs });
+      const parsingMs = clock.monotonicMs() - startedAtMs;
+      onRead({ bytes, partCount: this.#partCount, parsingMs });
       this.#observer?.onCost();
     });
     // Between these listeners, Node's own passes the chunk to the parser.
     this.socket.prependListener('data', () => {
       startedAtMs = clock.monotonicMs();
       this.#reportedBytes = undefined;
+      this.#partCount = 0;
     });
   }
 
@@ -162,6 +179,7 @@
   onParsed(bytes: number): void {
     this.#hasProgressed = true;
     this.#reportedBytes = (this.#reportedBytes ?? 0) + bytes;
+    this.#partCount += 1;
   }
 
   /** Records that one read has brought very many chunks of a body. */
--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -5,6 +5,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { HostBudget } from '../host/host-budget.js';
 import { CallerConnection } from './caller-connection.js';
 import { CallerConnections } from './caller-connections.js';
 import { CallerMessage } from './caller-message.js';
@@ -13,7 +14,14 @@
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n';
 const HEAD_TIMEOUT_MS = 3000;
 const IDLE_TIMEOUT_MS = 10_000;
-const LIMITS = { maxConnections: 4, maxUnwatched: 0, maxPipelined: 2, maxCostBytes: 400_000 };
+const LIMITS = {
+  maxConnections: 4,
+  maxReceiving: 100,
+  maxParsingRestMs: 2000,
+  maxUnwatched: 0,
+  maxPipelined: 2,
+  maxCostBytes: 400_000,
+};
 
 let clock: ManualClock;
 let connections: CallerConnections;
@@ -31,6 +39,7 @@
     log: silentLog,
     metrics: new PrometheusMetrics(),
     limits: LIMITS,
+    hostBudget: new HostBudget(undefined),
     headTimeoutMs: () => HEAD_TIMEOUT_MS,
     idleTimeoutMs: () => IDLE_TIMEOUT_MS,
   });
--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -1,8 +1,11 @@
 import type { CancelTimer, Milliseconds } from '@poppypond/core';
 import type { Socket } from 'node:net';
 import type { ConnectionLimits } from '../host/connection-limits.js';
+import type { HostBudget, Reservation } from '../host/host-budget.js';
 import { RunningTime } from '../host/running-time.js';
+import { MAX_PAUSED_BYTES } from '../host/unread-bytes.js';
 import { CallerConnection } from './caller-connection.js';
+import type { ReadReport } from './caller-connection.js';
 import { ORDINARY_COST_BYTES } from './caller-costs.js';
 import { ClosedConnections } from './closed-connections.js';
 import type { ClosedConnectionsParts, CloseReason } from './closed-connections.js';
@@ -13,12 +16,17 @@
 /** Dependencies of `CallerConnections`. */
 export interface CallerConnectionsParts extends ClosedConnectionsParts {
   readonly limits: ConnectionLimits;
+  readonly hostBudget: HostBudget;
   /** Time in which a head must be complete. */
   readonly headTimeoutMs: () => Milliseconds;
   /** Time for which a connection may do nothing. */
   readonly idleTimeoutMs: () => Milliseconds;
 }
 
+/** Time after which no more is read in a turn of the event loop. */
+const MAX_TURN_MS: Milliseconds = 100;
+/** Node's buffer for one read. */
+const FULL_READ_BYTES = 64 * 1024;
 const SWEEP_PERIOD_MS: Milliseconds = 250;
 /** Costs are reduced to this share of their bound, so that not every read closes a connection. */
 const REDUCED_SHARE = 0.8;
@@ -42,13 +50,18 @@
   /** Costs of connections that are being closed: Node releases what they hold somewhat later. */
   #closingCostBytes = 0;
   #isHolding = false;
+  /** Time that reads have taken in the present turn of the event loop. */
+  #turnMs: Milliseconds = 0;
+  /** Estimated bytes on connections that are not read. */
+  readonly #unread: Reservation;
   readonly #closed: ClosedConnections;
   readonly #parsingRest: ParsingRest;
   readonly #time: RunningTime;
 
   constructor(readonly parts: CallerConnectionsParts) {
     this.#closed = new ClosedConnections(parts);
-    this.#parsingRest = new ParsingRest(parts.clock);
+    this.#parsingRest = new ParsingRest(parts.clock, parts.limits.maxParsingRestMs);
+    this.#unread = parts.hostBudget.reserve('unread');
     this.#time = new RunningTime(parts.clock);
   }
 
@@ -72,6 +85,7 @@
       connection,
       costBytes: 0,
       isClosing: false,
+      hasMore: false,
       progressAtMs: nowMs,
       headAtMs: undefined,
       sentBytes: 0,
@@ -86,28 +100,75 @@
         this.#updateCost(watched);
       },
       onManyChunks: () => {
-        this.#watchReads(connection);
+        this.#watchReads(watched);
       },
     });
-    if (this.#count > limits.maxUnwatched) this.#watchReads(connection);
+    if (this.#count > limits.maxUnwatched) this.#watchReads(watched);
     this.#updateCost(watched);
     if (this.#isHolding) connection.hold('cost');
     socket.once('close', () => {
       this.#onClosed(watched);
     });
-    if (this.#count > limits.maxConnections) this.#closeOldest(watched);
+    if (this.#count > limits.maxConnections || this.#hasTooManyReceiving())
+      this.#closeOldest(watched);
   }
 
   get #count(): number {
     return this.#unused.size + this.#used.size;
   }
 
-  #watchReads(connection: CallerConnection): void {
-    connection.watchReads(this.parts.clock, (report) => {
-      this.#parsingRest.onRead(connection, report);
+  #hasTooManyReceiving(): boolean {
+    const { maxReceiving } = this.parts.limits;
+    if (this.#count <= maxReceiving) return false;
+    let receivingCount = this.#unused.size;
+    for (const { connection } of this.#used) if (!connection.isWaiting) receivingCount += 1;
+    return receivingCount > maxReceiving;
+  }
+
+  #watchReads(watched: Watched): void {
+    watched.connection.watchReads(this.parts.clock, (report) => {
+      this.#onRead(watched, report);
     });
   }
 
+  /** Closes a connection that has more to read if the host has no room, or that takes too long. */
+  #onRead(watched: Watched, report: ReadReport): void {
+    const mayGoOn = this.#parsingRest.onRead(watched.connection, report);
+    this.#onTurnTime(report.parsingMs);
+    const hadMore = watched.hasMore;
+    watched.hasMore = report.bytes >= FULL_READ_BYTES;
+    if (watched.hasMore && !hadMore) this.#unread.add(MAX_PAUSED_BYTES);
+    if (!mayGoOn) this.#close(watched, 'small_chunks');
+    else if (watched.hasMore && !this.parts.hostBudget.fitsRequest(0))
+      this.#close(watched, 'memory');
+  }
+
+  /**
+   * Stops reading until the next turn of the event loop if this one has taken long: it could go on for
+   * seconds, as it reads from all connections.
+   */
+  #onTurnTime(parsingMs: Milliseconds): void {
+    if (this.#turnMs === 0)
+      setImmediate(() => {
+        const mustRelease = this.#turnMs > MAX_TURN_MS;
+        this.#turnMs = 0;
+        if (mustRelease) for (const connection of this.#all()) connection.release('turn');
+      });
+    const wasLong = this.#turnMs > MAX_TURN_MS;
+    this.#turnMs += Math.max(parsingMs, Number.MIN_VALUE);
+    if (this.#turnMs > MAX_TURN_MS && !wasLong)
+      for (const connection of this.#all()) connection.hold('turn');
+  }
+
+  #all(): readonly CallerConnection[] {
+    return [...this.#unused, ...this.#used].map(({ connection }) => connection);
+  }
+
+  /** Whether bytes may wait on it that nobody else counts. */
+  #hasUnread({ connection, hasMore }: Watched): boolean {
+    return connection.hasUncountedUnread || (hasMore && !connection.isHeld);
+  }
+
   #onProgress(watched: Watched): void {
     watched.headAtMs = undefined;
     watched.progressAtMs = this.#time.nowMs;
@@ -144,7 +205,7 @@
       this.#closingCostBytes > 0 && this.#totalCostBytes > this.parts.limits.maxCostBytes;
     if (mustHold === this.#isHolding) return;
     this.#isHolding = mustHold;
-    for (const { connection } of [...this.#unused, ...this.#used])
+    for (const connection of this.#all())
       if (mustHold) connection.hold('cost');
       else connection.release('cost');
   }
@@ -189,13 +250,16 @@
   #sweep(): void {
     const { limits, metrics } = this.parts;
     this.#time.advance();
+    let unreadCount = 0;
     for (const watched of [...this.#unused, ...this.#used]) {
       if (watched.connection.takeProgress()) this.#onProgress(watched);
       else if (watched.connection.hasUnreportedBytes) watched.headAtMs ??= this.#time.nowMs;
       const reason = this.#findOverdue(watched);
       if (reason === 'head_timeout') watched.connection.socket.write(HEAD_TIMEOUT_RESPONSE);
       if (reason) this.#close(watched, reason);
+      else if (this.#hasUnread(watched)) unreadCount += 1;
     }
+    this.#unread.resize(unreadCount * MAX_PAUSED_BYTES);
     metrics.set('poppypond_caller_connections', this.#count);
     metrics.set('poppypond_caller_connections_cost_bytes', this.#totalCostBytes);
     this.#closed.report({
@@ -224,6 +288,7 @@
   }
 
   #close(watched: Watched, reason: CloseReason): void {
+    if (watched.isClosing) return;
     watched.isClosing = true;
     this.#closingCostBytes += watched.costBytes;
     watched.connection.socket.destroy();
--- a/packages/relay/src/server/caller-listener.test.ts
+++ b/packages/relay/src/server/caller-listener.test.ts
@@ -66,8 +66,11 @@
       clock: new SystemClock(),
       log: silentLog,
       metrics,
+      hostBudget,
       limits: {
         maxConnections: 100,
+        maxReceiving: 100,
+        maxParsingRestMs: 2000,
         maxUnwatched: 0,
         maxPipelined: 100,
         maxCostBytes: 100_000_000,
--- a/packages/relay/src/server/closed-connections.ts
+++ b/packages/relay/src/server/closed-connections.ts
@@ -2,7 +2,8 @@
 import type { Log, PrometheusMetrics } from '@poppypond/telemetry';
 
 /** Why a connection was closed. */
-export type CloseReason = 'limit' | 'cost' | 'head_timeout' | 'idle_timeout' | 'unread_timeout';
+export type CloseReason =
+  'limit' | 'cost' | 'memory' | 'small_chunks' | 'head_timeout' | 'idle_timeout' | 'unread_timeout';
 
 /** Dependencies of `ClosedConnections`. */
 export interface ClosedConnectionsParts {
--- a/packages/relay/src/server/parsing-rest.ts
+++ b/packages/relay/src/server/parsing-rest.ts
@@ -9,6 +9,8 @@
 const MAX_COUNTED_MS: Milliseconds = 50;
 /** Time for which a connection rests for each other one, relative to its parsing. */
 const REST_FACTOR = 2;
+/** Parts of one read; more are heads or chunks of less than 64 bytes. */
+const MANY_PARTS = 1000;
 /** A connection counts for this long after its rest. */
 const RECENT_MS: Milliseconds = 1000;
 
@@ -29,12 +31,18 @@
   readonly #entries = new Set<Entry>();
   readonly #entryOf = new WeakMap<CallerConnection, Entry>();
 
-  constructor(readonly clock: Clock) {}
+  constructor(
+    readonly clock: Clock,
+    readonly maxRestMs: Milliseconds,
+  ) {}
 
-  /** Lets the connection rest if its last read was large and took long. */
-  onRead(connection: CallerConnection, { bytes, parsingMs }: ReadReport): void {
-    if (bytes < MIN_COUNTED_BYTES || parsingMs <= MIN_COUNTED_MS) return;
-    if (connection.socket.destroyed) return;
+  /**
+   * Lets the connection rest if its last read was large and took long. Returns false if it consists of
+   * very small chunks and would have to rest for too long, as too many others rest.
+   */
+  onRead(connection: CallerConnection, { bytes, partCount, parsingMs }: ReadReport): boolean {
+    if (bytes < MIN_COUNTED_BYTES || parsingMs <= MIN_COUNTED_MS) return true;
+    if (connection.socket.destroyed) return true;
     const nowMs = this.clock.monotonicMs();
     const entry = this.#entryOf.get(connection) ?? { untilMs: nowMs };
     this.#entryOf.set(connection, entry);
@@ -43,12 +51,14 @@
     const countedMs = Math.min(parsingMs, MAX_COUNTED_MS);
     const count = this.#entries.size + (connection.isPipelining ? 1 : 0);
     const restMs = countedMs * REST_FACTOR * count;
+    if (restMs > this.maxRestMs && partCount > MANY_PARTS) return false;
     entry.untilMs = nowMs + restMs + RECENT_MS;
     this.#entries.add(entry);
-    if (restMs === 0) return;
+    if (restMs === 0) return true;
     connection.hold('parsing');
     this.clock.after(restMs, () => {
       connection.release('parsing');
     });
+    return true;
   }
 }
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -101,6 +101,16 @@
   callerHeapShare: numberSetting
     .default(0.2)
     .describe("share of V8's heap that unfinished heads and requests of callers may take"),
+  unreadMemoryShare: numberSetting
+    .default(0.2)
+    .describe(
+      'share of the memory of this host that bytes may take that callers have sent and that are not read',
+    ),
+  maxParsingRestMs: cappedDurationSetting
+    .default(2000)
+    .describe(
+      'connections of very small chunks rest so that others are served; those that would rest for longer are closed',
+    ),
   stalledUnderPressureMs: cappedDurationSetting
     .default(2000)
     .describe(
