Split the files of callers' connections, and do not count stalled bodies as unread

A connection that waits for its response counted as one that may have unread bytes while a turn was cut short, so that idle ones could be closed for it.

--- a/packages/relay/src/server/caller-connection.ts
+++ b/packages/relay/src/server/caller-connection.ts
@@ -7,29 +7,11 @@
   openHeadCostBytes,
   requestCostBytes,
 } from './caller-costs.js';
+import type { ConnectionObserver, ReadReport } from './connection-observer.js';
 
 /** Why no more is read from a connection. */
 type HoldReason = 'body' | 'cost' | 'parsing' | 'pipelined' | 'turn';
 
-/** What is told about one read. */
-export interface ReadReport {
-  readonly bytes: number;
-  /** Heads and chunks of bodies in it. */
-  readonly partCount: number;
-  /** Time that its parsing took, with what was done at once with the requests in it. */
-  readonly parsingMs: Milliseconds;
-}
-
-/** What the owner of a connection is told. */
-export interface ConnectionObserver {
-  /** A request was read. */
-  readonly onRequest: () => void;
-  /** The cost may have changed. */
-  readonly onCost: () => void;
-  /** A read has brought very many chunks of a body. */
-  readonly onManyChunks: () => void;
-}
-
 const connections = new WeakMap<Socket, CallerConnection>();
 
 /** A caller's connection, on which several requests may be pipelined. */
@@ -97,7 +79,7 @@
   /** Whether nothing is expected on it before the response to its only request. */
   get isWaiting(): boolean {
     const [response] = this.#unfinished.keys();
-    return this.#unfinished.size === 1 && response?.req.complete === true && !this.isHeld;
+    return this.#unfinished.size === 1 && response?.req.complete === true;
   }
 
   /** Whether it rests but for a head that is not complete. */
--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -5,35 +5,27 @@
 import { RunningTime } from '../host/running-time.js';
 import { MAX_PAUSED_BYTES } from '../host/unread-bytes.js';
 import { CallerConnection } from './caller-connection.js';
-import type { ReadReport } from './caller-connection.js';
-import { ORDINARY_COST_BYTES } from './caller-costs.js';
+import { findCostly, findOldest } from './choose-closed.js';
 import { ClosedConnections } from './closed-connections.js';
 import type { ClosedConnectionsParts, CloseReason } from './closed-connections.js';
+import { findOverdue } from './overdue.js';
+import type { ConnectionTimeouts } from './overdue.js';
+import type { ReadReport } from './connection-observer.js';
 import { ParsingRest } from './parsing-rest.js';
-import { findFirst } from './watched-connection.js';
+import { TurnLimit } from './turn-limit.js';
 import type { Watched } from './watched-connection.js';
 
 /** Dependencies of `CallerConnections`. */
-export interface CallerConnectionsParts extends ClosedConnectionsParts {
+export interface CallerConnectionsParts extends ClosedConnectionsParts, ConnectionTimeouts {
   readonly limits: ConnectionLimits;
   readonly hostBudget: HostBudget;
-  /** Time in which a head must be complete. */
-  readonly headTimeoutMs: () => Milliseconds;
-  /** Time for which a connection may do nothing. */
-  readonly idleTimeoutMs: () => Milliseconds;
 }
 
-/** Time after which no more is read in a turn of the event loop. */
-const MAX_TURN_MS: Milliseconds = 100;
 /** Node's buffer for one read. */
 const FULL_READ_BYTES = 64 * 1024;
 const SWEEP_PERIOD_MS: Milliseconds = 250;
 /** Costs are reduced to this share of their bound, so that not every read closes a connection. */
 const REDUCED_SHARE = 0.8;
-/** A connection may be closed for another if nothing has come on it for this long. */
-const MIN_QUIET_MS: Milliseconds = 1000;
-/** A connection to which nothing could be sent for this long is closed. */
-const UNREAD_TIMEOUT_MS: Milliseconds = 300_000;
 /** As Node responds when a head is late. */
 const HEAD_TIMEOUT_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n';
 
@@ -50,17 +42,24 @@
   /** Costs of connections that are being closed: Node releases what they hold somewhat later. */
   #closingCostBytes = 0;
   #isHolding = false;
-  /** Time that reads have taken in the present turn of the event loop. */
-  #turnMs: Milliseconds = 0;
   /** Estimated bytes on connections that are not read. */
   readonly #unread: Reservation;
   readonly #closed: ClosedConnections;
   readonly #parsingRest: ParsingRest;
+  readonly #turnLimit: TurnLimit;
   readonly #time: RunningTime;
 
   constructor(readonly parts: CallerConnectionsParts) {
     this.#closed = new ClosedConnections(parts);
     this.#parsingRest = new ParsingRest(parts.clock, parts.limits.maxParsingRestMs);
+    this.#turnLimit = new TurnLimit(
+      () => {
+        for (const connection of this.#all()) connection.hold('turn');
+      },
+      () => {
+        for (const connection of this.#all()) connection.release('turn');
+      },
+    );
     this.#unread = parts.hostBudget.reserve('unread');
     this.#time = new RunningTime(parts.clock);
   }
@@ -134,7 +133,7 @@
   /** Closes a connection that has more to read if the host has no room, or that takes too long. */
   #onRead(watched: Watched, report: ReadReport): void {
     const mayGoOn = this.#parsingRest.onRead(watched.connection, report);
-    this.#onTurnTime(report.parsingMs);
+    this.#turnLimit.count(report.parsingMs);
     const hadMore = watched.hasMore;
     watched.hasMore = report.bytes >= FULL_READ_BYTES;
     if (watched.hasMore && !hadMore) this.#unread.add(MAX_PAUSED_BYTES);
@@ -143,23 +142,6 @@
       this.#close(watched, 'memory');
   }
 
-  /**
-   * Stops reading until the next turn of the event loop if this one has taken long: it could go on for
-   * seconds, as it reads from all connections.
-   */
-  #onTurnTime(parsingMs: Milliseconds): void {
-    if (this.#turnMs === 0)
-      setImmediate(() => {
-        const mustRelease = this.#turnMs > MAX_TURN_MS;
-        this.#turnMs = 0;
-        if (mustRelease) for (const connection of this.#all()) connection.release('turn');
-      });
-    const wasLong = this.#turnMs > MAX_TURN_MS;
-    this.#turnMs += Math.max(parsingMs, Number.MIN_VALUE);
-    if (this.#turnMs > MAX_TURN_MS && !wasLong)
-      for (const connection of this.#all()) connection.hold('turn');
-  }
-
   #all(): readonly CallerConnection[] {
     return [...this.#unused, ...this.#used].map(({ connection }) => connection);
   }
@@ -213,37 +195,19 @@
   /** Closes the connections that cost most, except those with one ordinary request that gets on. */
   #reduceCosts(): void {
     const wantedBytes = this.parts.limits.maxCostBytes * REDUCED_SHARE;
-    const costly = [...this.#unused, ...this.#used]
-      .filter((watched) => {
-        const { hasOpenHead, isReceiving } = watched.connection;
-        if (hasOpenHead || (isReceiving && this.#isQuiet(watched))) return true;
-        return watched.costBytes > ORDINARY_COST_BYTES;
-      })
-      .sort((one, other) => other.costBytes - one.costBytes);
-    for (const watched of costly) {
+    for (const watched of findCostly([...this.#unused, ...this.#used], this.#time.nowMs)) {
       if (this.#totalCostBytes - this.#closingCostBytes <= wantedBytes) return;
       this.#close(watched, 'cost');
     }
   }
 
-  #isQuiet({ progressAtMs }: Watched): boolean {
-    return this.#time.nowMs - progressAtMs >= MIN_QUIET_MS;
-  }
-
   /**
    * Closes a connection for a new one: the one that has been without progress for longest, of those
    * that have sent no request, rest, or whose request is not complete. Those that wait for a response
    * stay; if there are no others, the new one is closed unread.
    */
   #closeOldest(added: Watched): void {
-    const isQuiet = (watched: Watched) => this.#isQuiet(watched);
-    const isReceiving = ({ connection }: Watched) => connection.isReceiving;
-    const oldest =
-      findFirst(this.#unused, isQuiet) ??
-      findFirst(this.#used, (watched) => isQuiet(watched) && isReceiving(watched)) ??
-      findFirst(this.#unused, (watched) => watched !== added) ??
-      findFirst(this.#used, ({ connection }) => connection.isIdle) ??
-      findFirst(this.#used, isReceiving);
+    const oldest = findOldest(this.#unused, this.#used, added, this.#time.nowMs);
     this.#close(oldest ?? added, 'limit');
   }
 
@@ -254,7 +218,8 @@
     for (const watched of [...this.#unused, ...this.#used]) {
       if (watched.connection.takeProgress()) this.#onProgress(watched);
       else if (watched.connection.hasUnreportedBytes) watched.headAtMs ??= this.#time.nowMs;
-      const reason = this.#findOverdue(watched);
+      else watched.hasMore &&= watched.connection.isHeld;
+      const reason = findOverdue(watched, this.#time.nowMs, this.parts);
       if (reason === 'head_timeout') watched.connection.socket.write(HEAD_TIMEOUT_RESPONSE);
       if (reason) this.#close(watched, reason);
       else if (this.#hasUnread(watched)) unreadCount += 1;
@@ -270,23 +235,6 @@
     });
   }
 
-  #findOverdue(watched: Watched): CloseReason | undefined {
-    const { headTimeoutMs, idleTimeoutMs } = this.parts;
-    const { connection, headAtMs, progressAtMs } = watched;
-    const { socket } = connection;
-    const { nowMs } = this.#time;
-    const sentBytes = socket.bytesWritten - socket.writableLength;
-    if (sentBytes !== watched.sentBytes || socket.writableLength === 0) {
-      watched.sentBytes = sentBytes;
-      watched.sentAtMs = nowMs;
-    }
-    if (nowMs - watched.sentAtMs > UNREAD_TIMEOUT_MS) return 'unread_timeout';
-    if (!connection.isIdle) return undefined;
-    if (headAtMs !== undefined && nowMs - headAtMs > headTimeoutMs()) return 'head_timeout';
-    if (!connection.hasRequested && nowMs - progressAtMs > idleTimeoutMs()) return 'idle_timeout';
-    return undefined;
-  }
-
   #close(watched: Watched, reason: CloseReason): void {
     if (watched.isClosing) return;
     watched.isClosing = true;
--- a/packages/relay/src/server/parsing-rest.ts
+++ b/packages/relay/src/server/parsing-rest.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from '@poppypond/core';
-import type { CallerConnection, ReadReport } from './caller-connection.js';
+import type { CallerConnection } from './caller-connection.js';
+import type { ReadReport } from './connection-observer.js';
 
 /** An ordinary request is smaller; on a slow host it takes long together with its first steps. */
 const MIN_COUNTED_BYTES = 16 * 1024;
--- a/packages/relay/src/server/watched-connection.ts
+++ b/packages/relay/src/server/watched-connection.ts
@@ -16,12 +16,3 @@
   sentBytes: number;
   sentAtMs: Milliseconds;
 }
-
-/** Returns the first connection that fulfils a condition. */
-export function findFirst(
-  connections: ReadonlySet<Watched>,
-  condition: (watched: Watched) => boolean,
-): Watched | undefined {
-  for (const watched of connections) if (condition(watched)) return watched;
-  return undefined;
-}
