Log the bound of connections that may have unread bytes

callers_closed said limit=513 beside open=308 max_open=1900: the bound that was met (maxReceiving) was not in the line, so that nobody could tell why connections were closed. Now the line has max_receiving. The tests of packages/relay/src/server pass; nothing else changes.

--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -8,9 +8,9 @@
 import { findCostly, findOldest } from './choose-closed.js';
 import { ClosedConnections } from './closed-connections.js';
 import type { ClosedConnectionsParts, CloseReason } from './closed-connections.js';
+import type { ReadReport } from './connection-observer.js';
 import { findOverdue } from './overdue.js';
 import type { ConnectionTimeouts } from './overdue.js';
-import type { ReadReport } from './connection-observer.js';
 import { ParsingRest } from './parsing-rest.js';
 import { TurnLimit } from './turn-limit.js';
 import type { Watched } from './watched-connection.js';
@@ -230,6 +230,7 @@
     this.#closed.report({
       open: this.#count,
       max_open: limits.maxConnections,
+      max_receiving: limits.maxReceiving,
       cost_bytes: Math.round(this.#totalCostBytes),
       max_cost_bytes: Math.round(limits.maxCostBytes),
     });
