Add unread bytes to the resident size only for connections of crowds

Cause: the limit already leaves a fifth of the memory free for what the kernel holds, so that unread bytes counted twice for everyone.

--- a/packages/relay/src/host/host-budget.test.ts
+++ b/packages/relay/src/host/host-budget.test.ts
@@ -73,6 +73,17 @@
     expect(budget.isFullByResident).toBe(false);
   });
 
+  it('adds unread bytes to the resident size for connections with more to read, and only for them', () => {
+    const budget = new HostBudget(SIZE);
+    budget.onResident(SIZE.processBytes + 90);
+    budget.reserve('unread').add(120);
+    expect([budget.usedBytes, budget.fitsRequest(0), budget.fitsUnread]).toEqual([
+      120,
+      true,
+      false,
+    ]);
+  });
+
   it('has no watermarks if the memory of the host is not known', () => {
     const budget = new HostBudget(undefined);
     budget.reserve('body').add(10 ** 12);
--- a/packages/relay/src/host/host-budget.ts
+++ b/packages/relay/src/host/host-budget.ts
@@ -57,13 +57,14 @@
     return this.size !== undefined;
   }
 
-  /**
-   * Bytes that are held: counted, or resident in the process beyond what it needs itself, with what is
-   * unread on top, as that is not resident.
-   */
+  /** Bytes that are held: counted, or resident in the process beyond what it needs itself. */
   get usedBytes(): number {
-    const aboveProcess = this.#residentBytes - (this.size?.processBytes ?? 0);
-    return Math.max(this.#totalBytes, aboveProcess + this.held('unread'));
+    return Math.max(this.#totalBytes, this.#aboveProcessBytes);
+  }
+
+  /** Resident bytes beyond what the process needs itself; negative if it needs less. */
+  get #aboveProcessBytes(): number {
+    return this.#residentBytes - (this.size?.processBytes ?? 0);
   }
 
   /** Resident set size of the process when it was last compared. */
@@ -80,6 +81,15 @@
     return !this.size || this.usedBytes + bytes <= this.size.limitBytes;
   }
 
+  /**
+   * Whether more can arrive on connections of a crowd: what is unread comes on top of the resident
+   * size, which other limits leave room for.
+   */
+  get fitsUnread(): boolean {
+    const { size } = this;
+    return !size || this.#aboveProcessBytes + this.held('unread') <= size.limitBytes;
+  }
+
   /**
    * Whether `bytes` more of an answer can be held. The resident size does not count: part of it is
    * garbage, and an answer that is lost for it was computed in vain.
--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -138,8 +138,7 @@
     watched.hasMore = report.bytes >= FULL_READ_BYTES;
     if (watched.hasMore && !hadMore) this.#unread.add(MAX_PAUSED_BYTES);
     if (!mayGoOn) this.#close(watched, 'small_chunks');
-    else if (watched.hasMore && !this.parts.hostBudget.fitsRequest(0))
-      this.#close(watched, 'memory');
+    else if (watched.hasMore && !this.parts.hostBudget.fitsUnread) this.#close(watched, 'memory');
   }
 
   #all(): readonly CallerConnection[] {
