--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -38,6 +38,11 @@
   return run[1].split(' ');
 }
 
+/** Whether a line of a relay's log is kept in the record. */
+function isKept(line) {
+  return line !== '' && !/event=(placed|first_event) /.test(line);
+}
+
 export class Deployment {
   #children = new Set();
   #folder = mkdtempSync(join(tmpdir(), 'poppypond-review-'));
@@ -138,7 +143,7 @@
   async end(verdict) {
     this.record('verdict', { verdict });
     for (const { name, log } of this.relays)
-      this.#lines.push(`-- log of ${name}`, ...log.filter(Boolean).slice(-60));
+      this.#lines.push(`-- log of ${name}`, ...log.filter(isKept).slice(-300));
     writeFileSync(this.recordPath, `${this.#lines.join('\n')}\n`);
     this.store.close();
     const ended = [...this.#children].map(
