--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -183,7 +183,7 @@
       const isSubset = entry.lastTerminations.every(({ server }) => servers.has(server));
       if (!isSubset || entry.lastTerminations.length === 0 || entry.content === part) return false;
       return !isPartKey(entry.content) || this.#known.serversOf(entry.content).size < servers.size;
-    });
+    }, `its servers ran ${part}`);
   }
 
   /** Releases a part that a peer has quarantined if this host has served it since. */
--- a/packages/relay/src/quarantine/shared-quarantine.ts
+++ b/packages/relay/src/quarantine/shared-quarantine.ts
@@ -134,14 +134,20 @@
     return entry;
   }
 
-  /** Releases the quarantined subjects that `isReleased` selects; returns their new entries. */
-  release(isReleased: (entry: QuarantineEntry) => boolean): readonly QuarantineEntry[] {
+  /**
+   * Releases the quarantined subjects that `isReleased` selects, for the reason `why`; returns their
+   * new entries.
+   */
+  release(
+    isReleased: (entry: QuarantineEntry) => boolean,
+    why: string,
+  ): readonly QuarantineEntry[] {
     const { clock, host, quarantine } = this.parts;
     return quarantine.quarantined().flatMap((known) => {
       const entry = isReleased(known)
         ? quarantine.onServed(known.content, clock.monotonicMs())
         : undefined;
-      if (entry) this.#log('freed', entry, host);
+      if (entry) this.#log('freed', entry, host, why);
       return entry ?? [];
     });
   }
@@ -155,7 +161,7 @@
   onServed(content: string): void {
     const { clock, quarantine } = this.parts;
     const entry = quarantine.onServed(content, clock.monotonicMs());
-    if (entry) this.#publish('freed', entry);
+    if (entry) this.#publish('freed', entry, 'served');
   }
 
   /** Merges entries from a peer and returns those that were new. */
@@ -193,12 +199,17 @@
     return entry !== undefined && isQuarantined(entry);
   }
 
-  #publish(change: 'held' | 'freed' | 'trial', entry: QuarantineEntry): void {
-    this.#log(change, entry, this.parts.host);
+  #publish(change: 'held' | 'freed' | 'trial', entry: QuarantineEntry, why?: string): void {
+    this.#log(change, entry, this.parts.host, why);
     this.#onChange(entry);
   }
 
-  #log(change: 'held' | 'freed' | 'trial', entry: QuarantineEntry, reportedBy: string): void {
+  #log(
+    change: 'held' | 'freed' | 'trial',
+    entry: QuarantineEntry,
+    reportedBy: string,
+    why?: string,
+  ): void {
     const { clock, log, metrics } = this.parts;
     const nowMs = clock.monotonicMs();
     metrics.count('poppypond_quarantine_changes_total', { change });
@@ -207,6 +218,7 @@
       content: entry.content,
       ends: entry.ends,
       round: entry.round,
+      why,
       for_ms: Math.max(0, Math.round(entry.quarantinedUntilMs - nowMs)),
       ended: describeTerminations(entry, nowMs) || undefined,
       told_by: reportedBy,
--- a/packages/relay/src/request/request-telemetry.ts
+++ b/packages/relay/src/request/request-telemetry.ts
@@ -136,7 +136,8 @@
     const request = this.caller.requestId;
     const { workspace } = this.admitted;
     const parts = this.caller.sharedParts.slice(0, MAX_LOGGED_PARTS).join(',') || undefined;
-    const line = { request, content, workspace, server: server.id, found, why, ends, parts };
+    const { id, startedAtMs: born_ms } = server;
+    const line = { request, content, workspace, server: id, born_ms, found, why, ends, parts };
     this.parts.metrics.count('poppypond_servers_asked_total', { state: found });
     this.parts.log.warn('server_asked', line);
   }
