Tell whether a server survived a request by its start time, not by an open port

Cause: TerminationDetector took an accepted connection for a living server. A process that started again at once, or another server at the address, accepts connections too; 'listening' then vouched for a response without a length, released the request from quarantine, and was no termination.

Why this works: after the end of a connection the server is asked for its start time; another one than that of the incarnation that ran the request is a termination, at once and not with the next heartbeat, and the same one is the only proof. 'unknown' is no complete response. One check serves responses, events, broken and abandoned attempts, also of servers that leave. A response of 3xx or 4xx no longer releases a request.

--- a/packages/relay/src/quarantine/termination-detector.test.ts
+++ b/packages/relay/src/quarantine/termination-detector.test.ts
@@ -55,6 +55,8 @@
   const clock = new SystemClock();
   const connector = new DirectConnector(clock);
   const servers = new ServerList(clock, silentLog);
+  const status: { startedAtMs?: number } = {};
+  const memory = { readStatus: () => Promise.resolve({ running: 0, memoryTokens: 0, ...status }) };
   const shared = { clock, log: silentLog, metrics: new PrometheusMetrics(), host: 'host-1' };
   const quarantine = new SharedQuarantine({ ...shared, quarantine: new Quarantine() });
   const partQuarantine = new PartQuarantine({ ...shared, quarantine });
@@ -66,10 +68,10 @@
     const onProbed = (server: ProbedServer) => found.push(server);
     return {
       followed,
-      ends: new TerminationDetector({ clock, connector, servers, onProbed }, followed),
+      ends: new TerminationDetector({ clock, connector, servers, memory, onProbed }, followed),
     };
   };
-  return { servers, follow, found };
+  return { servers, follow, found, status };
 }
 
 describe('SharedQuarantine', () => {
@@ -137,6 +139,22 @@
     ]);
   });
 
+  // Guards against an open port that passes for proof that the server did not restart.
+  it('tells by the stated start time which incarnation answers at the address', async () => {
+    const { follow, found, status } = createDetector();
+    const server = serverAt('s1', await listen(), 5);
+    const run = follow('body');
+    for (const startedAtMs of [5, 6]) {
+      status.startedAtMs = startedAtMs;
+      run.followed.begin(String(startedAtMs));
+      await run.ends.probe(String(startedAtMs), server, 'broken');
+    }
+    expect(found.map((each) => [each.found, each.ends])).toEqual([
+      ['running', 0],
+      ['started_again', 1],
+    ]);
+  });
+
   // Guards against a hold after fewer restarts than it needs: two attempts that lost their
   // connections to one server were both counted when that server restarted once.
   it('counts one restart of a server once, whichever attempts of the request it ended', async () => {
--- a/packages/relay/src/quarantine/termination-detector.ts
+++ b/packages/relay/src/quarantine/termination-detector.ts
@@ -3,12 +3,18 @@
 import type { BackendServer } from '@poppypond/fleet';
 import { probeConnection } from '../connections/server-connector.js';
 import type { ConnectionProbe, ServerConnector } from '../connections/server-connector.js';
+import type { EngineMemory } from '../ports.js';
 import type { ServerList } from '../store/server-list.js';
 import type { NoticedEnd } from './part-quarantine.js';
 import type { TerminationTracker } from './termination-tracker.js';
 
-/** Result of a check whether a server has terminated; `listening` and `unknown` if it may not have. */
-export type ServerFinding = ConnectionProbe | 'started_again';
+/**
+ * What has become of the incarnation of a server that ran an attempt. `running`: it answers.
+ * `started_again`: another one answers at its address. `listening`: a process accepts connections,
+ * but does not state when it started, or may not be asked. `refused`, `silent`: none accepts them.
+ * `unknown`: this host does not reach it, or it does not answer.
+ */
+export type ServerFinding = ConnectionProbe | 'running' | 'started_again';
 
 /** Result of the check of one server after an attempt, for the log. */
 export interface ProbedServer {
@@ -25,6 +31,7 @@
   readonly clock: Clock;
   readonly connector: ServerConnector;
   readonly servers: ServerList;
+  readonly memory: Pick<EngineMemory, 'readStatus'>;
   readonly onProbed: (found: ProbedServer) => void;
 }
 
@@ -42,9 +49,11 @@
  */
 const RESTART_WATCH_MS: Milliseconds = 6000;
 
+const TERMINATIONS: ReadonlySet<ServerFinding> = new Set(['refused', 'silent', 'started_again']);
+
 /** Whether a server has terminated, as far as any host can tell. */
 export function isTermination(found: ServerFinding): boolean {
-  return found !== 'listening' && found !== 'unknown';
+  return TERMINATIONS.has(found);
 }
 
 /** Detects which servers terminated while they ran attempts of one request. */
@@ -99,13 +108,22 @@
     isPrompt: boolean,
   ): Promise<ServerFinding> {
     const end = { server, atMs: this.parts.clock.monotonicMs(), isPrompt };
-    const found = await probeConnection(this.parts.connector, server);
+    const found = await this.#find(server);
     this.#recordFinding(attempt, end, found, why);
-    // A process that restarted at once accepts connections too.
     if (!isTermination(found)) this.#watchForRestart(attempt, end);
     return found;
   }
 
+  /** An open port proves nothing: a process that started again accepts connections too. */
+  async #find(server: BackendServer): Promise<ServerFinding> {
+    const probed = await probeConnection(this.parts.connector, server);
+    if (probed !== 'listening') return probed;
+    const status = await this.parts.memory.readStatus(server);
+    if (!status) return 'unknown';
+    if (status.startedAtMs === undefined || server.startedAtMs === undefined) return 'listening';
+    return status.startedAtMs === server.startedAtMs ? 'running' : 'started_again';
+  }
+
   #watchForRestart(attempt: string, end: NoticedEnd): void {
     const { clock, servers } = this.parts;
     const stopWatching = servers.watchIncarnation(end.server, () => {
--- a/packages/relay/src/request/attempt-outcome-handler.ts
+++ b/packages/relay/src/request/attempt-outcome-handler.ts
@@ -14,6 +14,7 @@
 import type { RequestTelemetry } from './request-telemetry.js';
 import type { FinalResponse } from './final-response.js';
 
+const SUCCESS_STATUS_END = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 /**
  * A 500 of an engine means that the engine failed; a plain service may return it for an application
@@ -38,8 +39,6 @@
   readonly silentMs: Milliseconds;
 }
 
-type CompleteResponse = Extract<AttemptOutcome, { readonly kind: 'whole' | 'events_done' }>;
-
 /** Dependencies of `AttemptOutcomeHandler`. */
 export interface AttemptOutcomeHandlerParts {
   readonly relay: Pick<
@@ -65,14 +64,12 @@
     if (end.kind === 'cancelled') return this.#handleCancelled(choice, abandonment);
     if (end.kind === 'not_taken') return this.#handleNotTaken(end.why, end.detail);
     if (end.kind === 'whole' || end.kind === 'events_done') {
-      const found = await this.#probeUndelimited(end, choice);
-      const isKnownComplete = found === 'listening';
-      // Another attempt continues what may be incomplete, if it is allowed.
-      if (isTermination(found) || (!isKnownComplete && this.parts.history.mayRepeat))
+      const found = end.isDelimited ? 'running' : await this.#probeAtEnd(choice);
+      if (isTermination(found) || found === 'unknown')
         return this.#handleFailure('unknown', choice, ENDED_WITH_SERVER);
-      if (end.kind === 'whole')
-        return this.#handleResponse(end.head, end.body, choice, isKnownComplete);
-      this.#onServed(isKnownComplete);
+      const isProven = found === 'running';
+      if (end.kind === 'whole') return this.#handleResponse(end.head, end.body, choice, isProven);
+      this.#onServed(isProven);
       this.parts.finalResponse.finishEvents(end.head);
       return true;
     }
@@ -90,14 +87,10 @@
   }
 
   /**
-   * Checks the server of a response that seems complete and has neither a length nor chunks: it may
-   * have ended because the server terminated. Returns `listening` for other responses.
+   * Checks the server of a response that has neither a length nor chunks: it may have ended because
+   * the server terminated.
    */
-  async #probeUndelimited(
-    { head, isDelimited }: CompleteResponse,
-    { attemptId, server }: Choice,
-  ): Promise<ServerFinding> {
-    if (isDelimited || server.isDraining || head.word.isLeaving) return 'listening';
+  #probeAtEnd({ attemptId, server }: Choice): Promise<ServerFinding> {
     return this.parts.ends.probeAtEnd(attemptId, server, ENDED_WITH_SERVER);
   }
 
@@ -116,9 +109,10 @@
     telemetry.serverSuspected(server, why, forMs);
   }
 
-  #onServed(isKnownComplete: boolean): void {
+  /** `isProven`: whether the server is known to have survived the complete response. */
+  #onServed(isProven: boolean): void {
     this.parts.history.onAnswered();
-    if (isKnownComplete) this.parts.followed.onServed();
+    if (isProven) this.parts.followed.onServed();
   }
 
   #handleCancelled({ attemptId, server, plan }: Choice, abandonment: Abandonment): boolean {
@@ -145,12 +139,7 @@
     return true;
   }
 
-  #handleResponse(
-    head: ResponseHead,
-    body: Buffer,
-    choice: Choice,
-    isKnownComplete: boolean,
-  ): boolean {
+  #handleResponse(head: ResponseHead, body: Buffer, choice: Choice, isProven: boolean): boolean {
     const detail = `status ${String(head.status)}`;
     if (head.isNotExecuted) {
       if (head.status === MISDIRECTED) return this.#handleMisdirected(choice, detail);
@@ -163,7 +152,8 @@
     const isServerError = head.status >= MIN_SERVER_ERROR_STATUS;
     if (head.status === INTERNAL_SERVER_ERROR && choice.plan) this.suspect(choice.server, detail);
     if (isServerError && this.#recordFailure('failed', choice, detail)) return false;
-    if (!isServerError) this.#onServed(isKnownComplete);
+    // An error response does not prove that the server would survive the request.
+    if (!isServerError) this.#onServed(isProven && head.status < SUCCESS_STATUS_END);
     this.parts.finalResponse.finishResponse(head, body, isServerError ? 'backend_error' : 'ok');
     return true;
   }
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -113,7 +113,7 @@
     const { sharedParts } = caller;
     this.#followed = new TerminationTracker(parts, { service, content, sharedParts });
     this.#terminations = new TerminationDetector(
-      { clock, connector, servers, onProbed },
+      { clock, connector, servers, memory, onProbed },
       this.#followed,
     );
     this.#finalResponse = new FinalResponse({
