Hold a request that crashed three servers in its own right, not in favour of a part of its prompt

Sound requests that share a part of its prompt are refused instead, for 0.5 to 22.7 s.

Cause: the crashes of one request were counted against each part of its prompt as well, so that both were found to be fatal at once; the part then 'explained' the terminations of the request, which was released as if it had been served. An answer to any other request with the part released the part, and the request started at no termination.

Why this works: reports name the request of each run, so that a part needs terminations beyond those of one request; a part explains a termination of a request only if another request with it ran there; and a release that is no answer leaves the request one termination short of the next hold. Earlier releases neither send nor read the ids; without them runs count as those of several requests, as before.

--- a/packages/fleet/src/part-terminations-simulation.test.ts
+++ b/packages/fleet/src/part-terminations-simulation.test.ts
@@ -40,6 +40,7 @@
 }
 
 interface Run {
+  readonly request: string;
   readonly parts: readonly string[];
   readonly startedAtMs: Milliseconds;
   readonly onLost: () => void;
@@ -104,7 +105,7 @@
     const { minMs, maxMs } = CLASSES[name];
     const parts = [name, this.#otherPart(name)];
     this.soundCount += 1;
-    this.#attempt(parts, 4, (server, run) => {
+    this.#attempt(`sound-${String(this.soundCount)}`, parts, 4, (server, run) => {
       this.#events.after(minMs + this.random() * (maxMs - minMs), () => {
         if (server.runs.delete(run)) for (const part of parts) this.#onServed(part);
       });
@@ -113,7 +114,8 @@
 
   #sendFatal(name: keyof typeof CLASSES, index: number): void {
     const part = `fatal-${String(index % (this.scenario.fatal?.parts ?? 1))}`;
-    this.#attempt([name, part, this.#otherPart(name)], 4, (server, run) => {
+    const parts = [name, part, this.#otherPart(name)];
+    this.#attempt(`fatal-${String(index)}`, parts, 4, (server, run) => {
       this.fatalArrivals.push(this.#events.nowMs);
       this.#events.after(CLASSES[name].crashMs, () => {
         if (!server.runs.has(run)) return;
@@ -124,6 +126,7 @@
   }
 
   #attempt(
+    request: string,
     parts: readonly string[],
     attemptsLeft: number,
     onStart: (server: Server, run: Run) => void,
@@ -134,12 +137,15 @@
     const server = held === undefined ? this.#pick() : undefined;
     if (!server) return;
     const run: Run = {
+      request,
       parts,
       startedAtMs: this.#events.nowMs,
       onLost: () => {
         const delayMs = attemptsLeft % 2 === 0 ? 0 : RETRY_DELAY_MS;
         if (attemptsLeft > 1)
-          this.#events.after(delayMs, () => this.#attempt(parts, attemptsLeft - 1, onStart));
+          this.#events.after(delayMs, () =>
+            this.#attempt(request, parts, attemptsLeft - 1, onStart),
+          );
       },
     };
     server.runs.add(run);
@@ -163,10 +169,16 @@
     });
   }
 
-  #onTerminated(incarnation: string, { parts, startedAtMs }: Run, isPrompt: boolean): void {
+  #onTerminated(
+    incarnation: string,
+    { request, parts, startedAtMs }: Run,
+    isPrompt: boolean,
+  ): void {
     const atMs = this.#events.nowMs;
     const started = new Map(parts.map((part) => [part, startedAtMs]));
-    const runs = { incarnation, server: incarnation, host: 'h', atMs, isPrompt, parts: started };
+    const requests = new Map(parts.map((part) => [part, request]));
+    const ended = { incarnation, server: incarnation, host: 'h', atMs, isPrompt };
+    const runs = { ...ended, parts: started, requests };
     this.#events.after(LATENCY_MS, () => {
       this.#known.record(runs);
       const isHeld = (part: string) => this.#isHeld(part);
--- a/packages/fleet/src/part-terminations.ts
+++ b/packages/fleet/src/part-terminations.ts
@@ -13,6 +13,11 @@
   readonly isPrompt: boolean;
   /** When the latest run with each part started, on this process's monotonic clock. */
   readonly parts: ReadonlyMap<string, Milliseconds>;
+  /**
+   * Content id of the request that ran with a part, by part; none if several requests did, or if the
+   * host that noticed it does not report that.
+   */
+  readonly requests?: ReadonlyMap<string, string>;
 }
 
 /** A part that was in a complete response within this time before a termination did not cause it. */
@@ -34,6 +39,15 @@
 /** Bounds memory to 0.5 MB; the parts that were served least recently are dropped first. */
 const MAX_SERVED_PARTS = 4096;
 
+/** Returns the requests of the parts that ran with no other request, after a further report. */
+function mergeRequests(known: TerminatedRuns, told: TerminatedRuns): ReadonlyMap<string, string> {
+  const isKept = (part: string, { parts, requests }: TerminatedRuns, request: string) =>
+    !parts.has(part) || requests?.get(part) === request;
+  const kept = [...(known.requests ?? [])].filter(([part, id]) => isKept(part, told, id));
+  const added = [...(told.requests ?? [])].filter(([part, id]) => isKept(part, known, id));
+  return new Map([...kept, ...added]);
+}
+
 /** Counts terminations by the two rules, in the order of time. */
 class TerminationCount {
   #separate = 0;
@@ -83,10 +97,12 @@
     const room = MAX_PARTS_OF_TERMINATION - known.parts.size;
     const news = [...runs.parts].filter(([part]) => !known.parts.has(part)).slice(0, room);
     const isMorePrompt = runs.isPrompt && !known.isPrompt;
-    if (news.length === 0 && !isMorePrompt) return false;
+    const requests = mergeRequests(known, runs);
+    const isShared = [...(known.requests?.keys() ?? [])].some((part) => !requests.has(part));
+    if (news.length === 0 && !isMorePrompt && !isShared) return false;
     const { atMs, isPrompt } = isMorePrompt ? runs : known;
     const parts = new Map([...known.parts, ...news]);
-    this.#terminations.set(runs.incarnation, { ...known, atMs, isPrompt, parts });
+    this.#terminations.set(runs.incarnation, { ...known, atMs, isPrompt, parts, requests });
     return true;
   }
 
@@ -119,12 +135,24 @@
       .sort((one, other) => one.atMs - other.atMs);
   }
 
-  /** Whether a part terminates the servers that run it. */
+  /**
+   * Whether a part terminates the servers that run it. It also has to be so without the runs of any
+   * request that ended several servers, as that request may itself be what ends them.
+   */
   isFatal(part: string, isHeld: (part: string) => boolean): boolean {
-    const count = new TerminationCount();
-    for (const runs of this.terminationsOf(part, isHeld))
-      count.add(runs, runs.parts.get(part) ?? runs.atMs);
-    return count.isFatal;
+    const terminations = this.terminationsOf(part, isHeld);
+    const requests = terminations.flatMap((runs) => runs.requests?.get(part) ?? []);
+    const repeated = requests.filter((request, index) => requests.indexOf(request) !== index);
+    const isFatalWithout = (excluded: string | undefined) => {
+      const count = new TerminationCount();
+      for (const runs of terminations) {
+        const request = runs.requests?.get(part);
+        if (request === undefined || request !== excluded)
+          count.add(runs, runs.parts.get(part) ?? runs.atMs);
+      }
+      return count.isFatal;
+    };
+    return [undefined, ...repeated].every(isFatalWithout);
   }
 
   /** Returns what is known of the end of an incarnation; undefined if that is nothing. */
@@ -138,6 +166,14 @@
     return new Set(terminations.filter(({ parts }) => parts.has(part)).map(({ server }) => server));
   }
 
+  /** Ids of the servers that terminated while they ran a part in another request than this one. */
+  serversOfOthers(part: string, request: string): ReadonlySet<string> {
+    const terminations = [...this.#terminations.values()].filter(
+      ({ parts, requests }) => parts.has(part) && requests?.get(part) !== request,
+    );
+    return new Set(terminations.map(({ server }) => server));
+  }
+
   /** Removes terminations beyond their retention time. */
   expire(nowMs: Milliseconds): void {
     for (const [incarnation, { atMs }] of this.#terminations)
--- a/packages/fleet/src/quarantine.ts
+++ b/packages/fleet/src/quarantine.ts
@@ -162,6 +162,24 @@
     return entry;
   }
 
+  /**
+   * Ends the hold of a subject whose terminations have another cause; one more termination holds it
+   * again. Returns the updated entry, or undefined if it was not held.
+   */
+  release(content: string, nowMs: Milliseconds): QuarantineEntry | undefined {
+    const known = this.#entries.get(content);
+    if (!known || !isQuarantined(known)) return undefined;
+    const entry = {
+      ...known,
+      round: known.round + 1,
+      ends: MAX_TERMINATIONS - 1,
+      quarantinedUntilMs: 0,
+      changedAtMs: nowMs,
+    };
+    this.#put(entry);
+    return entry;
+  }
+
   /** Merges an entry of another host; returns true if it changed the state. */
   merge(told: QuarantineEntry): boolean {
     const known = this.#entries.get(told.content);
--- a/packages/relay/src/peers/part-termination-exchange.test.ts
+++ b/packages/relay/src/peers/part-termination-exchange.test.ts
@@ -29,7 +29,8 @@
 function endServer({ clock, partQuarantine }: Host, id: string, parts: readonly string[]): void {
   const place = { address: '127.0.0.1', port: 9, availabilityZone: 'z', slots: 1 };
   const server = { id, service: 'engines', isDraining: false, ...place };
-  partQuarantine.onTerminated({ server, atMs: clock.monotonicMs(), isPrompt: true }, parts, 0);
+  const end = { server, atMs: clock.monotonicMs(), isPrompt: true };
+  partQuarantine.onTerminated(end, parts, 0, `${id}-request`);
 }
 
 /** Ends five servers, 200 ms apart, each under a run of another host with both parts. */
--- a/packages/relay/src/peers/part-termination-exchange.ts
+++ b/packages/relay/src/peers/part-termination-exchange.ts
@@ -7,6 +7,7 @@
 import {
   fromWireServedPart,
   fromWireTerminatedRuns,
+  toWireRequests,
   toWireServedPart,
   toWireTerminatedRuns,
 } from './part-termination-wire-format.js';
@@ -61,11 +62,13 @@
    * Applies a message. Forwards what is new if it asks for that; otherwise a coordinator broadcasts
    * it.
    */
-  onMessage({ terminated, served, passOn }: PartTerminationsMessage): void {
+  onMessage({ terminated, requests, served, passOn }: PartTerminationsMessage): void {
     const { clock, partQuarantine, peers } = this.parts;
     const nowMs = clock.monotonicMs();
     const news = partQuarantine.mergeFromPeer({
-      terminated: terminated.map((runs) => fromWireTerminatedRuns(runs, nowMs)),
+      terminated: terminated.map((runs, index) =>
+        fromWireTerminatedRuns(runs, nowMs, requests?.[index]),
+      ),
       served: served.map((part) => fromWireServedPart(part, nowMs)),
     });
     if (passOn) this.#broadcast.passOn(toList(news));
@@ -89,12 +92,14 @@
   #send(peers: readonly Peer[], reports: readonly PartReport[], passOn: boolean): void {
     if (peers.length === 0 || reports.length === 0) return;
     const nowMs = this.parts.clock.monotonicMs();
+    const terminated = reports.flatMap((report) =>
+      report.kind === 'terminated' ? [report.runs] : [],
+    );
     this.parts.send(peers, {
       kind: 'part_terminations',
       ...this.parts.senderFields(),
-      terminated: reports.flatMap((report) =>
-        report.kind === 'terminated' ? [toWireTerminatedRuns(report.runs, nowMs)] : [],
-      ),
+      terminated: terminated.map((runs) => toWireTerminatedRuns(runs, nowMs)),
+      requests: terminated.map(toWireRequests),
       served: reports.flatMap((report) =>
         report.kind === 'served' ? [toWireServedPart(report.served, nowMs)] : [],
       ),
--- a/packages/relay/src/peers/part-termination-wire-format.ts
+++ b/packages/relay/src/peers/part-termination-wire-format.ts
@@ -18,13 +18,28 @@
   return [incarnation, server, host, toAgeMs(atMs, nowMs), isPrompt, started];
 }
 
-/** Converts runs from their wire form. The transit time makes their instants slightly late. */
+/** Returns the id of the only request of each part, empty for those with several. */
+export function toWireRequests({ parts, requests }: TerminatedRuns): string[] {
+  return [...parts.keys()].map((part) => requests?.get(part) ?? '');
+}
+
+/**
+ * Converts runs from their wire form. The transit time makes their instants slightly late.
+ * `requestIds`: the requests of the parts, as by `toWireRequests`.
+ */
 export function fromWireTerminatedRuns(
   [incarnation, server, host, agoMs, isPrompt, parts]: WireTerminatedRuns,
   nowMs: Milliseconds,
+  requestIds: readonly string[] = [],
 ): TerminatedRuns {
+  const requests = new Map(
+    parts.flatMap(([part], index): [string, string][] => {
+      const request = requestIds[index];
+      return request ? [[part, request]] : [];
+    }),
+  );
   const startedAtMs = new Map(parts.map(([part, startedAgoMs]) => [part, nowMs - startedAgoMs]));
-  return { incarnation, server, host, atMs: nowMs - agoMs, isPrompt, parts: startedAtMs };
+  return { incarnation, server, host, atMs: nowMs - agoMs, isPrompt, parts: startedAtMs, requests };
 }
 
 /** Converts a served part to its wire form as of `nowMs`. */
--- a/packages/relay/src/peers/peer-messages.ts
+++ b/packages/relay/src/peers/peer-messages.ts
@@ -272,6 +272,11 @@
   kind: z.literal('part_terminations'),
   ...senderShape,
   terminated: z.array(terminatedRunsSchema),
+  /**
+   * For each of `terminated` and each of its parts the id of its only request, empty if there were
+   * several. Earlier releases omit this field.
+   */
+  requests: z.array(z.array(z.string())).optional(),
   served: z.array(servedPartSchema),
   /** Whether the receiver has to forward what is new to it within its availability zone. */
   passOn: z.boolean(),
--- a/packages/relay/src/quarantine/followed-prompt.ts
+++ b/packages/relay/src/quarantine/followed-prompt.ts
@@ -52,15 +52,18 @@
     this.#startedAtMs.set(attempt, this.parts.clock.monotonicMs());
   }
 
-  /** Records that a server ended during an attempt; counts once per attempt. */
-  onTerminated(attempt: string, end: NoticedEnd): void {
+  /**
+   * Records that a server ended during an attempt of the request with this content id; counts once
+   * per attempt.
+   */
+  onTerminated(attempt: string, end: NoticedEnd, content: string): void {
     const startedAtMs = this.#startedAtMs.get(attempt);
     if (startedAtMs === undefined) return;
     this.#startedAtMs.delete(attempt);
     const { partQuarantine } = this.parts;
     for (const part of this.#trialParts) partQuarantine.onTrialTerminated(part, end.server.id);
     this.#trialParts = [];
-    partQuarantine.onTerminated(end, this.#keys, startedAtMs);
+    partQuarantine.onTerminated(end, this.#keys, startedAtMs, content);
   }
 
   /** Records that the request was served. */
--- a/packages/relay/src/quarantine/part-quarantine.test.ts
+++ b/packages/relay/src/quarantine/part-quarantine.test.ts
@@ -54,6 +54,27 @@
     expect(request('6', ['aa']).checkHold()).toBeUndefined();
   });
 
+  // Guards against a request that runs on after its third crash, as a part of its prompt was held in
+  // its place and then released by another request.
+  it('keeps holding a request that crashed three servers whatever other requests share its parts', async () => {
+    const fatal = request('fatal', ['dead', 'aa']);
+    const sharing = request('sound', ['aa']);
+    sharing.begin('elsewhere');
+    for (let crash = 0; crash < 3; crash += 1) await terminate(fatal, request('victim', []));
+    expect(sharing.checkHold()).toBeUndefined();
+    sharing.onServed();
+    expect(fatal.checkHold()?.entry.lastTerminations).toHaveLength(3);
+  });
+
+  it('holds a released victim again after one further termination', async () => {
+    const victim = request('sound', []);
+    await terminate(request('1', ['dead']));
+    for (const body of ['2', '3', '4']) await terminate(victim, request(body, ['dead']));
+    expect(victim.checkHold()).toBeUndefined();
+    await terminate(victim);
+    expect(victim.checkHold()).toBeDefined();
+  });
+
   it('allows one trial after the hold, and holds longer if it terminates its server', async () => {
     for (const body of ['1', '2', '3']) await terminate(request(body, ['dead']));
     await clock.advance(19_000);
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -34,6 +34,8 @@
 const KEY_PREFIX = 'part:';
 /** Parts of one host's runs on one server that are reported; the others were served recently. */
 const MAX_REPORTED_PARTS = 16;
+/** Characters of a content id that tell apart the requests that run on one server. */
+const REQUEST_ID_LENGTH = 12;
 /** Peers are told that a suspect part was served if they may not know it for this long. */
 const SERVED_REPORT_PERIOD_MS: Milliseconds = 500;
 const NO_REPORTS: PartReports = { terminated: [], served: [] };
@@ -47,6 +49,10 @@
   return content.startsWith(KEY_PREFIX);
 }
 
+function requestIdOf(content: string): string {
+  return content.slice(0, REQUEST_ID_LENGTH);
+}
+
 /** Describes, for people, what an entry of the quarantine is about. */
 export function describeSubject(content: string): string {
   if (!isPartKey(content)) return 'the request';
@@ -79,20 +85,27 @@
     return entry && isQuarantined(entry) ? entry : undefined;
   }
 
-  /** Records the end of a server during a run of this host with `partKeys`, started at `startedAtMs`. */
+  /**
+   * Records the end of a server during a run of this host with `partKeys`, started at `startedAtMs`;
+   * `content`: the content id of its request.
+   */
   onTerminated(
     { server, atMs, isPrompt }: NoticedEnd,
     partKeys: readonly string[],
     startedAtMs: Milliseconds,
+    content: string,
   ): void {
-    const suspects = partKeys.filter((part) => this.#known.isSuspect(part, atMs));
+    const suspects = partKeys
+      .filter((part) => this.#known.isSuspect(part, atMs))
+      .slice(0, MAX_REPORTED_PARTS);
     const runs: TerminatedRuns = {
       incarnation: `${server.id}/${String(server.startedAtMs ?? '')}`,
       server: server.id,
       host: this.parts.host,
       atMs,
       isPrompt,
-      parts: new Map(suspects.slice(0, MAX_REPORTED_PARTS).map((part) => [part, startedAtMs])),
+      parts: new Map(suspects.map((part) => [part, startedAtMs])),
+      requests: new Map(suspects.map((part) => [part, requestIdOf(content)])),
     };
     const isNew = runs.parts.size > 0 && this.#known.record(runs);
     // Other requests that ran on the server are reported with it, as one report replaces another.
@@ -175,14 +188,18 @@
 
   /**
    * Releases what was quarantined only for terminations of servers that ran a fatal part: requests,
-   * and parts with fewer terminations.
+   * if it was a part of others there, and parts with fewer terminations.
    */
   #releaseExplained(part: string): readonly QuarantineEntry[] {
     const servers = this.#known.serversOf(part);
     return this.parts.quarantine.release((entry) => {
-      const isSubset = entry.lastTerminations.every(({ server }) => servers.has(server));
-      if (!isSubset || entry.lastTerminations.length === 0 || entry.content === part) return false;
-      return !isPartKey(entry.content) || this.#known.serversOf(entry.content).size < servers.size;
+      const { content, lastTerminations } = entry;
+      if (lastTerminations.length === 0 || content === part) return false;
+      const explained = isPartKey(content)
+        ? servers
+        : this.#known.serversOfOthers(part, requestIdOf(content));
+      if (!lastTerminations.every(({ server }) => explained.has(server))) return false;
+      return !isPartKey(content) || this.#known.serversOf(content).size < servers.size;
     }, `its servers ran ${part}`);
   }
 
--- a/packages/relay/src/quarantine/shared-quarantine.ts
+++ b/packages/relay/src/quarantine/shared-quarantine.ts
@@ -135,8 +135,8 @@
   }
 
   /**
-   * Releases the quarantined subjects that `isReleased` selects, for the reason `why`; returns their
-   * new entries.
+   * Ends the hold of the subjects that `isReleased` selects, as their terminations have another cause;
+   * returns their new entries.
    */
   release(
     isReleased: (entry: QuarantineEntry) => boolean,
@@ -145,7 +145,7 @@
     const { clock, host, quarantine } = this.parts;
     return quarantine.quarantined().flatMap((known) => {
       const entry = isReleased(known)
-        ? quarantine.onServed(known.content, clock.monotonicMs())
+        ? quarantine.release(known.content, clock.monotonicMs())
         : undefined;
       if (entry) this.#log('freed', entry, host, why);
       return entry ?? [];
--- a/packages/relay/src/quarantine/termination-tracker.ts
+++ b/packages/relay/src/quarantine/termination-tracker.ts
@@ -54,7 +54,7 @@
   /** Records that a server ended during an attempt. */
   onTerminated(attempt: string, end: NoticedEnd): void {
     this.#request.onTerminated(attempt, end.server.id);
-    this.#prompt.onTerminated(attempt, end);
+    this.#prompt.onTerminated(attempt, end, this.content);
   }
 
   /** Records that the request was served. */
