Cut off servers that send bytes that are no response without end

What callers saw: nothing until their deadline, while the host read all that a server sent: 64 MB of blank lines before a head, interim responses for 6 s, an event of 64 MB on hosts without a memory limit, blank lines in place of events for over 30 s; a status without end was held until its timeout.

Cause: Node bounds one head, not the number of heads and blank lines; the size of an event was checked only with a memory limit; frames that are no event counted as progress; JSON responses had no limit.

--- a/packages/relay/src/backend/event-frames.ts
+++ b/packages/relay/src/backend/event-frames.ts
@@ -1,7 +1,11 @@
-/** One event of a server-sent event stream: its raw bytes, and its id if that is a number. */
+/**
+ * One event of a server-sent event stream: its raw bytes, its id if that is a number, and whether it
+ * is one at all, with an id or data, and not only a comment or a blank line.
+ */
 export interface EventFrame {
   readonly bytes: Buffer;
   readonly id: number | undefined;
+  readonly isEvent: boolean;
 }
 
 const LF_SEPARATOR = Buffer.from('\n\n');
@@ -20,12 +24,17 @@
 }
 
 /**
- * Returns the numeric id of an event, or undefined if it has none. Reads the `id` line directly:
- * event stream parsers skip events without data, and those must not be delivered twice either.
+ * Reads the `id` line directly: event stream parsers skip events without data, and those must not be
+ * delivered twice either.
  */
-function idOf(frame: Buffer): number | undefined {
-  const id = /^id:[ ]?(\d+)\r?$/m.exec(frame.toString('latin1'))?.[1];
-  return id === undefined ? undefined : Number(id);
+function toFrame(bytes: Buffer): EventFrame {
+  const text = bytes.toString('latin1');
+  const id = /^id:[ ]?(\d+)\r?$/m.exec(text)?.[1];
+  return {
+    bytes,
+    id: id === undefined ? undefined : Number(id),
+    isEvent: /^(id|data):/m.test(text),
+  };
 }
 
 /**
@@ -54,8 +63,7 @@
     let start = 0;
     let end = endOfFrame(bytes, searchFrom);
     while (end <= bytes.length) {
-      const frame = bytes.subarray(start, end);
-      frames.push({ bytes: frame, id: idOf(frame) });
+      frames.push(toFrame(bytes.subarray(start, end)));
       start = end;
       end = endOfFrame(bytes, start);
     }
--- a/packages/relay/src/backend/server-attempt.ts
+++ b/packages/relay/src/backend/server-attempt.ts
@@ -69,6 +69,8 @@
 
 /** Responses that are not event streams are buffered until complete, up to this size. */
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+/** Comments and blank lines that may stand between two events. */
+const MAX_BYTES_BETWEEN_EVENTS = 64 * 1024;
 /**
  * A server is left waiting for a slow caller for at most this long: servers abort answers that stay
  * unread for some seconds, and until then the wait occupies a slot.
@@ -300,11 +302,16 @@
 
   #readEvents(response: IncomingMessage, head: ResponseHead): void {
     const splitter = new EventFrameSplitter();
+    let bytesSinceEvent = 0;
     const onBytes = (bytes: Buffer) => {
       const complete = splitter.push(bytes);
       this.#held.resize(splitter.partialBytes);
-      if (complete.length > 0 && !this.parts.onFrames(complete, head)) this.#pause();
-      else if (this.parts.hostBudget.isEnabled && splitter.partialBytes > MAX_RESPONSE_BYTES)
+      for (const frame of complete)
+        bytesSinceEvent = frame.isEvent ? 0 : bytesSinceEvent + frame.bytes.length;
+      if (bytesSinceEvent > MAX_BYTES_BETWEEN_EVENTS)
+        this.#settle({ kind: 'broken', detail: 'too many bytes between events' });
+      else if (complete.length > 0 && !this.parts.onFrames(complete, head)) this.#pause();
+      else if (splitter.partialBytes > MAX_RESPONSE_BYTES)
         this.#settle({ kind: 'broken', detail: 'event is too large' });
     };
     this.#receive(response, onBytes, () => {
--- a/packages/web/src/receive-response.ts
+++ b/packages/web/src/receive-response.ts
@@ -7,6 +7,12 @@
 const MIN_FINAL_STATUS = 200;
 const FINAL_STATUS_END = 600;
 
+/**
+ * Bytes of interim responses and blank lines that may precede the final response, with its head and
+ * what arrives together with it. Node bounds each head, but not their number.
+ */
+const MAX_BYTES_BEFORE_BODY = 256 * 1024;
+
 /** Called when the head of a response has arrived, or when none will; exactly one is, once. */
 export interface ResponseHandlers {
   readonly onResponse: (response: IncomingMessage) => void;
@@ -32,7 +38,22 @@
     isOver = true;
     onFailure(detail);
   };
+  let stopCounting: () => void = () => undefined;
+  outgoing.once('socket', (socket) => {
+    let received = 0;
+    const count = ({ length }: Buffer) => {
+      received += length;
+      if (received <= MAX_BYTES_BEFORE_BODY) return;
+      outgoing.destroy();
+      fail('too many bytes without a final response');
+    };
+    socket.on('data', count);
+    stopCounting = () => {
+      socket.off('data', count);
+    };
+  });
   outgoing.once('response', (response) => {
+    stopCounting();
     if (isFinalStatus(response.statusCode)) {
       isOver = true;
       return onResponse(response);
