--- a/packages/relay/src/backend/server-attempt.test.ts
+++ b/packages/relay/src/backend/server-attempt.test.ts
@@ -146,13 +146,15 @@
   });
 
   // Guards against passing on a status that Node refuses to write, which ended the relay.
-  it.each(['000', '099', '101', '600'])(
-    'reports a response with status %s, which no final response has, as broken',
+  it.each(['000', '099', '101', '600', '0', '00', '', 'OK', '-1', '2000', '2e2', '0x200'])(
+    'reports a response with status "%s", which no final response has, as broken',
     async (status) => {
-      const { end } = await attemptAt((socket) =>
-        socket.end(`${HEAD.replace('200', status)}Content-Length: 0\r\n\r\n`),
-      );
-      expect(end.kind).toBe('broken');
+      for (const wantsEvents of [false, true]) {
+        const { end } = await attemptAt((socket) => {
+          socket.end(`${HEAD.replace('200', status)}Content-Length: 0\r\n\r\n`);
+        }, wantsEvents);
+        expect(end.kind).toBe('broken');
+      }
     },
   );
 
