Start no request in a planned stop that may outlast it

What callers saw: calls that were taken up to 2.5 s after SIGTERM, ran, and were cut with 502 at the end of the grace period, also those that may run only once; streams end in the middle.

Cause: a request was started if 95 of 100 recent ones of its route would end in time, so one in twenty could be cut; a route whose slow requests are rarer than that looked fast.

Change: the longest of the last 256 counts in place of the 95th percentile of 64, twice for a request that may run only once.

--- a/packages/relay/src/request/attempt-history.ts
+++ b/packages/relay/src/request/attempt-history.ts
@@ -15,6 +15,11 @@
   readonly takeRetry: () => boolean;
 }
 
+/** Whether a request of the route may be run more than once. */
+export function isRepeatable({ kind, isResumable }: Route): boolean {
+  return kind === 'safe' || (kind === 'stream' && isResumable);
+}
+
 /** Counts the finished attempts of one request and decides whether another may follow. */
 export class AttemptHistory {
   #sent = 0;
@@ -46,8 +51,7 @@
 
   /** Whether the request may be run more than once. */
   get mayRepeat(): boolean {
-    const { kind, isResumable } = this.parts.route;
-    return kind === 'safe' || (kind === 'stream' && isResumable);
+    return isRepeatable(this.parts.route);
   }
 
   /** Counts an attempt with a complete response. */
--- a/packages/relay/src/request/planned-stop.ts
+++ b/packages/relay/src/request/planned-stop.ts
@@ -9,6 +9,12 @@
   readonly endsAtMs: Milliseconds;
 }
 
+/**
+ * How much longer than all recent ones a request may take that has to end before the host does: no
+ * one can repeat it if it is cut.
+ */
+const UNREPEATABLE_MARGIN = 2;
+
 /** Decides which requests a host still accepts and starts while it stops. */
 export class PlannedStop {
   #times: StopTimes | undefined;
@@ -37,18 +43,23 @@
    * it has a response at the latest. Once the load balancer sends this host nothing more, requests
    * arrive only on connections that were kept, and only those are accepted that are sure to end.
    */
-  accepts(route: string, leftMs: Milliseconds): boolean {
+  accepts(route: string, leftMs: Milliseconds, mayRepeat: boolean): boolean {
     if (!this.#times || leftMs <= this.#leftMs) return true;
     return (
-      this.clock.monotonicMs() <= this.#times.newConnectionsUntilMs && this.mayStart(route, leftMs)
+      this.clock.monotonicMs() <= this.#times.newConnectionsUntilMs &&
+      this.mayStart(route, leftMs, mayRepeat)
     );
   }
 
-  /** Whether a request that no server was sent yet is expected to end before the host does. */
-  mayStart(route: string, leftMs: Milliseconds): boolean {
+  /**
+   * Whether a request that no server was sent yet is expected to end before the host does, as all
+   * recent ones of its route would.
+   */
+  mayStart(route: string, leftMs: Milliseconds, mayRepeat: boolean): boolean {
     if (!this.#times || leftMs <= this.#leftMs) return true;
-    const expectedMs = this.durations.expectedMs(route);
-    return expectedMs !== undefined && expectedMs <= this.#leftMs;
+    const longestMs = this.durations.longestMs(route);
+    const margin = mayRepeat ? 1 : UNREPEATABLE_MARGIN;
+    return longestMs !== undefined && longestMs * margin <= this.#leftMs;
   }
 
   get #leftMs(): Milliseconds {
--- a/packages/relay/src/request/request-durations.ts
+++ b/packages/relay/src/request/request-durations.ts
@@ -1,11 +1,9 @@
 import type { Milliseconds } from '@poppypond/core';
 
-/** Durations that are kept of each route. */
-const KEPT_DURATIONS = 64;
+/** Durations that are kept of each route: 1 MB for all routes. */
+const KEPT_DURATIONS = 256;
 /** More routes than any configuration has; beyond it the oldest one is dropped. */
 const MAX_ROUTES = 512;
-/** Share of a route's requests that take no longer than is expected. */
-const EXPECTED_QUANTILE = 0.95;
 
 /** How long the recent requests of each route took, from their first attempt to their response. */
 export class RequestDurations {
@@ -18,9 +16,9 @@
     if (this.#recent.size > MAX_ROUTES && oldest !== undefined) this.#recent.delete(oldest);
   }
 
-  /** Returns the duration that a request of the route is expected not to exceed, if it is known. */
-  expectedMs(route: string): Milliseconds | undefined {
-    const ascending = [...(this.#recent.get(route) ?? [])].sort((one, other) => one - other);
-    return ascending[Math.floor((ascending.length - 1) * EXPECTED_QUANTILE)];
+  /** Returns the longest recent duration of the route's requests, if any is known. */
+  longestMs(route: string): Milliseconds | undefined {
+    const recent = this.#recent.get(route);
+    return recent && Math.max(...recent);
   }
 }
--- a/packages/relay/src/request/request-execution.ts
+++ b/packages/relay/src/request/request-execution.ts
@@ -276,7 +276,8 @@
 
   /** Whether the host stops before a server that was sent the request now would have served it. */
   #isTooLateToStart(): boolean {
-    return !this.#hasReachedServer && !this.parts.stop.mayStart(this.#route.name, this.#leftMs());
+    if (this.#hasReachedServer) return false;
+    return !this.parts.stop.mayStart(this.#route.name, this.#leftMs(), this.#history.mayRepeat);
   }
 
   /** Runs one attempt; an exception releases all that the attempt holds. */
--- a/packages/relay/src/request/request-handler.ts
+++ b/packages/relay/src/request/request-handler.ts
@@ -3,6 +3,7 @@
 import type { CallerHead } from '../ports.js';
 import type { ReceivedRequest } from '../server/caller-listener.js';
 import { admit } from './admit.js';
+import { isRepeatable } from './attempt-history.js';
 import type { CallerResponse } from './caller-response.js';
 import { hostStopping } from './final-response.js';
 import type { RelayParts } from './relay-parts.js';
@@ -82,7 +83,7 @@
     const { route } = admitted.value;
     const timeLimitMs = Math.min(caller.timeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
     const leftMs = arrivedAtMs + timeLimitMs - clock.monotonicMs();
-    if (!parts.stop.accepts(route.name, leftMs)) {
+    if (!parts.stop.accepts(route.name, leftMs, isRepeatable(route))) {
       this.#refuse(hostStopping(), caller.requestId, answer);
       return;
     }
