Let an idle host find out whether a server is down before it says that it can't tell

Cause: a peer confirms that a server refuses connections only if it has connected to any server within 500 ms. One that was idle answered 'unavailable', and with three servers unreached the asking host blamed its own path.

Why this works: the idle peer connects to up to three other servers of the service, 50 ms at most; one that accepts proves its own path. A host that is partitioned reaches none and answers as before.

--- a/packages/relay/src/connections/forwarding-listener.test.ts
+++ b/packages/relay/src/connections/forwarding-listener.test.ts
@@ -37,10 +37,12 @@
   let listener: ForwardingListener;
   let reachability: Reachability;
   let isPeer = true;
+  let others: BackendServer[] = [];
   let onConnection: (socket: Socket) => void = () => undefined;
 
   beforeEach(async () => {
     isPeer = true;
+    others = [];
     backend = createServer((socket) => {
       socket.on('error', () => undefined);
       onConnection(socket);
@@ -57,6 +59,7 @@
       unexpectedErrors: new UnexpectedErrors(silentLog, new PrometheusMetrics()),
       isPeerAddress: () => isPeer,
       findServer: (id) => (id === listed.id ? listed : undefined),
+      othersOf: () => others,
       isClosed: () => false,
     });
     const peerPort = await freePort();
@@ -145,6 +148,17 @@
     expect(await whyNot()).toBe('unavailable');
   });
 
+  // Guards against a host that takes itself for partitioned, as its peers are idle and tell nothing.
+  it('tells that a server refuses connections also if this host was idle, unless it reaches no other', async () => {
+    const other = createServer((socket) => socket.destroy());
+    const port = await listenAnywhere(other);
+    backend.close();
+    expect(await whyNot()).toBe('unavailable');
+    others = [{ ...listed, id: 'other', port }];
+    expect(await whyNot()).toBe('refused');
+    other.close();
+  });
+
   it('refuses hosts that are no peers, and survives heads that are no requests of a peer', async () => {
     isPeer = false;
     expect(await whyNot()).toBe('unavailable');
--- a/packages/relay/src/connections/forwarding-listener.ts
+++ b/packages/relay/src/connections/forwarding-listener.ts
@@ -22,6 +22,8 @@
   readonly isPeerAddress: (address: string) => boolean;
   /** Returns a listed server. */
   readonly findServer: (id: string) => BackendServer | undefined;
+  /** Returns other servers that accept connections if all is well. */
+  readonly othersOf: (server: BackendServer) => readonly BackendServer[];
   /** Whether this host has no room for further connections, or is stopping. */
   readonly isClosed: () => boolean;
 }
@@ -34,10 +36,24 @@
 const IDLE_TIMEOUT_MS: Milliseconds = 60_000;
 /** A host that has not connected to any server for longer may be partitioned itself. */
 const WITNESS_MS: Milliseconds = 500;
+/** One that answers suffices; more than one, as some may be down together. */
+const MAX_WITNESS_CONNECTIONS = 3;
+/** A round trip to a server takes a few milliseconds; the asking host waits for 300 ms in all. */
+const WITNESS_TIMEOUT_MS: Milliseconds = 50;
 const FORBIDDEN = 403;
 const NOT_FOUND = 404;
 const UNAVAILABLE = 503;
 
+/** Returns at most `count` elements at equal distances: neighbours in the list may fail together. */
+function sampleOf<Element>(all: readonly Element[], count: number): readonly Element[] {
+  const from = Math.floor(Math.random() * all.length);
+  const step = Math.max(1, Math.floor(all.length / count));
+  return all.filter((_element, index) => {
+    const place = (index + from) % all.length;
+    return place % step === 0 && place / step < count;
+  });
+}
+
 /**
  * Connects other hosts to servers that they do not reach. Passes bytes on without reading them; the
  * asking host decides what is sent, and to which server.
@@ -100,9 +116,8 @@
     const connected = await connectDirectly(clock, server, signal, CONNECT_TIMEOUT_MS);
     if (connected.isErr) {
       const { why } = connected.error;
-      const isWitness = reachability.connectedAgeMs <= WITNESS_MS;
-      if (isWitness && (why === 'refused' || why === 'silent')) return end(FORWARDING_STATUS[why]);
-      return end(UNAVAILABLE);
+      if (why !== 'refused' && why !== 'silent') return end(UNAVAILABLE);
+      return end((await this.#isWitness(server)) ? FORWARDING_STATUS[why] : UNAVAILABLE);
     }
     reachability.recordConnected(server);
     end(FORWARDING_STATUS.connected);
@@ -114,6 +129,24 @@
     return this.parts.findServer(unescape(url.slice(FORWARDING_PATH.length)));
   }
 
+  /** Whether this host reaches servers; one that has been idle connects to another one to find out. */
+  async #isWitness(server: BackendServer): Promise<boolean> {
+    const { clock, reachability, othersOf } = this.parts;
+    if (reachability.connectedAgeMs <= WITNESS_MS) return true;
+    const others = sampleOf(othersOf(server), MAX_WITNESS_CONNECTIONS);
+    const { signal } = new AbortController();
+    const connected = await Promise.all(
+      others.map(async (other) => {
+        const connection = await connectDirectly(clock, other, signal, WITNESS_TIMEOUT_MS);
+        if (connection.isErr) return false;
+        connection.value.destroy();
+        reachability.recordConnected(other);
+        return true;
+      }),
+    );
+    return connected.includes(true);
+  }
+
   /** A host that does not reach the server itself answers at once, so that another can be asked. */
   #isAvailable(server: BackendServer): boolean {
     const { isClosed, reachability } = this.parts;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -259,6 +259,8 @@
       reachability,
       isPeerAddress: (address) => peers.members().some((peer) => peer.address === address),
       findServer: (id) => servers.find(id),
+      othersOf: ({ id, service }) =>
+        servers.available(service).filter((server) => server.id !== id),
       isClosed: () => this.#isStopping || hostFullness.isFull,
     });
     return { peers, planner, serving, callerListener, forwardingListener };
