Wait for the status of a server whose response can't be repeated

A response without a length was failed if its server had not stated its start time within 250 ms. For a request that may not be repeated nothing is gained by that: the check, which has time limits of its own (1 s at most), is awaited.

--- a/packages/relay/src/quarantine/termination-detector.test.ts
+++ b/packages/relay/src/quarantine/termination-detector.test.ts
@@ -1,4 +1,4 @@
-import { SystemClock } from '@poppypond/core';
+import { delay, SystemClock } from '@poppypond/core';
 import { FollowedRequest, Quarantine } from '@poppypond/fleet';
 import type { BackendServer } from '@poppypond/fleet';
 import { ManualClock } from '@poppypond/mocks';
@@ -55,8 +55,12 @@
   const clock = new SystemClock();
   const connector = new DirectConnector(clock);
   const servers = new ServerList(clock, silentLog);
-  const status: { startedAtMs?: number } = {};
-  const memory = { readStatus: () => Promise.resolve({ running: 0, memoryTokens: 0, ...status }) };
+  const status: { startedAtMs?: number; delayMs?: number } = {};
+  const readStatus = async () => {
+    await delay(clock, status.delayMs ?? 0);
+    return { running: 0, memoryTokens: 0, startedAtMs: status.startedAtMs };
+  };
+  const memory = { readStatus };
   const shared = { clock, log: silentLog, metrics: new PrometheusMetrics(), host: 'host-1' };
   const quarantine = new SharedQuarantine({ ...shared, quarantine: new Quarantine() });
   const partQuarantine = new PartQuarantine({ ...shared, quarantine });
@@ -155,6 +159,16 @@
     ]);
   });
 
+  // Guards against a complete response that is lost because its server answers a status query late.
+  it('waits for a late status only if the request may not be repeated', async () => {
+    const { follow, status } = createDetector();
+    const server = serverAt('s1', await listen(), 5);
+    Object.assign(status, { startedAtMs: 5, delayMs: 350 });
+    const { ends } = follow('body');
+    expect(await ends.probeAtEnd('a', server, 'ended', true)).toBe('unknown');
+    expect(await ends.probeAtEnd('b', server, 'ended', false)).toBe('running');
+  });
+
   // Guards against a hold after fewer restarts than it needs: two attempts that lost their
   // connections to one server were both counted when that server restarted once.
   it('counts one restart of a server once, whichever attempts of the request it ended', async () => {
--- a/packages/relay/src/quarantine/termination-detector.ts
+++ b/packages/relay/src/quarantine/termination-detector.ts
@@ -41,7 +41,10 @@
  * that is gone does not answer, and the retry proceeds.
  */
 const PROBE_WAIT_MS: Milliseconds = 50;
-/** Longest time for which the end of a response is held back to learn whether it is complete. */
+/**
+ * Longest time for which the end of a response is held back to learn whether it is complete, if the
+ * request can be repeated instead.
+ */
 const END_PROBE_WAIT_MS: Milliseconds = 250;
 /**
  * A process that restarts in place is listed with its new start time by its second heartbeat,
@@ -93,12 +96,20 @@
   }
 
   /**
-   * Returns what has become of a server whose connection has just ended, or `unknown` if that takes
-   * longer than `END_PROBE_WAIT_MS`; a later result is still recorded.
+   * Returns what has become of a server whose connection has just ended. If the request may be
+   * repeated, `unknown` after `END_PROBE_WAIT_MS`, and a later result is still recorded; otherwise
+   * nothing else can be done for it meanwhile.
    */
-  probeAtEnd(attempt: string, server: BackendServer, why: string): Promise<ServerFinding> {
+  probeAtEnd(
+    attempt: string,
+    server: BackendServer,
+    why: string,
+    mayRepeat: boolean,
+  ): Promise<ServerFinding> {
+    const probed = this.#probe(attempt, server, why, true);
+    if (!mayRepeat) return probed;
     const late = delay(this.parts.clock, END_PROBE_WAIT_MS).then((): ServerFinding => 'unknown');
-    return Promise.race([this.#probe(attempt, server, why, true), late]);
+    return Promise.race([probed, late]);
   }
 
   async #probe(
--- a/packages/relay/src/request/attempt-outcome-handler.ts
+++ b/packages/relay/src/request/attempt-outcome-handler.ts
@@ -91,7 +91,8 @@
    * the server terminated.
    */
   #probeAtEnd({ attemptId, server }: Choice): Promise<ServerFinding> {
-    return this.parts.ends.probeAtEnd(attemptId, server, ENDED_WITH_SERVER);
+    const { ends, history } = this.parts;
+    return ends.probeAtEnd(attemptId, server, ENDED_WITH_SERVER, history.mayRepeat);
   }
 
   #isServerAtFault(
