--- a/packages/fleet/src/part-terminations-simulation.test.ts
+++ b/packages/fleet/src/part-terminations-simulation.test.ts
@@ -169,11 +169,8 @@
     });
   }
 
-  #onTerminated(
-    incarnation: string,
-    { request, parts, startedAtMs }: Run,
-    isPrompt: boolean,
-  ): void {
+  #onTerminated(incarnation: string, run: Run, isPrompt: boolean): void {
+    const { request, parts, startedAtMs } = run;
     const atMs = this.#events.nowMs;
     const started = new Map(parts.map((part) => [part, startedAtMs]));
     const requests = new Map(parts.map((part) => [part, request]));
