Require keys by the configuration's own statement, not by its number of workspaces

Cause: RouteTable.needsKeys was "there is a workspace", and the manifest decoder read a missing list as an empty one, so the difference was lost before the table was built.

Why this works: with an empty list no key is known, so every key gets 401, and nothing infers the restriction from the size of a collection any more. Routes exempt from authentication and configurations without the field are as before.

--- a/packages/emulator/src/simulation.ts
+++ b/packages/emulator/src/simulation.ts
@@ -116,6 +116,7 @@
       version: 1,
       routes: kinds.map(routeOf),
       services: [{ name: SERVICE, engine: figures }],
+      requiresKeys: false,
       workspaces: [],
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     });
--- a/packages/mocks/src/engines.ts
+++ b/packages/mocks/src/engines.ts
@@ -21,6 +21,7 @@
     version: 1,
     routes: [],
     services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
+    requiresKeys: false,
     workspaces: [],
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   } as const;
--- a/packages/relay/src/peers/mocks/mesh-network.ts
+++ b/packages/relay/src/peers/mocks/mesh-network.ts
@@ -55,6 +55,7 @@
   version: 1,
   routes: [],
   services: [{ name: ENGINE_SERVICE, engine: ENGINE_FIGURES }],
+  requiresKeys: false,
   workspaces: [],
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
--- a/packages/relay/src/request/admit.ts
+++ b/packages/relay/src/request/admit.ts
@@ -51,7 +51,7 @@
   }
   const route = table.match(caller.hostName, caller.path);
   if (!route) return Result.err(fault('unknown_route', 'no route matches this host and path'));
-  const requiresKey = table.needsKeys && !route.isAuthExempt;
+  const requiresKey = table.configuration.requiresKeys && !route.isAuthExempt;
   if (requiresKey && parts.keyTrust.verdict() === 'refused') {
     return Result.err(notReady('the configuration may be out of date'));
   }
--- a/packages/relay/src/store/configuration-watch.test.ts
+++ b/packages/relay/src/store/configuration-watch.test.ts
@@ -17,6 +17,7 @@
   version: 1,
   routes: [],
   services: [],
+  requiresKeys: false,
   workspaces: [],
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -178,13 +178,17 @@
       return false;
     }
     const before = activeConfiguration.version;
+    const didRequireKeys = activeConfiguration.table?.configuration.requiresKeys ?? false;
     if (!activeConfiguration.apply(configuration)) return true;
     log.warn('configuration_in_force', {
       version: configuration.version,
       before,
       routes: configuration.routes.length,
       workspaces: configuration.workspaces.length,
+      keys_required: configuration.requiresKeys,
     });
+    if (didRequireKeys && !configuration.requiresKeys)
+      log.warn('keys_no_longer_required', { version: configuration.version, before });
     this.parts.syncState.onConfigurationActivated(value);
     if (activeConfiguration.table) onChange(activeConfiguration.table);
     return true;
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -105,7 +105,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly ServiceDescription[];
-  /** Empty if callers need no keys. */
+  /** Whether callers need a key, also if no workspace has one; routes may be exempt. */
+  readonly requiresKeys: boolean;
   readonly workspaces: readonly WorkspaceKeys[];
   readonly limits: CallerLimits;
 }
--- a/packages/routing/src/route-table.test.ts
+++ b/packages/routing/src/route-table.test.ts
@@ -29,6 +29,7 @@
     version,
     routes,
     services: [],
+    requiresKeys: true,
     workspaces: [{ name: 'wheat', keys: ['k'], priority: undefined }],
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -56,11 +56,9 @@
   readonly #workspacesByKey = new Map<string, WorkspaceKeys>();
   readonly #engineServices: readonly string[];
   readonly #servicesWithPriorities: ReadonlySet<string>;
-  readonly needsKeys: boolean;
 
   constructor(readonly configuration: RoutingConfiguration) {
     this.version = configuration.version;
-    this.needsKeys = configuration.workspaces.length > 0;
     this.#services = new Map(configuration.services.map((service) => [service.name, service]));
     this.#engineServices = configuration.services.flatMap(({ name, engine }) =>
       engine ? [name] : [],
