Let a configuration that cannot be decoded confirm nothing

What callers saw: a key that a version removed was served without end, under its old workspace, if that version could not be decoded.

Cause: ConfigurationWatch did not confirm the read that returned the unreadable row, but went on from its version. The next long poll returned no row, which counted as "nothing has changed", and confirmed the configuration in force.

Change: ActiveConfiguration.isNewestUnreadable holds from the read of an unreadable row until a readable one is read; no read confirms meanwhile. Where keys need no confirmation, it counts like a newer version that a peer has reported. keys_judged tells it, and the gauge poppypond_configuration_unreadable.

Why this works: freshness is the only thing that keeps keys valid, at this host and, by heartbeats, at its peers. What is not applied does not renew it, so keys are refused (503) after keysTrustedMs, as when the store is away.

--- a/packages/relay/src/relay-gauges.ts
+++ b/packages/relay/src/relay-gauges.ts
@@ -20,6 +20,8 @@
     metrics.set('poppypond_requests_open', openCount);
     metrics.set('poppypond_configuration_version', activeConfiguration.version);
     metrics.set('poppypond_configuration_age_milliseconds', freshness.ageMs());
+    const isUnreadable = activeConfiguration.isNewestUnreadable;
+    metrics.set('poppypond_configuration_unreadable', isUnreadable ? 1 : 0);
     metrics.set('poppypond_backend_servers', servers.size);
     metrics.set('poppypond_peers', peers.aliveCount);
     this.#setLimits(planner);
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -151,16 +151,18 @@
   }
 
   #applyRows(set: RowSet, askedAtMs: Milliseconds): void {
-    const { rows } = this.parts;
+    const { activeConfiguration, rows } = this.parts;
     this.#storeState.onSuccess();
     this.#backoff.reset();
     // Even if the configuration in these rows is unreadable, evacuations must be applied.
     this.parts.evacuations.applyRead(this.#version, set, askedAtMs);
     this.#version = set.version;
     const row = set.rows.findLast(({ key }) => key === rows.configurationKey);
-    if (row?.value && !this.#apply(row.value)) return;
+    if (row?.value) activeConfiguration.recordNewest(this.#apply(row.value));
+    // Later reads return only changes, and nothing changed does not make the active one the newest.
+    if (activeConfiguration.isNewestUnreadable) return;
     this.parts.syncState.onConfigurationRead(askedAtMs);
-    if (this.parts.activeConfiguration.table === undefined) return;
+    if (activeConfiguration.table === undefined) return;
     this.parts.freshness.confirm(this.#storeClock.dateResponse(askedAtMs, set.storeNowMs));
   }
 
--- a/packages/relay/src/store/key-trust.ts
+++ b/packages/relay/src/store/key-trust.ts
@@ -36,14 +36,15 @@
   verdict(): KeyVerdict {
     const { freshness, activeConfiguration, syncState } = this.parts;
     if (!activeConfiguration.table) return 'refused';
-    const inputs = { ageMs: freshness.ageMs(), isBehind: syncState.isConfigurationBehind };
-    const verdict = judgeKeys(this.settings, inputs);
-    if (verdict !== this.#lastVerdict) this.#onChange(verdict, inputs.ageMs, inputs.isBehind);
+    const ageMs = freshness.ageMs();
+    const isBehind = syncState.isConfigurationBehind || activeConfiguration.isNewestUnreadable;
+    const verdict = judgeKeys(this.settings, { ageMs, isBehind });
+    if (verdict !== this.#lastVerdict) this.#onChange(verdict, ageMs);
     return verdict;
   }
 
-  #onChange(verdict: KeyVerdict, ageMs: Milliseconds, isBehind: boolean): void {
-    const { clock, log, metrics, activeConfiguration } = this.parts;
+  #onChange(verdict: KeyVerdict, ageMs: Milliseconds): void {
+    const { clock, log, metrics, activeConfiguration, syncState } = this.parts;
     const nowMs = clock.monotonicMs();
     log.warn('keys_judged', {
       keys: verdict,
@@ -51,7 +52,8 @@
       before_for_ms: Math.round(nowMs - this.#lastChangeAtMs),
       configuration: activeConfiguration.version,
       configuration_age_ms: Math.round(ageMs),
-      peer_has_newer: isBehind,
+      peer_has_newer: syncState.isConfigurationBehind,
+      newest_unreadable: activeConfiguration.isNewestUnreadable,
       trusted_ms: this.settings.trustedMs,
       needs_proof: this.settings.needsConfirmation,
     });
--- a/packages/routing/src/active-configuration.ts
+++ b/packages/routing/src/active-configuration.ts
@@ -6,6 +6,7 @@
  */
 export class ActiveConfiguration {
   #table: RouteTable | undefined;
+  #isNewestUnreadable = false;
 
   get table(): RouteTable | undefined {
     return this.#table;
@@ -15,6 +16,16 @@
     return this.#table?.version ?? 0;
   }
 
+  /** Whether the store's newest configuration cannot be decoded, so that the active one is older. */
+  get isNewestUnreadable(): boolean {
+    return this.#isNewestUnreadable;
+  }
+
+  /** Records whether the newest configuration, as the store returned it, can be decoded. */
+  recordNewest(isReadable: boolean): void {
+    this.#isNewestUnreadable = !isReadable;
+  }
+
   /** Activates a configuration; returns false if its version is not newer. */
   apply(configuration: RoutingConfiguration): boolean {
     if (this.#table && configuration.version <= this.#table.version) return false;
--- a/packages/routing/src/key-trust.ts
+++ b/packages/routing/src/key-trust.ts
@@ -15,7 +15,7 @@
    * first confirmation.
    */
   readonly ageMs: Milliseconds;
-  /** Whether a peer has reported a newer configuration. */
+  /** Whether a newer configuration is known to exist, from a peer or from the store. */
   readonly isBehind: boolean;
 }
 
@@ -32,7 +32,7 @@
 
 /**
  * Decides whether keys are accepted. Without a valid confirmation, a configuration is not used if a
- * peer has reported a newer one, so no host uses an older version than it has been told of.
+ * newer one is known, so no host uses an older version than it has been told of.
  */
 export function judgeKeys(settings: KeyTrustSettings, inputs: KeyTrustInputs): KeyVerdict {
   if (inputs.ageMs <= settings.trustedMs) return 'proved';
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -242,6 +242,11 @@
     help: 'Time since the configuration in force was proved to be the newest.',
     labels: [],
   },
+  poppypond_configuration_unreadable: {
+    type: 'gauge',
+    help: "Whether the newest configuration in the store can't be decoded: 1 or 0.",
+    labels: [],
+  },
   poppypond_zone_evacuated: {
     type: 'gauge',
     help: 'Availability zones that are evacuated: 1 for each.',
