Decode the entries of a configuration one by one

Cause: the whole manifest was one schema, so one field of one entry made every other one unreadable, the keys too.

Change: routes, services and workspaces are decoded one by one. A key or workspace that cannot be decoded is dropped. Where it is not known what an entry stands for, the version is unreadable, as before. configuration_entries_unreadable names the entries, configuration_unreadable the reason.

Why this works: what the operators removed is applied whatever else the version has, and every host decodes the same bytes alike, at a start and from a peer. Weighed and not done: the old routes beside the new keys, as a host that starts has none.

--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -148,6 +148,13 @@
   remove(table: string, key: string): Promise<Result<number, StoreFailure>>;
 }
 
+/** A configuration without the entries that cannot be decoded. */
+export interface DecodedConfiguration {
+  readonly configuration: RoutingConfiguration;
+  /** Which entries cannot be decoded, and why. */
+  readonly unreadableEntries: readonly string[];
+}
+
 /**
  * Tables and keys under which operators and backend servers write, and the encoding of the values.
  */
@@ -160,8 +167,8 @@
    */
   evacuatedZoneOf(key: string): string | undefined;
   readonly serverTable: string;
-  /** Returns undefined if the value cannot be decoded. */
-  parseConfiguration(value: Buffer): RoutingConfiguration | undefined;
+  /** The error says why no part of the value can be applied. */
+  parseConfiguration(value: Buffer): Result<DecodedConfiguration, string>;
   /**
    * The error says why the entry, which another kind of writer may have written, describes no
    * usable server.
--- a/packages/relay/src/store/configuration-watch.test.ts
+++ b/packages/relay/src/store/configuration-watch.test.ts
@@ -26,7 +26,7 @@
   configurationKey: 'all',
   evacuatedZoneOf: () => undefined,
   serverTable: 'servers',
-  parseConfiguration: () => CONFIGURATION,
+  parseConfiguration: () => Result.ok({ configuration: CONFIGURATION, unreadableEntries: [] }),
   parseServer: () => Result.err('not used'),
 };
 
@@ -83,7 +83,7 @@
     const rows: PlatformRows = {
       ...ROWS,
       evacuatedZoneOf: (key) => (key === 'all' ? undefined : key),
-      parseConfiguration: () => undefined,
+      parseConfiguration: () => Result.err('unreadable'),
     };
     const stored = ['all', 'zone-b'].map((key) => ({ key, value: Buffer.from('{}') }));
     const unused = () => Promise.reject(new Error('not used'));
@@ -126,7 +126,7 @@
       ...ROWS,
       parseConfiguration: () => {
         if (isThrowing) throw new Error('planted');
-        return CONFIGURATION;
+        return Result.ok({ configuration: CONFIGURATION, unreadableEntries: [] });
       },
     };
     const set = { rows: [{ key: 'all', value: Buffer.from('{}') }], version: 1, storeNowMs: 0 };
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -36,6 +36,9 @@
 const INITIAL_BACKOFF_MS: Milliseconds = 250;
 const MAX_BACKOFF_MS: Milliseconds = 1200;
 
+/** Bounds the length of a log line. */
+const MAX_LOGGED_ENTRIES = 5;
+
 /** Dependencies of ConfigurationWatch. */
 export interface ConfigurationWatchParts {
   readonly clock: Clock;
@@ -171,14 +174,16 @@
    */
   #apply(value: Buffer): boolean {
     const { activeConfiguration, log, onChange } = this.parts;
-    const configuration = this.parts.rows.parseConfiguration(value);
-    if (!configuration) {
+    const decoded = this.parts.rows.parseConfiguration(value);
+    if (decoded.isErr) {
       log.error('configuration_unreadable', {
         bytes: value.length,
         in_force: activeConfiguration.version,
+        why: decoded.error,
       });
       return false;
     }
+    const { configuration, unreadableEntries } = decoded.value;
     const before = activeConfiguration.version;
     const didRequireKeys = activeConfiguration.table?.configuration.requiresKeys ?? false;
     if (!activeConfiguration.apply(configuration)) return true;
@@ -191,6 +196,13 @@
     });
     if (didRequireKeys && !configuration.requiresKeys)
       log.warn('keys_no_longer_required', { version: configuration.version, before });
+    if (unreadableEntries.length > 0) {
+      log.error('configuration_entries_unreadable', {
+        version: configuration.version,
+        entries: unreadableEntries.length,
+        first: unreadableEntries.slice(0, MAX_LOGGED_ENTRIES).join('; '),
+      });
+    }
     this.parts.syncState.onConfigurationActivated(value);
     if (activeConfiguration.table) onChange(activeConfiguration.table);
     return true;
--- a/packages/relay/src/store/server-watch.test.ts
+++ b/packages/relay/src/store/server-watch.test.ts
@@ -27,7 +27,7 @@
   configurationKey: 'all',
   evacuatedZoneOf: () => undefined,
   serverTable: 'servers',
-  parseConfiguration: () => undefined,
+  parseConfiguration: () => Result.err('not used'),
   parseServer,
 };
 
