Refuse requests at once while the newest configuration cannot be decoded

What callers saw: a host that started, or resumed from a pause, under such a configuration let requests wait for up to 1.5 s for a confirmation that cannot come, and refused them then.

Cause: StartupGrace holds whatever is refused as not_ready, and this case had the same code.

Change: a code of its own, configuration_unreadable (2016, 503, not run), which StartupGrace does not hold; `poppypond losses` counts it with the unconfirmed configurations. Retry-After is spread as for not_ready.

Why this works: the next configuration comes from the operators, not from a heartbeat or a repeated read, so waiting cannot help; a caller may be served elsewhere or later.

--- a/packages/cli/src/loss-cause.ts
+++ b/packages/cli/src/loss-cause.ts
@@ -70,7 +70,8 @@
 export function lossCause({ placed, end }: RequestLines): LossCause {
   if (!end) return 'lost_with_its_host';
   if (end['event'] === 'refused') {
-    return end['why'] === UNCONFIRMED_CONFIGURATION
+    const isUnreadable = end['code'] === 'configuration_unreadable';
+    return isUnreadable || end['why'] === UNCONFIRMED_CONFIGURATION
       ? 'refused_for_an_unproved_configuration'
       : 'refused';
   }
--- a/packages/cli/src/losses.test.ts
+++ b/packages/cli/src/losses.test.ts
@@ -32,6 +32,10 @@
     expect(lossCause({ placed: undefined, end: parseLine(unproved) })).toBe(
       'refused_for_an_unproved_configuration',
     );
+    const unreadable = parseLine('event=refused code=configuration_unreadable why="anything"');
+    expect(lossCause({ placed: undefined, end: unreadable })).toBe(
+      'refused_for_an_unproved_configuration',
+    );
     expect(lossCause({ placed: PLACED, end: { ...late, code: 'cancelled_running' } })).toBe(
       'left_by_its_caller',
     );
--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -209,6 +209,12 @@
     outcome: 'not_run',
     meaning: 'An unexpected error kept this host from starting the request.',
   },
+  configuration_unreadable: {
+    number: 2016,
+    httpStatus: 503,
+    outcome: 'not_run',
+    meaning: 'This host cannot decode the newest configuration.',
+  },
 
   time_limit: {
     number: 3001,
--- a/packages/relay/src/request/admit.ts
+++ b/packages/relay/src/request/admit.ts
@@ -40,20 +40,27 @@
  * Finds the route, checks the key and picks the service; returns a fault if the request is refused.
  */
 export function admit(parts: RelayParts, caller: CallerHead): Result<AdmittedRequest, Fault> {
-  const table = parts.activeConfiguration.table;
-  const notReady = (detail: string) =>
-    fault('not_ready', detail, { retryAfterMs: syncRetryDelayMs(parts.random()) });
+  const { table, isNewestUnreadable } = parts.activeConfiguration;
+  const refused = (code: 'not_ready' | 'configuration_unreadable', detail: string) =>
+    fault(code, detail, { retryAfterMs: syncRetryDelayMs(parts.random()) });
+  // Requests that are `not_ready` may wait for a confirmation, which cannot come in this case.
+  const unconfirmed = (detail: string) =>
+    isNewestUnreadable
+      ? refused('configuration_unreadable', 'the newest configuration cannot be decoded')
+      : refused('not_ready', detail);
   if (!table) {
-    return Result.err(notReady('no configuration has been loaded yet'));
+    return Result.err(unconfirmed('no configuration has been loaded yet'));
   }
   if (!parts.servers.evacuatedZones.isKnown) {
-    return Result.err(notReady('it is not known yet which availability zones are evacuated'));
+    return Result.err(
+      refused('not_ready', 'it is not known yet which availability zones are evacuated'),
+    );
   }
   const route = table.match(caller.hostName, caller.path);
   if (!route) return Result.err(fault('unknown_route', 'no route matches this host and path'));
   const requiresKey = table.configuration.requiresKeys && !route.isAuthExempt;
   if (requiresKey && parts.keyTrust.verdict() === 'refused') {
-    return Result.err(notReady('the configuration may be out of date'));
+    return Result.err(unconfirmed('the configuration may be out of date'));
   }
   const workspace =
     requiresKey && caller.key !== undefined ? table.workspaceOf(caller.key) : undefined;
