--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -2,7 +2,7 @@
 import type { Server, Socket } from 'node:net';
 import type { BackendServer, LimitNotice } from '@poppypond/fleet';
 import type { ServerConnector } from './connections/server-connector.js';
-import type { RoutingConfiguration } from '@poppypond/routing';
+import type { DecodedConfiguration } from '@poppypond/routing';
 import type { IncomingMessage } from 'node:http';
 import type { Result } from 'true-myth';
 
@@ -148,13 +148,6 @@
   remove(table: string, key: string): Promise<Result<number, StoreFailure>>;
 }
 
-/** A configuration without the entries that cannot be decoded. */
-export interface DecodedConfiguration {
-  readonly configuration: RoutingConfiguration;
-  /** Which entries cannot be decoded, and why. */
-  readonly unreadableEntries: readonly string[];
-}
-
 /**
  * Tables and keys under which operators and backend servers write, and the encoding of the values.
  */
--- a/packages/relay/src/store/configuration-watch.ts
+++ b/packages/relay/src/store/configuration-watch.ts
@@ -161,8 +161,8 @@
     this.parts.evacuations.applyRead(this.#version, set, askedAtMs);
     this.#version = set.version;
     const row = set.rows.findLast(({ key }) => key === rows.configurationKey);
-    if (row?.value) activeConfiguration.recordNewest(this.#apply(row.value));
-    // Later reads return only changes, and nothing changed does not make the active one the newest.
+    if (row?.value) activeConfiguration.recordNewestReadable(this.#apply(row.value));
+    // A later read without this row means that the unreadable configuration is still the newest.
     if (activeConfiguration.isNewestUnreadable) return;
     this.parts.syncState.onConfigurationRead(askedAtMs);
     if (activeConfiguration.table === undefined) return;
--- a/packages/routing/src/active-configuration.ts
+++ b/packages/routing/src/active-configuration.ts
@@ -21,8 +21,8 @@
     return this.#isNewestUnreadable;
   }
 
-  /** Records whether the newest configuration, as the store returned it, can be decoded. */
-  recordNewest(isReadable: boolean): void {
+  /** Records whether the configuration that the store returned as the newest can be decoded. */
+  recordNewestReadable(isReadable: boolean): void {
     this.#isNewestUnreadable = !isReadable;
   }
 
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -110,3 +110,10 @@
   readonly workspaces: readonly WorkspaceKeys[];
   readonly limits: CallerLimits;
 }
+
+/** A configuration without the entries that cannot be decoded. */
+export interface DecodedConfiguration {
+  readonly configuration: RoutingConfiguration;
+  /** Which entries cannot be decoded, and why. */
+  readonly unreadableEntries: readonly string[];
+}
